Lay out the workspace, the vocabulary and the messages

Cause: nothing stands yet. Several people work side by side from here, so identifiers, error kinds, events, commands and messages come first.

--- /dev/null
+++ b/crates/jackdaw-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent: the only way to the target beside it.
--- /dev/null
+++ b/crates/jackdaw-base/src/lib.rs
@@ -0,0 +1,25 @@
+//! Vocabulary shared by every jackdawvale crate.
+//!
+//! The crate holds plain values only: identifiers ([`ids`]), the cost of work ([`work`]),
+//! the closed list of errors with the answer each one leads to ([`error`]), requests as the
+//! decision code sees them ([`request`]) and configuration documents ([`document`]). Nothing
+//! here does I/O, reads a clock or spawns a task.
+
+pub mod document;
+pub mod error;
+pub mod ids;
+pub mod macros;
+pub mod request;
+pub mod work;
+
+pub use document::{
+    CustomerRecord, DocumentBody, DocumentKey, ServiceKind, ServiceRecord, TargetRecord,
+    VersionedDocument, VmRecord, VmState,
+};
+pub use error::{ErrorKind, RequestOutcome};
+pub use ids::{
+    CustomerId, DomainId, KeyDigest, OfferId, ProcessIncarnation, RequestId, ServiceId,
+    TicketNumber, VmId,
+};
+pub use request::{FleetTotal, RequestClass, ServiceReport, WorkOffer};
+pub use work::{CustomerShare, MonotonicTime, NormalService, WorkUnits};
--- /dev/null
+++ b/crates/jackdaw-base/src/request.rs
@@ -0,0 +1,77 @@
+//! Requests as the decision code and the messages between processes see them.
+
+use crate::ids::{CustomerId, OfferId, ProcessIncarnation, ServiceId};
+use crate::plain_data;
+use crate::work::{CustomerShare, NormalService, WorkUnits};
+
+plain_data! {
+    copy
+    /// Kind of work, as far as it matters to the order of service.
+    pub enum RequestClass {
+        /// A short answer or a tag.
+        Short,
+        /// A long draft.
+        Long,
+        /// A repeatable call to a plain service.
+        Read,
+        /// A call to a plain service that must run at most once.
+        Recording,
+    }
+}
+
+plain_data! {
+    copy
+    /// Offer of one waiting request to an agent.
+    pub struct WorkOffer {
+        /// The offer's identifier.
+        pub id: OfferId,
+        /// The customer that pays for the work.
+        pub customer: CustomerId,
+        /// The customer's share of capacity, as the router knows it.
+        pub share: CustomerShare,
+        /// The service that can do the work.
+        pub service: ServiceId,
+        /// The kind of work.
+        pub class: RequestClass,
+        /// The cost that the router predicts.
+        pub estimate: WorkUnits,
+        /// The hash of the prompt's first part, or zero where there is none.
+        pub prefix: u64,
+        /// The microseconds left until the caller's deadline when the offer was sent.
+        pub patience_micros: u64,
+    }
+}
+
+plain_data! {
+    copy
+    /// Service given to one customer by one agent incarnation since that incarnation started.
+    ///
+    /// The figure is cumulative, so that a repeated report changes nothing.
+    pub struct ServiceReport {
+        /// The incarnation of the agent that did the work.
+        pub agent: ProcessIncarnation,
+        /// The customer that was served.
+        pub customer: CustomerId,
+        /// The normalised service since the agent started, reservations included.
+        pub given: NormalService,
+        /// The highest fleet-wide total that the agent has seen for the customer.
+        pub known_total: NormalService,
+        /// The agent's virtual time: the lowest total among the customers that wait there.
+        pub virtual_time: NormalService,
+        /// Whether the customer has offers waiting at the agent.
+        pub waiting: bool,
+    }
+}
+
+plain_data! {
+    copy
+    /// Fleet-wide total of one customer, as its account home sums it.
+    pub struct FleetTotal {
+        /// The customer.
+        pub customer: CustomerId,
+        /// The normalised service of the whole fleet.
+        pub total: NormalService,
+        /// The part of the total that came from the agent this is sent to.
+        pub own: NormalService,
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-base/src/work.rs
@@ -0,0 +1,101 @@
+//! The cost of work, shares of capacity and monotonic time.
+
+use std::ops::{Add, AddAssign};
+use std::time::Duration;
+
+use crate::plain_data;
+
+plain_data! {
+    copy
+    /// Cost of work: tokens for model engines, target-milliseconds for plain services.
+    #[derive(Default)]
+    pub struct WorkUnits(pub u64);
+}
+
+impl Add for WorkUnits {
+    type Output = WorkUnits;
+
+    fn add(self, other: WorkUnits) -> WorkUnits {
+        WorkUnits(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for WorkUnits {
+    fn add_assign(&mut self, other: WorkUnits) {
+        *self = *self + other;
+    }
+}
+
+impl WorkUnits {
+    /// Subtracts, stopping at zero.
+    pub fn saturating_sub(self, other: WorkUnits) -> WorkUnits {
+        WorkUnits(self.0.saturating_sub(other.0))
+    }
+}
+
+plain_data! {
+    copy
+    /// Weight of a customer in the division of capacity; at least one.
+    pub struct CustomerShare(pub u32);
+}
+
+impl Default for CustomerShare {
+    fn default() -> CustomerShare {
+        CustomerShare(1)
+    }
+}
+
+plain_data! {
+    copy
+    /// Service divided by share, in thousandths of a work unit.
+    #[derive(Default)]
+    pub struct NormalService(pub u64);
+}
+
+impl NormalService {
+    /// Thousandths in one work unit at a share of one.
+    pub const SCALE: u64 = 1000;
+
+    /// Normalises work by the share of the customer it was done for.
+    pub fn from_units(units: WorkUnits, share: CustomerShare) -> NormalService {
+        NormalService(units.0.saturating_mul(NormalService::SCALE) / u64::from(share.0.max(1)))
+    }
+
+    /// Subtracts, stopping at zero.
+    pub fn saturating_sub(self, other: NormalService) -> NormalService {
+        NormalService(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for NormalService {
+    type Output = NormalService;
+
+    fn add(self, other: NormalService) -> NormalService {
+        NormalService(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for NormalService {
+    fn add_assign(&mut self, other: NormalService) {
+        *self = *self + other;
+    }
+}
+
+plain_data! {
+    copy
+    /// Microseconds on this process's own monotonic clock; never compared across processes.
+    #[derive(Default)]
+    pub struct MonotonicTime(pub u64);
+}
+
+impl MonotonicTime {
+    /// Returns the time that has passed since `earlier`, or zero if it lies ahead.
+    pub fn since(self, earlier: MonotonicTime) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time after `span` has passed.
+    pub fn after(self, span: Duration) -> MonotonicTime {
+        MonotonicTime(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator's command.
--- /dev/null
+++ b/crates/jackdaw-demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet in one process under load, measured from the stand-ins.
--- /dev/null
+++ b/crates/jackdaw-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client and port of the platform's object API.
--- /dev/null
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of the fleet as pure code without I/O, clocks or threads.
+//!
+//! Each role is a state machine: an event and the present time go in, commands come out.
+//! Daemons, recorded traces and seeded random runs drive the same functions. Randomness comes
+//! from one generator, seeded by the caller; no parameter is read from a global.
+//!
+//! Stages of a request: [`RouterCore`] queues it and offers it to a few agents; [`AgentCore`]
+//! grants the offer of the customer with the least service; the router starts the run and
+//! withdraws the other offers; the agent charges the work while it runs.
+
+pub mod event;
+
+pub use event::{
+    AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
+};
--- /dev/null
+++ b/crates/jackdaw-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs as JSON lines, metrics and state dumps.
