Link processes over QUIC with mutual TLS

Cause: router and agent daemons need authenticated links before they can be written. Ruled out: an own certificate verifier; the VM's identifier stands as a DNS name in the certificate, so the ordinary check of server names demands a certain VM. Session resumption is off on both sides, since a resumed session would not check the certificate's dates again. Ruled out: dropping a message where the send queue is full; both ends would disagree about every later one, so the link ends. Change: FleetAuthority, FleetIdentity, LinkEndpoint, PeerLink, RunReader, RunWriter, and describe_report in jackdaw-base for one-line logs. rcgen's x509-parser feature, so that an operator's own authority can be opened. Seen to fail first: messages_arrive_in_order (received bytes lacked the frame header) and end_is_seen (the reader's own close hid the peer's reason).

--- a/crates/jackdaw-base/src/error.rs
+++ b/crates/jackdaw-base/src/error.rs
@@ -3,6 +3,8 @@
 use std::error::Error;
 use std::fmt;
 
+use error_stack::{AttachmentKind, FrameKind, Report};
+
 use crate::plain_data;
 
 plain_data! {
@@ -121,3 +123,17 @@
 }
 
 impl Error for ErrorKind {}
+
+/// Returns a report on one line: kinds, causes and attachments from the outermost in.
+pub fn describe_report(report: &Report<ErrorKind>) -> String {
+    let mut parts = Vec::new();
+    for frame in report.frames() {
+        match frame.kind() {
+            FrameKind::Context(context) => parts.push(context.to_string()),
+            FrameKind::Attachment(AttachmentKind::Printable(note)) => parts.push(note.to_string()),
+            FrameKind::Attachment(_) => {}
+        }
+    }
+    parts.dedup();
+    parts.join(": ")
+}
--- /dev/null
+++ b/crates/jackdaw-link/src/frame.rs
@@ -0,0 +1,71 @@
+//! Length-prefixed frames with `postcard` inside.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use error_stack::{Report, ResultExt};
+use jackdaw_base::ErrorKind;
+use quinn::RecvStream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio_util::codec::{Encoder, FramedRead, LengthDelimitedCodec};
+
+/// The frames that arrive on one stream.
+pub(crate) type FrameReader = FramedRead<RecvStream, LengthDelimitedCodec>;
+
+/// Returns the codec of every stream.
+fn frame_codec(limit_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(limit_bytes).new_codec()
+}
+
+/// Reads frames from a stream.
+pub(crate) fn frame_reader(stream: RecvStream, limit_bytes: usize) -> FrameReader {
+    FramedRead::new(stream, frame_codec(limit_bytes))
+}
+
+/// Encodes a message as one frame.
+pub(crate) fn encode_frame<T: Serialize>(
+    message: &T,
+    limit_bytes: usize,
+) -> Result<Bytes, Report<ErrorKind>> {
+    let payload = postcard::to_stdvec(message).change_context(ErrorKind::ProtocolViolation)?;
+    let length = payload.len();
+    let mut frame = BytesMut::with_capacity(length + size_of::<u32>());
+    frame_codec(limit_bytes)
+        .encode(Bytes::from(payload), &mut frame)
+        .change_context(ErrorKind::TooLarge)
+        .attach_with(|| format!("message of {length} bytes, allowed are {limit_bytes}"))?;
+    Ok(frame.freeze())
+}
+
+/// Returns the bytes that a frame takes on its stream.
+pub(crate) fn frame_length(payload: &[u8]) -> u64 {
+    (payload.len() + size_of::<u32>()) as u64
+}
+
+/// Returns the report of a frame that could not be read: a frame over the limit is the peer's
+/// fault, everything else is the given kind.
+pub(crate) fn read_failure(error: io::Error, otherwise: ErrorKind) -> Report<ErrorKind> {
+    let kind = match error.kind() {
+        io::ErrorKind::InvalidData => ErrorKind::ProtocolViolation,
+        _ => otherwise,
+    };
+    Report::new(error).change_context(kind)
+}
+
+/// Decodes the message of one frame; bytes left over are an error.
+pub(crate) fn decode_frame<T: DeserializeOwned>(payload: &[u8]) -> Result<T, Report<ErrorKind>> {
+    let (message, rest) = decode_prefix(payload)?;
+    if !rest.is_empty() {
+        return Err(Report::new(ErrorKind::ProtocolViolation)
+            .attach(format!("{} bytes follow the message", rest.len())));
+    }
+    Ok(message)
+}
+
+/// Decodes the message at the start of a frame and returns the bytes that follow it.
+pub(crate) fn decode_prefix<T: DeserializeOwned>(
+    payload: &[u8],
+) -> Result<(T, &[u8]), Report<ErrorKind>> {
+    postcard::take_from_bytes(payload).change_context(ErrorKind::ProtocolViolation)
+}
--- /dev/null
+++ b/crates/jackdaw-link/tests/link/control_stream.rs
@@ -0,0 +1,47 @@
+//! Control messages between two processes.
+
+use crate::common;
+use jackdaw_base::ProcessIncarnation;
+use jackdaw_link::{ControlMessage, MESSAGE_VERSION, ProcessRole};
+
+#[tokio::test]
+async fn messages_arrive_in_order() {
+    let pair = common::linked_pair().await;
+    for number in 0..500 {
+        pair.to_agent.send(ControlMessage::Room(number)).expect("queued");
+        pair.to_router.send(ControlMessage::DocumentDigest(u64::from(number))).expect("queued");
+    }
+    for number in 0..500 {
+        assert_eq!(pair.to_router.receive().await, Some(ControlMessage::Room(number)));
+        let digest = ControlMessage::DocumentDigest(u64::from(number));
+        assert_eq!(pair.to_agent.receive().await, Some(digest));
+    }
+    assert!(pair.to_router.control_bytes().1 >= 500 * 5);
+}
+
+#[tokio::test]
+async fn greetings_are_exposed() {
+    let pair = common::linked_pair().await;
+    assert_eq!(pair.to_agent.greeting().role, ProcessRole::Agent);
+    assert_eq!(pair.to_router.greeting().role, ProcessRole::Router);
+    assert_ne!(pair.to_router.greeting().incarnation, ProcessIncarnation(0));
+    assert_eq!(pair.to_agent.address(), pair.agent.local_address());
+    assert_eq!(pair.to_agent.version(), MESSAGE_VERSION);
+}
+
+#[tokio::test]
+async fn probe_is_answered() {
+    let pair = common::linked_pair().await;
+    pair.to_agent.probe().await.expect("answered");
+    pair.to_router.probe().await.expect("answered");
+}
+
+#[tokio::test]
+async fn end_is_seen() {
+    let pair = common::linked_pair().await;
+    pair.router.close().await;
+    assert_eq!(pair.to_router.receive().await, None);
+    assert!(pair.to_router.accept_run().await.is_none());
+    assert!(pair.to_router.closed().await.reason.contains("process ends"));
+    assert!(pair.to_router.send(ControlMessage::Leaving).is_err());
+}
