Read settings from INI with every fault at once

Cause: daemons need checked settings; an operator with ten faults must not need ten tries. Ruled out: serde on top of INI, which stops at the first fault and knows no section names. Conclusion: ready for the daemons.

--- /dev/null
+++ b/crates/jackdaw-settings/src/router.rs
@@ -0,0 +1,152 @@
+//! Settings of a router.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use error_stack::Report;
+use jackdaw_base::ErrorKind;
+use jackdaw_policy::SharePolicy;
+
+use crate::reader::{SettingsReader, read_file};
+use crate::section::{ADDRESS, PATH, SHARE_POLICIES};
+use crate::{AdminSettings, KeyFiles, LogSettings, PlatformSettings, ProcessSettings};
+
+const BODY_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
+const BODY_DEFAULT_BYTES: u64 = 4 * 1024 * 1024;
+const DEADLINE_LIMIT_MS: u64 = 24 * 60 * 60 * 1000;
+const DEADLINE_DEFAULT_MS: u64 = 10 * 60 * 1000;
+
+/// Settings of a router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouterSettings {
+    /// Who and where the process is.
+    pub process: ProcessSettings,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The process's identity.
+    pub keys: KeyFiles,
+    /// The files for TLS towards callers; `None` where the balancer ends TLS.
+    pub caller_tls: Option<CallerTls>,
+    /// The platform's object API.
+    pub platform: PlatformSettings,
+    /// Limits of callers' requests.
+    pub requests: RequestSettings,
+    /// The log.
+    pub log: LogSettings,
+    /// The operators' interface.
+    pub admin: AdminSettings,
+}
+
+/// Files for TLS towards callers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerTls {
+    /// The certificate chain, as PEM.
+    pub certificate: PathBuf,
+    /// The private key, as PEM.
+    pub key: PathBuf,
+}
+
+/// Section `[requests]`: limits of callers' requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestSettings {
+    /// The most bytes of a body.
+    pub body_limit_bytes: usize,
+    /// The deadline of a request that brings none.
+    pub deadline_default: Duration,
+    /// The most requests that may wait at this router, all customers together.
+    pub queue_limit: usize,
+    /// The agents to which a waiting request is offered at a time.
+    pub offers_per_request: usize,
+    /// The rule by which agents choose among waiting offers.
+    pub share_policy: SharePolicy,
+}
+
+impl RouterSettings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where the file cannot be read, otherwise as [`RouterSettings::parse`].
+    pub fn open(path: &Path) -> Result<RouterSettings, Report<ErrorKind>> {
+        let text = read_file(path)?;
+        RouterSettings::parse(&path.display().to_string(), &text)
+    }
+
+    /// Reads a text; the file name is for faults only.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsInvalid` with [`crate::SettingsFaults`] attached.
+    pub fn parse(file_name: &str, text: &str) -> Result<RouterSettings, Report<ErrorKind>> {
+        let mut reader = SettingsReader::new(file_name, text)?;
+        let settings = RouterSettings::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Option<RouterSettings> {
+        let process = ProcessSettings::read(reader);
+        let caller_address = reader.required("process", "caller_address", &ADDRESS);
+        let keys = KeyFiles::read(reader);
+        let caller_tls = CallerTls::read(reader);
+        let platform = PlatformSettings::read(reader);
+        let requests = RequestSettings::read(reader);
+        let log = LogSettings::read(reader);
+        let admin = AdminSettings::read(reader);
+        Some(RouterSettings {
+            process: process?,
+            caller_address: caller_address?,
+            keys: keys?,
+            caller_tls: caller_tls?,
+            platform: platform?,
+            requests: requests?,
+            log: log?,
+            admin: admin?,
+        })
+    }
+}
+
+impl CallerTls {
+    fn read(reader: &mut SettingsReader<'_>) -> Option<Option<CallerTls>> {
+        let certificate = reader.optional("keys", "caller_certificate", &PATH)?;
+        let key = reader.optional("keys", "caller_key", &PATH)?;
+        match (certificate, key) {
+            (Some(certificate), Some(key)) => Some(Some(CallerTls { certificate, key })),
+            (None, None) => Some(None),
+            (Some(_), None) => {
+                let allowed = "the path of a file, since caller_certificate is set";
+                reader.fault("keys", "caller_key", "nothing".into(), allowed.into());
+                None
+            }
+            (None, Some(_)) => {
+                let allowed = "the path of a file, since caller_key is set";
+                reader.fault("keys", "caller_certificate", "nothing".into(), allowed.into());
+                None
+            }
+        }
+    }
+}
+
+impl RequestSettings {
+    fn read(reader: &mut SettingsReader<'_>) -> Option<RequestSettings> {
+        let body =
+            reader.number("requests", "body_limit_bytes", 1..=BODY_LIMIT_BYTES, BODY_DEFAULT_BYTES);
+        let deadline = reader.number(
+            "requests",
+            "deadline_default_ms",
+            1..=DEADLINE_LIMIT_MS,
+            DEADLINE_DEFAULT_MS,
+        );
+        let queue = reader.number("requests", "queue_limit", 1..=1_000_000, 10_000);
+        let offers = reader.number("requests", "offers_per_request", 1..=64, 4);
+        let policy =
+            reader.choice("requests", "share_policy", SHARE_POLICIES, Some(SharePolicy::Fleet));
+        Some(RequestSettings {
+            body_limit_bytes: body? as usize,
+            deadline_default: Duration::from_millis(deadline?),
+            queue_limit: queue? as usize,
+            offers_per_request: offers? as usize,
+            share_policy: policy?,
+        })
+    }
+}
