Open each link from a socket of its own and prove refusals

Cause: where something between two ends has lost track of a link, it drops all datagrams between the same addresses and ports; a second connection from the listening socket would be dropped as well. Ruled out: rebinding the shared socket, which would move every other link along. Change: dialled links have their own sockets; messages that an older peer does not know are refused at the sender (ControlMessage::since); dropping an endpoint ends its links. Before -> after: with one socket, silence_is_found_and_cured fails at the second dial; with own sockets it passes. Conclusion: silence is cured by a new link; a socket a link is the price.

--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -1,7 +1,11 @@
-//! The socket on which a process takes links and from which it opens them.
+//! The socket on which a process takes links, and the sockets from which it opens them.
+//!
+//! Each dialled link has a socket of its own: where something between the two ends has lost
+//! track of a link, it drops everything between the same two addresses and ports, so that only
+//! a new port gets through.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard, PoisonError};
 
 use error_stack::{Report, ResultExt};
 use futures_util::StreamExt;
@@ -24,6 +28,8 @@
 pub struct LinkEndpoint {
     endpoint: Endpoint,
     address: SocketAddr,
+    client: quinn::ClientConfig,
+    dialled: std::sync::Mutex<Vec<Endpoint>>,
     greeting: LinkGreeting,
     settings: LinkSettings,
     accepted: Mutex<mpsc::Receiver<PeerLink>>,
@@ -51,14 +57,21 @@
         }
         let server = identity.server_config(&settings)?;
         let client = identity.client_config(&settings)?;
-        let mut endpoint = Endpoint::server(server, address)
+        let endpoint = Endpoint::server(server, address)
             .change_context(ErrorKind::LocalResource)
             .attach_with(|| format!("link address {address}"))?;
-        endpoint.set_default_client_config(client);
         let address = endpoint.local_addr().change_context(ErrorKind::LocalResource)?;
         let (sender, accepted) = mpsc::channel(ACCEPT_QUEUE);
         tokio::spawn(take_links(endpoint.clone(), greeting, settings, sender));
-        Ok(LinkEndpoint { endpoint, address, greeting, settings, accepted: Mutex::new(accepted) })
+        Ok(LinkEndpoint {
+            endpoint,
+            address,
+            client,
+            dialled: std::sync::Mutex::default(),
+            greeting,
+            settings,
+            accepted: Mutex::new(accepted),
+        })
     }
 
     /// Returns the address that is bound.
@@ -89,19 +102,48 @@
             .attach_with(|| format!("link to {address}"))
     }
 
-    /// Ends every link and frees the address.
+    /// Ends every link at once and frees the address; dropping does the same without waiting.
+    ///
+    /// [`PeerLink::drained`] tells when the peers have all answers.
     pub async fn close(self) {
-        self.endpoint.close(ORDINARY, b"process ends");
+        self.end_links();
+        let dialled = self.sockets().clone();
+        for socket in dialled {
+            socket.wait_idle().await;
+        }
         self.endpoint.wait_idle().await;
     }
 
+    fn end_links(&self) {
+        self.endpoint.close(ORDINARY, b"process ends");
+        for socket in self.sockets().iter() {
+            socket.close(ORDINARY, b"process ends");
+        }
+    }
+
+    /// Returns the sockets of links that this process has opened.
+    fn sockets(&self) -> MutexGuard<'_, Vec<Endpoint>> {
+        self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Binds the socket for one link, and forgets those whose links have ended.
+    fn dial_socket(&self) -> Result<Endpoint, Report<ErrorKind>> {
+        let address = SocketAddr::new(self.address.ip(), 0);
+        let mut socket = Endpoint::client(address).change_context(ErrorKind::LocalResource)?;
+        socket.set_default_client_config(self.client.clone());
+        let mut sockets = self.sockets();
+        sockets.retain(|socket| socket.open_connections() > 0);
+        sockets.push(socket.clone());
+        Ok(socket)
+    }
+
     async fn open_link(
         &self,
         address: SocketAddr,
         expected: VmId,
     ) -> Result<PeerLink, Report<ErrorKind>> {
         let connection = self
-            .endpoint
+            .dial_socket()?
             .connect(address, &server_name(expected))
             .change_context(ErrorKind::LinkFailed)?
             .await
@@ -119,6 +161,12 @@
     }
 }
 
+impl Drop for LinkEndpoint {
+    fn drop(&mut self) {
+        self.end_links();
+    }
+}
+
 async fn take_links(
     endpoint: Endpoint,
     greeting: LinkGreeting,
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -82,6 +82,28 @@
     }
 }
 
+impl ControlMessage {
+    /// Returns the first message version that knows the variant.
+    pub fn since(&self) -> u16 {
+        match self {
+            ControlMessage::Offer(_)
+            | ControlMessage::Withdraw(_)
+            | ControlMessage::Decline(_)
+            | ControlMessage::Grant(_)
+            | ControlMessage::Room(_)
+            | ControlMessage::Leaving
+            | ControlMessage::Reports(_)
+            | ControlMessage::Totals(_)
+            | ControlMessage::RelayedTotals { .. }
+            | ControlMessage::Documents(_)
+            | ControlMessage::DocumentDigest(_)
+            | ControlMessage::DocumentRequest
+            | ControlMessage::Probe(_)
+            | ControlMessage::ProbeReply(_) => 1,
+        }
+    }
+}
+
 plain_data! {
     /// First message on a run stream, from router to agent; the body follows as the rest of it.
     pub struct RunRequest {
--- a/crates/jackdaw-link/src/peer.rs
+++ b/crates/jackdaw-link/src/peer.rs
@@ -134,9 +134,17 @@
     ///
     /// `LinkFailed` where the link has ended or its queue is full; a full queue ends the link,
     /// since both ends would disagree about every message after a lost one. `TooLarge` where
-    /// the message exceeds the frame limit.
+    /// the message exceeds the frame limit; `ProtocolViolation` where the peer is too old to
+    /// know the message, which ends nothing.
     #[expect(clippy::needless_pass_by_value, reason = "messages are handed over")]
     pub fn send(&self, message: ControlMessage) -> Result<(), Report<ErrorKind>> {
+        if message.since() > self.shared.version {
+            return Err(Report::new(ErrorKind::ProtocolViolation).attach(format!(
+                "message of version {}, the peer speaks {}",
+                message.since(),
+                self.shared.version
+            )));
+        }
         let frame = encode_frame(&message, self.shared.frame_limit)?;
         match self.shared.outgoing.try_send(frame) {
             Ok(()) => Ok(()),
--- a/crates/jackdaw-link/tests/link/common.rs
+++ b/crates/jackdaw-link/tests/link/common.rs
@@ -1,6 +1,7 @@
 //! Fleets of two for the link tests.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jackdaw_base::{ErrorKind, OfferId, ProcessIncarnation, RequestId, VmId};
 use jackdaw_link::{
@@ -30,6 +31,15 @@
     }
 }
 
+/// Returns settings that find silence sooner than those of a real fleet.
+pub(crate) fn quick_settings() -> LinkSettings {
+    LinkSettings {
+        idle_timeout: Duration::from_millis(700),
+        keep_alive: Duration::from_millis(150),
+        ..LinkSettings::default()
+    }
+}
+
 /// Binds an endpoint with a fresh certificate of the authority.
 pub(crate) fn bind(authority: &FleetAuthority, vm_name: &str, role: ProcessRole) -> LinkEndpoint {
     bind_with(authority, greeting(vm_name, role), vm_name)
@@ -43,7 +53,7 @@
 ) -> LinkEndpoint {
     let keys = authority.issue(vm_name, greeting.role, 1).expect("issued");
     let identity = identity(authority, &keys);
-    LinkEndpoint::bind(loopback(), &identity, greeting, LinkSettings::default()).expect("bound")
+    LinkEndpoint::bind(loopback(), &identity, greeting, quick_settings()).expect("bound")
 }
 
 /// A router linked to an agent.
@@ -74,8 +84,8 @@
     to_name: &str,
 ) -> (PeerLink, PeerLink) {
     let expected = VmId::from_name(to_name);
-    let (dialled, accepted) = tokio::join!(from.dial(to.local_address(), expected), to.accept());
-    (dialled.expect("dialled"), accepted.expect("accepted"))
+    let dialled = from.dial(to.local_address(), expected).await.expect("dialled");
+    (dialled, to.accept().await.expect("accepted"))
 }
 
 /// Returns a run request with a body of the given length.
--- /dev/null
+++ b/crates/jackdaw-link/tests/link/fleet_keys.rs
@@ -0,0 +1,68 @@
+//! The fleet authority's files and certificates.
+
+use std::os::unix::fs::PermissionsExt;
+
+use jackdaw_base::{ErrorKind, VmId};
+use jackdaw_link::keys::{AUTHORITY_FILE, AUTHORITY_KEY_FILE};
+use jackdaw_link::{FleetAuthority, FleetIdentity, LinkEndpoint, ProcessRole};
+
+use crate::common;
+
+#[test]
+fn saved_keys_open_again() {
+    let directory = tempfile::tempdir().expect("directory");
+    let path = directory.path();
+    FleetAuthority::generate(10).expect("authority").save(path).expect("saved");
+    let authority = FleetAuthority::open(path).expect("opened");
+    let keys = authority.issue("guj-surat-router-1", ProcessRole::Router, 5).expect("issued");
+    let (certificate, key) = (path.join("process.pem"), path.join("process.key"));
+    keys.save(&certificate, &key).expect("saved");
+    for secret in [path.join(AUTHORITY_KEY_FILE), key.clone()] {
+        let mode = secret.metadata().expect("metadata").permissions().mode();
+        assert_eq!(mode & 0o777, 0o600, "{}", secret.display());
+    }
+    let identity =
+        FleetIdentity::open(&path.join(AUTHORITY_FILE), &certificate, &key).expect("opened");
+    assert_eq!(identity.vm(), VmId::from_name("guj-surat-router-1"));
+    assert_eq!(identity.role(), ProcessRole::Router);
+}
+
+#[test]
+fn keys_are_never_replaced() {
+    let directory = tempfile::tempdir().expect("directory");
+    let first = FleetAuthority::generate(1).expect("authority");
+    first.save(directory.path()).expect("saved");
+    let second = FleetAuthority::generate(1).expect("authority");
+    assert_eq!(common::kind_of(second.save(directory.path())), ErrorKind::LocalResource);
+    let opened = FleetAuthority::open(directory.path()).expect("opened");
+    assert_eq!(opened.certificate_pem(), first.certificate_pem());
+}
+
+#[test]
+fn strange_names_are_refused() {
+    let authority = FleetAuthority::generate(1).expect("authority");
+    for name in ["", "a b", "router/1", "ü", &"x".repeat(129)] {
+        let issued = authority.issue(name, ProcessRole::Agent, 1);
+        assert_eq!(common::kind_of(issued), ErrorKind::SettingsInvalid, "{name:?}");
+    }
+}
+
+#[tokio::test]
+async fn unfit_keys_are_refused() {
+    let authority = FleetAuthority::generate(1).expect("authority");
+    let first = authority.issue("router-1", ProcessRole::Router, 1).expect("issued");
+    let second = authority.issue("router-1", ProcessRole::Router, 1).expect("issued");
+    let pem = authority.certificate_pem();
+    let unread = FleetIdentity::from_pem(pem, "no certificate", &first.key_pem);
+    assert_eq!(common::kind_of(unread), ErrorKind::SettingsInvalid);
+    let mixed = FleetIdentity::from_pem(pem, &first.certificate_pem, &second.key_pem);
+    let bound = LinkEndpoint::bind(
+        common::loopback(),
+        &mixed.expect("readable"),
+        common::greeting("router-1", ProcessRole::Router),
+        common::quick_settings(),
+    );
+    assert_eq!(common::kind_of(bound), ErrorKind::SettingsInvalid);
+    let authority_only = FleetIdentity::from_pem(pem, pem, &first.key_pem);
+    assert_eq!(common::kind_of(authority_only), ErrorKind::SettingsInvalid);
+}
--- /dev/null
+++ b/crates/jackdaw-link/tests/link/protocol_violation.rs
@@ -0,0 +1,77 @@
+//! Frames that cannot be read.
+
+use jackdaw_base::ErrorKind;
+use jackdaw_link::{ControlMessage, FleetAuthority, LinkEndpoint, PeerLink, ProcessRole};
+
+use crate::common;
+use crate::raw_peer::{RawPeer, frame};
+
+/// Connects a raw router and finishes its greeting.
+async fn raw_router(fleet: &FleetAuthority, agent: &LinkEndpoint) -> (RawPeer, PeerLink) {
+    let greeting = common::greeting("router-9", ProcessRole::Router);
+    let address = agent.local_address();
+    let mut peer = RawPeer::connect(fleet, &greeting, "router-9", address, "agent-1").await;
+    peer.send_frame(&postcard::to_stdvec(&greeting).expect("encoded")).await;
+    let link = agent.accept().await.expect("accepted");
+    (peer, link)
+}
+
+#[tokio::test]
+async fn malformed_control_frame_ends_one_link() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let agent = common::bind(&fleet, "agent-1", ProcessRole::Agent);
+    let good_router = common::bind(&fleet, "router-1", ProcessRole::Router);
+    let (good, _good_end) = common::link(&good_router, &agent, "agent-1").await;
+    let trailing = [postcard::to_stdvec(&ControlMessage::Leaving).expect("encoded"), vec![0]];
+    let oversized = u32::MAX.to_be_bytes();
+    let cases: [Vec<u8>; 5] = [
+        frame(&[]),
+        frame(&[0xff; 9]),
+        frame(&trailing.concat()),
+        frame(b"\x00\x01"),
+        oversized.to_vec(),
+    ];
+    for bytes in cases {
+        let (mut peer, link) = raw_router(&fleet, &agent).await;
+        peer.sender.write_all(&bytes).await.expect("sent");
+        assert_eq!(link.closed().await.kind, ErrorKind::ProtocolViolation, "{bytes:?}");
+        assert_eq!(link.receive().await, None);
+        let closed = peer.connection.closed().await.to_string();
+        assert!(closed.contains("message cannot be read"), "{closed}");
+        good.probe().await.expect("other link is intact");
+    }
+}
+
+#[tokio::test]
+async fn malformed_run_ends_one_link() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let agent = common::bind(&fleet, "agent-1", ProcessRole::Agent);
+    let good_router = common::bind(&fleet, "router-1", ProcessRole::Router);
+    let (good, _good_end) = common::link(&good_router, &agent, "agent-1").await;
+    let (peer, link) = raw_router(&fleet, &agent).await;
+    let (mut sender, _receiver) = peer.connection.open_bi().await.expect("stream");
+    sender.write_all(&frame(&[0xff; 3])).await.expect("sent");
+    assert_eq!(link.closed().await.kind, ErrorKind::ProtocolViolation);
+    assert!(link.accept_run().await.is_none());
+    good.probe().await.expect("other link is intact");
+}
+
+#[tokio::test]
+async fn cut_off_request_never_appears() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let agent = common::bind(&fleet, "agent-1", ProcessRole::Agent);
+    let (mut peer, link) = raw_router(&fleet, &agent).await;
+    let request = common::run_request(100);
+    let whole = frame(&postcard::to_stdvec(&request).expect("encoded"));
+    for length in [0, 2, 4, whole.len() - 1] {
+        let (mut sender, _receiver) = peer.connection.open_bi().await.expect("stream");
+        sender.write_all(&whole[..length]).await.expect("sent");
+        sender.finish().expect("finished");
+    }
+    let (mut sender, _receiver) = peer.connection.open_bi().await.expect("stream");
+    sender.write_all(&whole).await.expect("sent");
+    assert_eq!(link.accept_run().await.expect("run").request, request);
+    peer.send_frame(&postcard::to_stdvec(&ControlMessage::Probe(1)).expect("encoded")).await;
+    let mut reply = [0; 4];
+    peer.receiver.read_exact(&mut reply).await.expect("link is intact");
+}
--- /dev/null
+++ b/crates/jackdaw-link/tests/link/silent_link.rs
@@ -0,0 +1,106 @@
+//! Links that go silent for good while new ones work.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use jackdaw_base::{ErrorKind, VmId};
+use jackdaw_link::{ControlMessage, FleetAuthority, ProcessRole};
+use tokio::net::UdpSocket;
+
+use crate::common;
+
+const DATAGRAM_BYTES: usize = 65_536;
+
+/// Passes datagrams on for flows that it has not lost track of.
+struct FlowRelay {
+    address: SocketAddr,
+    era: Arc<AtomicU64>,
+}
+
+impl FlowRelay {
+    async fn spawn(target: SocketAddr) -> FlowRelay {
+        let socket = Arc::new(UdpSocket::bind(common::loopback()).await.expect("socket"));
+        let address = socket.local_addr().expect("address");
+        let era = Arc::new(AtomicU64::new(0));
+        tokio::spawn(relay_flows(socket, target, Arc::clone(&era)));
+        FlowRelay { address, era }
+    }
+
+    /// Forgets every flow: their datagrams are dropped from now on, in both directions.
+    fn forget_flows(&self) {
+        self.era.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+async fn relay_flows(socket: Arc<UdpSocket>, target: SocketAddr, era: Arc<AtomicU64>) {
+    let mut flows = HashMap::new();
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    while let Ok((length, client)) = socket.recv_from(&mut buffer).await {
+        if !flows.contains_key(&client) {
+            let upstream = Arc::new(UdpSocket::bind(common::loopback()).await.expect("socket"));
+            let born = era.load(Ordering::SeqCst);
+            let back = relay_back(
+                Arc::clone(&upstream),
+                Arc::clone(&socket),
+                client,
+                (born, Arc::clone(&era)),
+            );
+            tokio::spawn(back);
+            flows.insert(client, (born, upstream));
+        }
+        let (born, upstream) = &flows[&client];
+        if *born == era.load(Ordering::SeqCst) {
+            upstream.send_to(&buffer[..length], target).await.expect("relayed");
+        }
+    }
+}
+
+async fn relay_back(
+    upstream: Arc<UdpSocket>,
+    socket: Arc<UdpSocket>,
+    client: SocketAddr,
+    (born, era): (u64, Arc<AtomicU64>),
+) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    while let Ok((length, _)) = upstream.recv_from(&mut buffer).await {
+        if born == era.load(Ordering::SeqCst) {
+            socket.send_to(&buffer[..length], client).await.expect("relayed");
+        }
+    }
+}
+
+#[tokio::test]
+async fn silence_is_found_and_cured() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let router = common::bind(&fleet, "router-1", ProcessRole::Router);
+    let agent = common::bind(&fleet, "agent-1", ProcessRole::Agent);
+    let relay = FlowRelay::spawn(agent.local_address()).await;
+    let expected = VmId::from_name("agent-1");
+    let silent = router.dial(relay.address, expected).await.expect("dialled");
+    let other_end = agent.accept().await.expect("accepted");
+    silent.probe().await.expect("answered");
+    let mut reader = silent.open_run(&common::run_request(1)).await.expect("opened");
+    let run = other_end.accept_run().await.expect("run");
+
+    relay.forget_flows();
+    assert_eq!(silent.closed().await.kind, ErrorKind::LinkFailed);
+    assert_eq!(other_end.closed().await.kind, ErrorKind::LinkFailed);
+    assert_eq!(common::kind_of(reader.next().await), ErrorKind::Interrupted);
+    run.writer.cancelled().await;
+    assert!(silent.probe().await.is_err());
+
+    let fresh = router.dial(relay.address, expected).await.expect("dialled again");
+    let other_end = agent.accept().await.expect("accepted");
+    fresh.send(ControlMessage::Room(2)).expect("queued");
+    assert_eq!(other_end.receive().await, Some(ControlMessage::Room(2)));
+}
+
+/// An idle link stays open by keep-alives alone.
+#[tokio::test]
+async fn idle_link_stays_open() {
+    let pair = common::linked_pair().await;
+    tokio::time::sleep(2 * common::quick_settings().idle_timeout).await;
+    pair.to_agent.probe().await.expect("still open");
+}
