Decide offers, grants, outcomes and fleet counters in pure code

Cause: the daemons need the state machines of router and agent. Ruled out: totals addressed by incarnation (needs a table at each router). With the may-have-run rule, the holder check and the wording of the last answer taken out, the tests named refused_after_interruption and others fail. Conclusion: thin version for the daemons; fleet fairness is not measured yet.

--- a/crates/jackdaw-base/src/request.rs
+++ b/crates/jackdaw-base/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests as the decision code and the messages between processes see them.
 
-use crate::ids::{CustomerId, OfferId, ProcessIncarnation, ServiceId};
+use crate::ids::{CustomerId, OfferId, ProcessIncarnation, ServiceId, VmId};
 use crate::plain_data;
 use crate::work::{CustomerShare, NormalService, WorkUnits};
 
@@ -50,11 +50,14 @@
     pub struct ServiceReport {
         /// The incarnation of the agent that did the work.
         pub agent: ProcessIncarnation,
+        /// The agent's VM, to which totals are returned.
+        pub vm: VmId,
         /// The customer that was served.
         pub customer: CustomerId,
         /// The normalised service since the agent started, reservations included.
         pub given: NormalService,
-        /// The highest fleet-wide total that the agent has seen for the customer.
+        /// The fleet-wide total as the agent last heard it, with its own part renewed; zero if it
+        /// has heard none. An account home that starts empty goes on from it.
         pub known_total: NormalService,
         /// The agent's virtual time: the lowest total among the customers that wait there.
         pub virtual_time: NormalService,
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -8,8 +8,14 @@
 //! grants the offer of the customer with the least service; the router starts the run and
 //! withdraws the other offers; the agent charges the work while it runs.
 
+pub mod agent;
+pub mod estimate;
 pub mod event;
+pub mod rendezvous;
+pub mod router;
 
+pub use agent::{AgentCore, AgentCustomer, AgentPolicy, AgentSnapshot};
 pub use event::{
     AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
 };
+pub use router::{RouterCore, RouterPolicy, RouterSnapshot};
--- /dev/null
+++ b/crates/jackdaw-policy/src/router/account_home.rs
@@ -0,0 +1,208 @@
+//! Account homes: fleet-wide totals of the customers that a router keeps.
+//!
+//! Reports are cumulative, so a lost, repeated or late one is made good by the next. A home that
+//! starts empty goes on from the totals that agents have heard. A customer that was idle is
+//! lifted to the lowest counter that it meets, so that it brings no credit along.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jackdaw_base::{
+    CustomerId, FleetTotal, MonotonicTime, NormalService, ProcessIncarnation, ServiceReport, VmId,
+    plain_data,
+};
+
+plain_data! {
+    copy
+    /// Time spans of account homes.
+    pub struct HomeSpans {
+        /// The time after which a customer that no agent reports as waiting counts as idle.
+        pub idle_after: Duration,
+        /// The time in which a customer that comes back, or an account that is rebuilt, gathers
+        /// reports before its total is fixed.
+        pub gather: Duration,
+        /// The time after which an agent that sends no reports is forgotten.
+        pub forget_after: Duration,
+    }
+}
+
+/// What an agent has reported of a customer.
+#[derive(Debug, Clone)]
+struct AgentEntry {
+    vm: VmId,
+    /// The router that forwarded the last report, or `None` where the agent is linked here.
+    via: Option<VmId>,
+    given: NormalService,
+    waiting: bool,
+    heard: MonotonicTime,
+    sent: Option<FleetTotal>,
+}
+
+/// Account of one customer.
+#[derive(Debug, Clone)]
+struct HomeAccount {
+    total: NormalService,
+    /// The lowest virtual time met since the customer came back.
+    floor: Option<NormalService>,
+    gather_until: MonotonicTime,
+    rebuild_until: MonotonicTime,
+    last_waiting: MonotonicTime,
+    heard: MonotonicTime,
+    entries: BTreeMap<ProcessIncarnation, AgentEntry>,
+}
+
+/// Totals for one agent, and the router that passes them on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TotalsBatch {
+    /// The agent.
+    pub agent: VmId,
+    /// The router to pass them to, or `None` where the agent is linked here.
+    pub via: Option<VmId>,
+    /// The totals.
+    pub totals: Vec<FleetTotal>,
+}
+
+/// Accounts that a router keeps.
+#[derive(Debug, Clone)]
+pub struct AccountHome {
+    spans: HomeSpans,
+    accounts: BTreeMap<CustomerId, HomeAccount>,
+}
+
+impl AccountHome {
+    /// Creates a home without accounts.
+    pub fn new(spans: HomeSpans) -> AccountHome {
+        AccountHome { spans, accounts: BTreeMap::new() }
+    }
+
+    /// Returns the number of accounts.
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Returns whether no account is kept.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns the total of each customer.
+    pub fn totals(&self) -> Vec<(CustomerId, NormalService)> {
+        let accounts = self.accounts.iter();
+        accounts.map(|(customer, account)| (*customer, account.present_total())).collect()
+    }
+
+    /// Takes in a report that came through `via`, or from the agent itself.
+    pub fn take_report(&mut self, now: MonotonicTime, via: Option<VmId>, report: &ServiceReport) {
+        let spans = self.spans;
+        let account =
+            self.accounts.entry(report.customer).or_insert_with(|| HomeAccount::new(now, &spans));
+        account.take_report(now, &spans, via, report);
+    }
+
+    /// Returns the totals that agents with waiting offers lack, one batch an agent.
+    pub fn take_batches(&mut self, now: MonotonicTime) -> Vec<TotalsBatch> {
+        let spans = self.spans;
+        let mut batches: BTreeMap<(VmId, Option<VmId>), Vec<FleetTotal>> = BTreeMap::new();
+        for (customer, account) in &mut self.accounts {
+            account.settle(now);
+            account.entries.retain(|_, entry| now.since(entry.heard) < spans.forget_after);
+            let total = account.present_total();
+            for entry in account.entries.values_mut() {
+                // An agent that has never heard a total needs one for a later home to go on from.
+                let is_quiet = !entry.waiting || now.since(entry.heard) > spans.idle_after;
+                if is_quiet && entry.sent.is_some() {
+                    continue;
+                }
+                let fleet = FleetTotal { customer: *customer, total, own: entry.given };
+                if entry.sent == Some(fleet) {
+                    continue;
+                }
+                entry.sent = Some(fleet);
+                batches.entry((entry.vm, entry.via)).or_default().push(fleet);
+            }
+        }
+        self.accounts.retain(|_, account| now.since(account.heard) < spans.forget_after);
+        let batches = batches.into_iter();
+        batches.map(|((agent, via), totals)| TotalsBatch { agent, via, totals }).collect()
+    }
+
+    /// Drops the accounts that `keeps` does not name.
+    pub fn retain(&mut self, mut keeps: impl FnMut(CustomerId) -> bool) {
+        self.accounts.retain(|customer, _| keeps(*customer));
+    }
+}
+
+impl HomeAccount {
+    fn new(now: MonotonicTime, spans: &HomeSpans) -> HomeAccount {
+        HomeAccount {
+            total: NormalService::default(),
+            floor: None,
+            gather_until: now,
+            rebuild_until: now.after(spans.gather),
+            last_waiting: MonotonicTime::default(),
+            heard: now,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        now: MonotonicTime,
+        spans: &HomeSpans,
+        via: Option<VmId>,
+        report: &ServiceReport,
+    ) {
+        self.heard = now;
+        self.settle(now);
+        match self.entries.get(&report.agent) {
+            Some(entry) => {
+                self.total = (self.total + report.given).saturating_sub(entry.given);
+            }
+            // An agent that has heard of no total brings its own part; the part of another one
+            // is within the total that it knows.
+            None if report.known_total == NormalService::default() => self.total += report.given,
+            None if now <= self.rebuild_until => self.total = self.total.max(report.known_total),
+            None => {}
+        }
+        if report.waiting {
+            self.meet(now, spans, report.virtual_time);
+        }
+        let sent = self.entries.get(&report.agent).and_then(|entry| entry.sent);
+        let entry = AgentEntry {
+            vm: report.vm,
+            via,
+            given: report.given,
+            waiting: report.waiting,
+            heard: now,
+            sent,
+        };
+        self.entries.insert(report.agent, entry);
+    }
+
+    /// Notes that the customer waits where others have received `virtual_time`.
+    fn meet(&mut self, now: MonotonicTime, spans: &HomeSpans, virtual_time: NormalService) {
+        let was_idle = self.last_waiting == MonotonicTime::default()
+            || now.since(self.last_waiting) > spans.idle_after;
+        if was_idle {
+            self.gather_until = now.after(spans.gather);
+            self.floor = None;
+        }
+        self.last_waiting = now;
+        if now <= self.gather_until {
+            self.floor = Some(self.floor.map_or(virtual_time, |floor| floor.min(virtual_time)));
+        }
+    }
+
+    /// Fixes the lift once the customer has met the fleet for long enough.
+    fn settle(&mut self, now: MonotonicTime) {
+        if now > self.gather_until
+            && let Some(floor) = self.floor.take()
+        {
+            self.total = self.total.max(floor);
+        }
+    }
+
+    fn present_total(&self) -> NormalService {
+        self.floor.map_or(self.total, |floor| self.total.max(floor))
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/src/router/relay.rs
@@ -0,0 +1,87 @@
+//! The way of service reports to account homes, and of totals back.
+
+use std::collections::BTreeMap;
+
+use jackdaw_base::{CustomerId, MonotonicTime, ServiceReport, VmId};
+
+use super::RouterCore;
+use crate::event::RouterCommand;
+use crate::rendezvous::{rendezvous_first, rendezvous_top};
+
+/// Key by which the routers that keep account homes are ranked.
+const HOME_KEY: u64 = 0x6163_636f_756e_7473;
+
+impl RouterCore {
+    pub(super) fn join_peer(&mut self, router: VmId) {
+        if let Err(position) = self.peers.binary_search(&router) {
+            self.peers.insert(position, router);
+            self.rank_homes();
+        }
+    }
+
+    pub(super) fn lose_peer(&mut self, router: VmId) {
+        if let Ok(position) = self.peers.binary_search(&router) {
+            self.peers.remove(position);
+            self.rank_homes();
+        }
+    }
+
+    /// Keeps reports whose account home is here and forwards the others.
+    pub(super) fn take_reports(
+        &mut self,
+        now: MonotonicTime,
+        sender: VmId,
+        reports: Vec<ServiceReport>,
+        commands: &mut Vec<RouterCommand>,
+    ) {
+        if self.accounts.is_empty() {
+            self.next_totals = now.after(self.policy.totals_interval);
+        }
+        if !self.agents.contains_key(&sender) {
+            // A router forwards once only: views of the fleet that differ make no loop.
+            for report in &reports {
+                self.accounts.take_report(now, Some(sender), report);
+            }
+            return;
+        }
+        let mut forwards: BTreeMap<VmId, Vec<ServiceReport>> = BTreeMap::new();
+        for report in reports {
+            let home = self.home_of(report.customer);
+            if home == self.vm {
+                self.accounts.take_report(now, None, &report);
+            } else {
+                forwards.entry(home).or_default().push(report);
+            }
+        }
+        for (router, reports) in forwards {
+            commands.push(RouterCommand::ForwardReports { router, reports });
+        }
+    }
+
+    pub(super) fn send_totals(&mut self, now: MonotonicTime, commands: &mut Vec<RouterCommand>) {
+        if self.accounts.is_empty() || now < self.next_totals {
+            return;
+        }
+        self.next_totals = now.after(self.policy.totals_interval);
+        for batch in self.accounts.take_batches(now) {
+            let agent = batch.agent;
+            let totals = batch.totals;
+            match batch.via {
+                Some(router) => {
+                    commands.push(RouterCommand::ForwardTotals { router, agent, totals });
+                }
+                None => commands.push(RouterCommand::SendTotals { agent, totals }),
+            }
+        }
+    }
+
+    fn home_of(&self, customer: CustomerId) -> VmId {
+        rendezvous_first(customer.0, &self.homes).unwrap_or(self.vm)
+    }
+
+    fn rank_homes(&mut self) {
+        let mut routers = self.peers.clone();
+        routers.push(self.vm);
+        self.homes = rendezvous_top(HOME_KEY, &routers, self.policy.home_routers as usize);
+    }
+}
