Add stand-ins for model engines and plain services

Cause: the path, its proofs and the demo need targets whose real work can be counted. Change: EngineStandin (batching, prefix cache, lagging load, late cache events, resume, cancel, orders with fencing, crash marker) and ServiceStandin (runs per idempotency key).

--- /dev/null
+++ b/crates/jackdaw-standin/src/engine/http.rs
@@ -0,0 +1,220 @@
+//! HTTP interface of the engine stand-in.
+
+use actix_web::error::ErrorInternalServerError;
+use actix_web::{HttpResponse, web};
+use bytes::Bytes;
+use futures_util::stream;
+use jackdaw_base::plain_data;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::EngineShared;
+use super::batch::EngineRun;
+use super::wire::{
+    AnswerScript, AnswerShape, CacheExport, ChatRequest, CompletionRequest, DONE_EVENT,
+    EngineOrder, ExportRequest,
+};
+use crate::answer::{self, CRASH_MARKER, PREFIX_BYTES};
+
+/// The largest body in bytes.
+const BODY_LIMIT: usize = 4 << 20;
+
+plain_data! {
+    /// Query of `GET /cache-events`.
+    struct EventQuery {
+        /// The sequence number after which events are wanted.
+        #[serde(default)]
+        after: u64,
+    }
+}
+
+/// An answer on its way to the caller.
+struct AnswerStream {
+    /// The events.
+    script: AnswerScript,
+    /// The next event.
+    position: u64,
+    /// One message for each token that is done.
+    tokens: mpsc::UnboundedReceiver<()>,
+}
+
+/// Adds the routes of the engine.
+pub(super) fn routes(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::JsonConfig::default().limit(BODY_LIMIT))
+        .route("/v1/completions", web::post().to(complete_text))
+        .route("/v1/chat/completions", web::post().to(complete_chat))
+        .route("/load", web::get().to(report_load))
+        .route("/cache-events", web::get().to(list_events))
+        .route("/kv/export", web::post().to(export_cache))
+        .route("/kv/import", web::post().to(import_cache))
+        .route("/orders", web::post().to(take_order))
+        .route("/tally", web::get().to(report_tally));
+}
+
+/// Answers a text completion.
+async fn complete_text(
+    shared: web::Data<EngineShared>,
+    body: web::Json<CompletionRequest>,
+) -> HttpResponse {
+    answer(&shared, AnswerShape::Text, &body).await
+}
+
+/// Answers a chat completion.
+async fn complete_chat(
+    shared: web::Data<EngineShared>,
+    body: web::Json<ChatRequest>,
+) -> HttpResponse {
+    let mut prompt = String::new();
+    for message in &body.messages {
+        if !prompt.is_empty() {
+            prompt.push('\n');
+        }
+        prompt.push_str(&message.content);
+    }
+    let request = CompletionRequest {
+        model: body.model.clone(),
+        prompt,
+        max_tokens: body.max_tokens,
+        stream: body.stream,
+        user: body.user.clone(),
+        resume_from: body.resume_from,
+    };
+    answer(&shared, AnswerShape::Chat, &request).await
+}
+
+/// Runs a request and answers as a stream or as one object.
+async fn answer(
+    shared: &web::Data<EngineShared>,
+    shape: AnswerShape,
+    request: &CompletionRequest,
+) -> HttpResponse {
+    if request.max_tokens == 0 {
+        return HttpResponse::BadRequest().json(json!({"error": "max_tokens is zero"}));
+    }
+    if !shared.lock().knows_model(&request.model) {
+        return HttpResponse::NotFound().json(json!({"error": "the model is not loaded"}));
+    }
+    let script = AnswerScript::new(shape, &request.model, &request.prompt, request.max_tokens);
+    let tokens = start_run(shared, &script, request);
+    let answer = AnswerStream { script, position: request.resume_from, tokens };
+    if request.stream {
+        let events = stream::unfold(answer, next_event);
+        return HttpResponse::Ok().content_type("text/event-stream").streaming(events);
+    }
+    collect_answer(answer).await
+}
+
+/// Gives a request to the batch and returns the receiver of its tokens.
+fn start_run(
+    shared: &web::Data<EngineShared>,
+    script: &AnswerScript,
+    request: &CompletionRequest,
+) -> mpsc::UnboundedReceiver<()> {
+    let (sender, tokens) = mpsc::unbounded_channel();
+    let done = request.resume_from.min(u64::from(script.length)) as u32;
+    if done == script.length {
+        return tokens;
+    }
+    let prefix_tokens = answer::prompt_tokens(&request.prompt).min(PREFIX_BYTES as u32 / 4);
+    let now = Instant::now();
+    let run = EngineRun {
+        user: request.user.clone(),
+        prompt: script.prompt,
+        prefix: answer::prefix_hash(&request.prompt),
+        prompt_tokens: script.prompt_tokens + done,
+        prefix_tokens,
+        remaining: script.length - done,
+        is_resumed: done > 0,
+        is_marked: request.prompt.contains(CRASH_MARKER),
+        tokens: sender,
+        ready: now,
+    };
+    shared.lock().receive(run, now);
+    shared.work.notify_one();
+    tokens
+}
+
+/// Returns the next event of a stream; an error where the engine lost the run.
+async fn next_event(
+    mut answer: AnswerStream,
+) -> Option<(Result<Bytes, actix_web::Error>, AnswerStream)> {
+    let length = u64::from(answer.script.length);
+    let position = answer.position;
+    let event = if position < length {
+        if answer.tokens.recv().await.is_none() {
+            return Some((Err(ErrorInternalServerError("the engine crashed")), answer));
+        }
+        answer.script.token_event(position as u32)
+    } else if position == length {
+        answer.script.usage_event()
+    } else if position == length + 1 {
+        DONE_EVENT.to_owned()
+    } else {
+        return None;
+    };
+    answer.position += 1;
+    Some((Ok(Bytes::from(event)), answer))
+}
+
+/// Waits for all tokens and answers with one object.
+async fn collect_answer(mut answer: AnswerStream) -> HttpResponse {
+    while answer.position < u64::from(answer.script.length) {
+        if answer.tokens.recv().await.is_none() {
+            return HttpResponse::InternalServerError().json(json!({"error": "crashed"}));
+        }
+        answer.position += 1;
+    }
+    HttpResponse::Ok().content_type("application/json").body(answer.script.whole_body())
+}
+
+/// Answers with the load of a while ago.
+async fn report_load(shared: web::Data<EngineShared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.lock().lagging_load(Instant::now()))
+}
+
+/// Answers with cache events.
+async fn list_events(
+    shared: web::Data<EngineShared>,
+    query: web::Query<EventQuery>,
+) -> HttpResponse {
+    let lag = shared.settings.cache_event_lag;
+    let events = shared.lock().cache.events_after(query.after, lag, Instant::now());
+    HttpResponse::Ok().json(json!({ "events": events }))
+}
+
+/// Exports the KV cache of a prompt's prefix.
+async fn export_cache(
+    shared: web::Data<EngineShared>,
+    body: web::Json<ExportRequest>,
+) -> HttpResponse {
+    let prefix = answer::prefix_hash(&body.prompt);
+    if !shared.lock().cache.contains(prefix) {
+        return HttpResponse::NotFound().json(json!({"error": "the prefix is not cached"}));
+    }
+    HttpResponse::Ok().json(CacheExport { prefix })
+}
+
+/// Imports the KV cache of a prefix.
+async fn import_cache(
+    shared: web::Data<EngineShared>,
+    body: web::Json<CacheExport>,
+) -> HttpResponse {
+    shared.lock().cache.touch(body.prefix, Instant::now());
+    HttpResponse::NoContent().finish()
+}
+
+/// Takes an order.
+async fn take_order(shared: web::Data<EngineShared>, body: web::Json<EngineOrder>) -> HttpResponse {
+    if !shared.lock().take_order(body.into_inner()) {
+        return HttpResponse::Conflict().json(json!({"error": "old fencing number"}));
+    }
+    HttpResponse::NoContent().finish()
+}
+
+/// Answers with the tally.
+async fn report_tally(shared: web::Data<EngineShared>) -> HttpResponse {
+    let tally = shared.lock().tally(Instant::now());
+    HttpResponse::Ok().json(tally)
+}
