--- a/crates/jackdaw-standin/src/lib.rs
+++ b/crates/jackdaw-standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! callers received with these tallies.
 
 pub mod answer;
+pub mod args;
 pub mod engine;
 mod port;
 pub mod service;
