--- a/crates/jackdaw-standin/src/lib.rs
+++ b/crates/jackdaw-standin/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod answer;
 pub mod args;
 pub mod engine;
+pub mod platform;
 mod port;
 pub mod service;
 
 pub use answer::{CRASH_MARKER, expected_answer, prefix_hash, prompt_id};
 pub use engine::{EngineSettings, EngineStandin, EngineTally, EngineUsage};
 pub use service::{ServiceSettings, ServiceStandin, ServiceTally, expected_reply};
+pub use platform::{AnswerFault, PlatformCounts, PlatformFaults, PlatformStandin, StandinSettings};
