Take change tickets through one commit point

Cause: a ticket that was accepted must be in force everywhere and never revert, while operators race, answers get lost and a desk may stop at any step. Change: TicketDesk checks a ticket against everything accepted before and commits it by the conditional update of catalog/head, which carries the ticket itself; shards, the ticket's own object and the head are then brought up to date by a roll-forward that any desk or CatalogFeed can repeat. ConfigCatalog keeps the highest number of each key. Ruled out: tickets/<number> created before the commit. A ticket that was never accepted would then block its number, or be replaced while a paused desk commits it.

--- /dev/null
+++ b/crates/jackdaw-platform/src/desk.rs
@@ -0,0 +1,297 @@
+//! Takes change tickets: checks them, accepts them durably and tells their state.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use error_stack::Report;
+use jackdaw_base::{
+    CustomerId, DocumentBody, DocumentKey, ErrorKind, ServiceId, TicketNumber, plain_data,
+};
+
+use crate::cache::CatalogCache;
+use crate::catalog::ConfigCatalog;
+use crate::layout::{CatalogShard, HEAD_KEY, TicketHead, encode, group_by_shard, shard_key};
+use crate::rollforward::{apply_tickets, read_ticket, succeeded};
+use crate::store::{OBJECT_LIMIT_BYTES, ObjectStore};
+use crate::ticket::{ChangeTicket, TicketEntry, TicketProblem};
+
+plain_data! {
+    copy
+    /// State of a ticket at the platform.
+    #[serde(rename_all = "kebab-case")]
+    pub enum TicketStatus {
+        /// No ticket with this number was accepted.
+        Absent,
+        /// The ticket is accepted and in force, but not yet in the shards.
+        Accepted,
+        /// The ticket is in the shards.
+        Applied,
+    }
+}
+
+plain_data! {
+    copy
+    /// Proof that a ticket is durable: it is in force and stays so.
+    pub struct TicketAcceptance {
+        /// The number.
+        pub number: TicketNumber,
+        /// Whether the same ticket had been accepted before.
+        pub repeated: bool,
+        /// The state.
+        pub status: TicketStatus,
+    }
+}
+
+/// Desk at which operators hand in tickets.
+///
+/// The conditional update of the head object is the one point at which a ticket is accepted,
+/// so tickets of any number of desks are put in one order. A desk first applies what earlier
+/// ones left in the head, so that it checks a ticket against everything accepted before.
+pub struct TicketDesk<S> {
+    store: S,
+    cache: Rc<RefCell<Option<CatalogCache>>>,
+}
+
+impl<S: ObjectStore> TicketDesk<S> {
+    /// Opens a desk; nothing is read until it is used.
+    pub fn open(store: S) -> TicketDesk<S> {
+        TicketDesk { store, cache: Rc::default() }
+    }
+
+    /// Returns everything that would keep a ticket from being accepted; nothing if it would be.
+    pub async fn check(
+        &self,
+        ticket: &ChangeTicket,
+    ) -> Result<Vec<TicketProblem>, Report<ErrorKind>> {
+        let mut problems = ticket.problems();
+        let mut cache = self.take_cache();
+        cache.refresh(&self.store).await?;
+        if let Some(earlier) = self.find_accepted(&cache, ticket.number).await? {
+            if !earlier.is_same(ticket) {
+                problems.push(conflict_problem(ticket));
+            }
+        } else {
+            problems.extend(state_problems(&cache.catalog, ticket));
+        }
+        self.keep_cache(cache);
+        Ok(problems)
+    }
+
+    /// Accepts a ticket: when this returns, the ticket is durable and in force.
+    ///
+    /// Fails with [`ErrorKind::TicketInvalid`], [`ErrorKind::TicketStale`] or
+    /// [`ErrorKind::TicketConflict`], each [`TicketProblem`] attached, and changes nothing
+    /// then. After [`ErrorKind::PlatformUnavailable`] the ticket may have been accepted or
+    /// still become so: handing in the same ticket again is safe and tells.
+    pub async fn accept(
+        &self,
+        ticket: &ChangeTicket,
+    ) -> Result<TicketAcceptance, Report<ErrorKind>> {
+        refuse_problems(&ticket.problems())?;
+        let mut cache = self.take_cache();
+        loop {
+            cache.refresh(&self.store).await?;
+            if let Some(earlier) = self.find_accepted(&cache, ticket.number).await? {
+                if !earlier.is_same(ticket) {
+                    return Err(problem_report(&[conflict_problem(ticket)]));
+                }
+                return Ok(self.finish(&[earlier], ticket.number, true).await);
+            }
+            if !cache.head.pending.is_empty() {
+                apply_tickets(&self.store, &cache.head.pending).await?;
+                continue;
+            }
+            refuse_problems(&state_problems(&cache.catalog, ticket))?;
+            let head = TicketHead { pending: vec![ticket.clone()] };
+            let value = encode(HEAD_KEY, &head)?;
+            let written = self.store.write(HEAD_KEY, cache.head_condition(), value).await;
+            if succeeded(written)? {
+                self.keep_cache(cache);
+                return Ok(self.finish(&head.pending, ticket.number, false).await);
+            }
+        }
+    }
+
+    /// Returns the state of the ticket with a number.
+    pub async fn status(&self, number: TicketNumber) -> Result<TicketStatus, Report<ErrorKind>> {
+        let mut cache = self.take_cache();
+        cache.refresh(&self.store).await?;
+        let pending = cache.head.pending.iter().any(|ticket| ticket.number == number);
+        self.keep_cache(cache);
+        if pending {
+            return Ok(TicketStatus::Accepted);
+        }
+        match read_ticket(&self.store, number).await? {
+            Some(_) => Ok(TicketStatus::Applied),
+            None => Ok(TicketStatus::Absent),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub async fn catalog(&self) -> Result<ConfigCatalog, Report<ErrorKind>> {
+        let mut cache = self.take_cache();
+        cache.refresh(&self.store).await?;
+        let catalog = cache.catalog.clone();
+        self.keep_cache(cache);
+        Ok(catalog)
+    }
+
+    /// Applies accepted tickets; a failure is left to the next desk or feed.
+    async fn finish(
+        &self,
+        pending: &[ChangeTicket],
+        number: TicketNumber,
+        repeated: bool,
+    ) -> TicketAcceptance {
+        let status = match apply_tickets(&self.store, pending).await {
+            Ok(()) => TicketStatus::Applied,
+            Err(report) => {
+                log::warn!("ticket {} is accepted but not yet applied: {report}", number.0);
+                TicketStatus::Accepted
+            }
+        };
+        TicketAcceptance { number, repeated, status }
+    }
+
+    /// Finds an accepted ticket, first in the head and then among the applied ones: a ticket
+    /// leaves the head only after it is kept under its number.
+    async fn find_accepted(
+        &self,
+        cache: &CatalogCache,
+        number: TicketNumber,
+    ) -> Result<Option<ChangeTicket>, Report<ErrorKind>> {
+        if let Some(ticket) = cache.head.pending.iter().find(|ticket| ticket.number == number) {
+            return Ok(Some(ticket.clone()));
+        }
+        read_ticket(&self.store, number).await
+    }
+
+    /// Takes the cache out, so that no borrow is held while waiting.
+    fn take_cache(&self) -> CatalogCache {
+        self.cache.borrow_mut().take().unwrap_or_default()
+    }
+
+    fn keep_cache(&self, cache: CatalogCache) {
+        *self.cache.borrow_mut() = Some(cache);
+    }
+}
+
+/// Fails if there are problems.
+fn refuse_problems(problems: &[TicketProblem]) -> Result<(), Report<ErrorKind>> {
+    if problems.is_empty() { Ok(()) } else { Err(problem_report(problems)) }
+}
+
+/// Reports the kind of the first problem and attaches all of them.
+fn problem_report(problems: &[TicketProblem]) -> Report<ErrorKind> {
+    let kind = problems.first().map_or(ErrorKind::TicketInvalid, |first| first.kind);
+    let attach =
+        |report: Report<ErrorKind>, problem: &TicketProblem| report.attach(problem.clone());
+    problems.iter().fold(Report::new(kind), attach)
+}
+
+fn conflict_problem(ticket: &ChangeTicket) -> TicketProblem {
+    TicketProblem {
+        kind: ErrorKind::TicketConflict,
+        path: "number".to_owned(),
+        reason: format!("ticket {} was accepted with other content", ticket.number.0),
+    }
+}
+
+/// Returns the problems of a ticket against everything accepted before.
+fn state_problems(catalog: &ConfigCatalog, ticket: &ChangeTicket) -> Vec<TicketProblem> {
+    let mut problems = Vec::new();
+    for (path, entry) in ticket.paths() {
+        problems.extend(entry_problems(catalog, ticket, &path, entry));
+    }
+    let mut after = catalog.clone();
+    after.merge(ticket.documents());
+    for (path, entry) in ticket.paths() {
+        problems.extend(owner_problems(&after, &path, entry));
+    }
+    problems.extend(size_problems(&after, ticket));
+    problems
+}
+
+/// Checks one entry's number and name against the document of its key.
+fn entry_problems(
+    catalog: &ConfigCatalog,
+    ticket: &ChangeTicket,
+    path: &str,
+    entry: &TicketEntry,
+) -> Vec<TicketProblem> {
+    let mut problems = Vec::new();
+    let Some(known) = catalog.document(entry.key) else {
+        return problems;
+    };
+    if known.number >= ticket.number.0 {
+        problems.push(TicketProblem {
+            kind: ErrorKind::TicketStale,
+            path: path.to_owned(),
+            reason: format!("`{}` already carries ticket {}", entry.name, known.number),
+        });
+    }
+    let known_name = match &known.body {
+        Some(DocumentBody::Customer(record)) => Some(&record.name),
+        Some(DocumentBody::Service(record)) => Some(&record.name),
+        Some(DocumentBody::Vm(_)) | None => None,
+    };
+    if let Some(name) = known_name.filter(|name| **name != entry.name) {
+        let reason = format!("the name has the same hash as `{name}`: choose another");
+        problems.push(TicketProblem::invalid(format!("{path}.name"), reason));
+    }
+    problems
+}
+
+/// Checks that keys, models and prefixes belong to nobody else once the ticket is in force.
+fn owner_problems(after: &ConfigCatalog, path: &str, entry: &TicketEntry) -> Vec<TicketProblem> {
+    let mut problems = Vec::new();
+    match (entry.key, &entry.body) {
+        (DocumentKey::Customer(id), Some(DocumentBody::Customer(record))) => {
+            for (index, key) in record.keys.iter().enumerate() {
+                let others = after.key_holders(key).iter().any(|holder: &CustomerId| *holder != id);
+                if others || record.keys[..index].contains(key) {
+                    let reason = "the key is given twice or authenticates another customer";
+                    let place = format!("{path}.keys[{index}]");
+                    problems.push(TicketProblem::invalid(place, reason));
+                }
+            }
+        }
+        (DocumentKey::Service(id), Some(DocumentBody::Service(record))) => {
+            let other = |holder: &&ServiceId| **holder != id;
+            for (index, model) in record.models.iter().enumerate() {
+                if after.model_holders(model).iter().any(|holder| other(&holder)) {
+                    let reason = format!("another service answers for the model `{model}`");
+                    let place = format!("{path}.models[{index}]");
+                    problems.push(TicketProblem::invalid(place, reason));
+                }
+            }
+            let prefix = &record.path_prefix;
+            if after.prefix_holders(prefix).iter().any(|holder| other(&holder)) {
+                let reason = format!("another service answers for the prefix `{prefix}`");
+                problems.push(TicketProblem::invalid(format!("{path}.path_prefix"), reason));
+            }
+        }
+        _ => {}
+    }
+    problems
+}
+
+/// Checks that each shard that the ticket touches still fits an object.
+fn size_problems(after: &ConfigCatalog, ticket: &ChangeTicket) -> Vec<TicketProblem> {
+    let mut problems = Vec::new();
+    let touched = group_by_shard(ticket.documents());
+    for key in touched.keys() {
+        let of_shard = |key_of: DocumentKey| {
+            !matches!(key_of, DocumentKey::Vm(_)) && shard_key(key_of) == *key
+        };
+        let documents =
+            after.documents().filter(|document| of_shard(document.key)).cloned().collect();
+        let shard = CatalogShard { documents };
+        let size = serde_json::to_vec(&shard).map_or(usize::MAX, |bytes| bytes.len());
+        if size > OBJECT_LIMIT_BYTES {
+            let reason = format!("the object {key} would take {size} bytes");
+            problems.push(TicketProblem::invalid("ticket", reason));
+        }
+    }
+    problems
+}
--- a/crates/jackdaw-platform/src/lib.rs
+++ b/crates/jackdaw-platform/src/lib.rs
@@ -7,16 +7,27 @@
 pub mod backoff;
 pub mod breaker;
 pub mod budget;
+mod cache;
+pub mod catalog;
 pub mod client;
+pub mod desk;
+pub mod feed;
 pub mod governor;
+pub mod layout;
+mod rollforward;
 pub mod store;
+pub mod ticket;
 
 pub use backoff::CallBackoff;
 pub use breaker::CircuitBreaker;
 pub use budget::CallBudget;
+pub use catalog::ConfigCatalog;
 pub use client::{PlatformClient, PlatformSettings};
+pub use desk::{TicketAcceptance, TicketDesk, TicketStatus};
+pub use feed::{CatalogFeed, CatalogUpdate, FeedSettings};
 pub use governor::{CallGovernor, CallPermission, GovernorSettings};
 pub use store::{
     CallCounts, ObjectChange, ObjectListing, ObjectStore, ObjectVersion, StoredObject, VmListing,
     WriteCondition,
 };
+pub use ticket::{ChangeTicket, TicketEntry, TicketProblem, digest_key};
--- /dev/null
+++ b/crates/jackdaw-platform/tests/catalog_merge.rs
@@ -0,0 +1,107 @@
+//! The catalog depends on the set of documents that it saw, not on their order.
+
+use std::collections::HashMap;
+
+use jackdaw_base::{
+    CustomerId, CustomerRecord, CustomerShare, DocumentBody, DocumentKey, DomainId, KeyDigest,
+    VersionedDocument, VmId, VmRecord, VmState,
+};
+use jackdaw_platform::{ConfigCatalog, VmListing};
+use quickcheck::{Gen, QuickCheck, TestResult};
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+/// The runs of each property.
+const RUNS: u64 = 300;
+/// The longest list that is generated.
+const GENERATED_SIZE: usize = 100;
+
+fn document(key: u8, number: u8) -> VersionedDocument {
+    let record = CustomerRecord {
+        name: format!("c{key}"),
+        share: CustomerShare(u32::from(number) + 1),
+        keys: vec![KeyDigest([number % 5; 32])],
+        queue_limit: 1,
+    };
+    let body = (!number.is_multiple_of(4)).then_some(DocumentBody::Customer(record));
+    let key = DocumentKey::Customer(CustomerId(u64::from(key % 8)));
+    VersionedDocument { number: u64::from(number), key, body }
+}
+
+fn vm(name: &str, state: VmState) -> VmRecord {
+    VmRecord {
+        name: name.to_owned(),
+        domain: DomainId(1),
+        link_address: ([127, 0, 0, 1], 1).into(),
+        service: None,
+        state,
+    }
+}
+
+/// Merges shuffled and duplicated batches, and compares with the highest number of each key.
+fn order_is_irrelevant(pairs: Vec<(u8, u8)>, seed: u64) -> TestResult {
+    let documents: Vec<_> =
+        pairs.into_iter().map(|(key, number)| document(key % 8, number)).collect();
+    let mut newest: HashMap<DocumentKey, &VersionedDocument> = HashMap::new();
+    for document in &documents {
+        let known = newest.entry(document.key).or_insert(document);
+        if known.number < document.number {
+            *known = document;
+        }
+    }
+    let mut straight = ConfigCatalog::new();
+    straight.merge(documents.clone());
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut shuffled = [documents.clone(), documents.clone()].concat();
+    shuffled.shuffle(&mut rng);
+    let mut other = ConfigCatalog::new();
+    let mut numbers: HashMap<DocumentKey, u64> = HashMap::new();
+    for batch in shuffled.chunks(3) {
+        for changed in other.merge(batch.to_vec()) {
+            let before = numbers.insert(changed.key, changed.number);
+            assert!(before < Some(changed.number), "seed {seed}: a document reverted");
+        }
+    }
+    for (key, document) in &newest {
+        assert_eq!(other.document(*key), Some(*document), "seed {seed}");
+    }
+    assert_eq!(straight.digest(), other.digest(), "seed {seed}");
+    assert_eq!((other.len(), other.violations()), (newest.len(), 0), "seed {seed}");
+    for digest in 0..5 {
+        let digest = KeyDigest([digest; 32]);
+        let holders = other.key_holders(&digest);
+        for id in holders {
+            assert!(other.customer(*id).unwrap().keys.contains(&digest), "seed {seed}");
+        }
+        assert_eq!(holders, straight.key_holders(&digest), "seed {seed}");
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn shuffled_documents() {
+    let seed = std::env::var("JACKDAW_SEED").map_or(1, |seed| seed.parse().unwrap());
+    println!("seed {seed}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(GENERATED_SIZE, seed))
+        .tests(RUNS)
+        .quickcheck(order_is_irrelevant as fn(Vec<(u8, u8)>, u64) -> TestResult);
+}
+
+#[test]
+fn vm_lists() {
+    let mut catalog = ConfigCatalog::new();
+    let first = VmListing { version: 3, vms: vec![vm("a", VmState::Live), vm("b", VmState::Live)] };
+    assert_eq!(catalog.merge_vms(&first).len(), 2);
+    let second =
+        VmListing { version: 5, vms: vec![vm("a", VmState::Leaving), vm("c", VmState::Live)] };
+    let mut keys: Vec<_> = catalog.merge_vms(&second).into_iter().map(|new| new.key).collect();
+    keys.sort();
+    let mut expected = ["a", "b", "c"].map(|name| DocumentKey::Vm(VmId::from_name(name)));
+    expected.sort();
+    assert_eq!(keys, expected);
+    assert!(catalog.merge_vms(&first).is_empty(), "an older list changed something");
+    assert_eq!(catalog.vms().count(), 2);
+    assert_eq!(catalog.vm(VmId::from_name("a")).unwrap().state, VmState::Leaving);
+}
--- /dev/null
+++ b/crates/jackdaw-platform/tests/config_feed.rs
@@ -0,0 +1,131 @@
+//! The feed brings every accepted document, also through outages and stopped desks.
+
+use std::time::Duration;
+
+use jackdaw_base::{
+    CustomerId, CustomerRecord, CustomerShare, DomainId, TicketNumber, VmRecord, VmState,
+};
+use jackdaw_platform::{
+    CatalogFeed, CatalogUpdate, ChangeTicket, ConfigCatalog, FeedSettings, PlatformClient,
+    PlatformSettings, TicketDesk, TicketStatus, digest_key,
+};
+use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
+
+fn open_client(standin: &PlatformStandin) -> PlatformClient {
+    let mut settings = PlatformSettings::new(standin.address());
+    settings.governor.attempt_timeout = Duration::from_millis(200);
+    settings.governor.breaker_limit = Duration::from_millis(50);
+    PlatformClient::open(settings)
+}
+
+fn spawn_feed(standin: &PlatformStandin) -> CatalogFeed {
+    let settings = FeedSettings {
+        apply_delay: Duration::from_millis(20),
+        backoff_limit: Duration::from_millis(50),
+        ..FeedSettings::default()
+    };
+    CatalogFeed::spawn(open_client(standin), settings)
+}
+
+fn ticket(number: u64, share: u32) -> ChangeTicket {
+    let mut ticket = ChangeTicket::new(TicketNumber(number));
+    ticket.set_customer(CustomerRecord {
+        name: "a".to_owned(),
+        share: CustomerShare(share),
+        keys: vec![digest_key("a")],
+        queue_limit: 1,
+    });
+    ticket
+}
+
+/// Takes updates until the customer has the share.
+async fn wait_for_share(feed: &mut CatalogFeed, catalog: &mut ConfigCatalog, share: u32) {
+    let id = CustomerId::from_name("a");
+    while catalog.customer(id).map(|record| record.share.0) != Some(share) {
+        match feed.next().await.expect("the feed goes on") {
+            CatalogUpdate::Documents(documents) => {
+                catalog.merge(documents);
+            }
+            CatalogUpdate::Vms(listing) => {
+                catalog.merge_vms(&listing);
+            }
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn outage_passes() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let desk = TicketDesk::open(open_client(&standin));
+    let mut catalog = ConfigCatalog::new();
+    let mut feed = spawn_feed(&standin);
+    desk.accept(&ticket(1, 1)).await.unwrap();
+    wait_for_share(&mut feed, &mut catalog, 1).await;
+    let outage = PlatformFaults { down: Some(AnswerFault::Closed), ..PlatformFaults::default() };
+    standin.set_faults(outage);
+    let failed = standin.counts().calls();
+    while standin.counts().calls() < failed + 5 {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    standin.set_faults(PlatformFaults::default());
+    let desk = TicketDesk::open(open_client(&standin));
+    desk.accept(&ticket(2, 2)).await.unwrap();
+    wait_for_share(&mut feed, &mut catalog, 2).await;
+    feed.close().await;
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn left_ticket() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let mut settings = PlatformSettings::new(standin.address());
+    settings.attempts = 1;
+    let desk = TicketDesk::open(PlatformClient::open(settings));
+    let ticket = ticket(1, 4);
+    let watch = async {
+        while standin.counts().effective_writes == 0 {
+            actix_rt::time::sleep(Duration::from_micros(100)).await;
+        }
+        let down = Some(AnswerFault::Gateway);
+        standin.set_faults(PlatformFaults { down, ..PlatformFaults::default() });
+    };
+    let _ = futures_util::join!(desk.accept(&ticket), watch);
+    standin.set_faults(PlatformFaults::default());
+    let mut catalog = ConfigCatalog::new();
+    let mut feed = spawn_feed(&standin);
+    wait_for_share(&mut feed, &mut catalog, 4).await;
+    let other = TicketDesk::open(open_client(&standin));
+    while other.status(TicketNumber(1)).await.unwrap() != TicketStatus::Applied {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    feed.close().await;
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn vm_changes() {
+    let lag = Duration::from_millis(50);
+    let settings = StandinSettings { vm_lag: lag, ..StandinSettings::default() };
+    let standin = PlatformStandin::bind(settings).unwrap();
+    let mut feed = spawn_feed(&standin);
+    let mut vm = VmRecord {
+        name: "vm-1".to_owned(),
+        domain: DomainId::from_name("ba-a"),
+        link_address: ([127, 0, 0, 1], 1).into(),
+        service: None,
+        state: VmState::Live,
+    };
+    for state in [VmState::Live, VmState::Leaving] {
+        vm.state = state;
+        standin.set_vms(vec![vm.clone()]);
+        loop {
+            if let Some(CatalogUpdate::Vms(listing)) = feed.next().await
+                && listing.vms == [vm.clone()]
+            {
+                break;
+            }
+        }
+    }
+    feed.close().await;
+    standin.close().await;
+}
--- /dev/null
+++ b/crates/jackdaw-platform/tests/desk_race.rs
@@ -0,0 +1,289 @@
+//! Desks that race, lose answers or stop halfway accept each ticket once and revert nothing.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use error_stack::Report;
+use jackdaw_base::{
+    CustomerId, CustomerRecord, CustomerShare, DocumentKey, ErrorKind, ServiceKind, ServiceRecord,
+    TargetRecord, TicketNumber,
+};
+use jackdaw_platform::{
+    CallCounts, ChangeTicket, ObjectListing, ObjectStore, ObjectVersion, PlatformClient,
+    PlatformSettings, StoredObject, TicketDesk, TicketProblem, TicketStatus, VmListing,
+    WriteCondition, digest_key,
+};
+use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
+
+fn open_desk(standin: &PlatformStandin) -> TicketDesk<PlatformClient> {
+    let mut settings = PlatformSettings::new(standin.address());
+    settings.governor.attempt_timeout = Duration::from_millis(100);
+    settings.governor.burst = 10_000;
+    TicketDesk::open(PlatformClient::open(settings))
+}
+
+/// Opens a desk whose process stops after one attempt of a call.
+fn open_frail_desk(standin: &PlatformStandin) -> TicketDesk<PlatformClient> {
+    let mut settings = PlatformSettings::new(standin.address());
+    settings.governor.attempt_timeout = Duration::from_millis(100);
+    settings.attempts = 1;
+    TicketDesk::open(PlatformClient::open(settings))
+}
+
+fn customer(name: &str, share: u32) -> CustomerRecord {
+    CustomerRecord {
+        name: name.to_owned(),
+        share: CustomerShare(share),
+        keys: vec![digest_key(name)],
+        queue_limit: 10,
+    }
+}
+
+fn ticket(number: u64, customers: &[(&str, u32)]) -> ChangeTicket {
+    let mut ticket = ChangeTicket::new(TicketNumber(number));
+    for (name, share) in customers {
+        ticket.set_customer(customer(name, *share));
+    }
+    ticket
+}
+
+async fn share_of<S: ObjectStore>(desk: &TicketDesk<S>, name: &str) -> Option<u32> {
+    let catalog = desk.catalog().await.unwrap();
+    catalog.customer(CustomerId::from_name(name)).map(|record| record.share.0)
+}
+
+#[actix_rt::test]
+async fn same_number() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let (left, right) = (open_desk(&standin), open_desk(&standin));
+    let (ours, theirs) = (ticket(5, &[("a", 1)]), ticket(5, &[("a", 2)]));
+    let (first, second) = futures_util::join!(left.accept(&ours), right.accept(&theirs));
+    let results = [first, second];
+    let accepted = results.iter().filter(|result| result.is_ok()).count();
+    assert_eq!(accepted, 1, "{results:?}");
+    for result in results {
+        if let Err(report) = result {
+            assert_eq!(*report.current_context(), ErrorKind::TicketConflict);
+        }
+    }
+    let (first, second) = futures_util::join!(left.accept(&ours), right.accept(&theirs));
+    assert!(first.is_ok() != second.is_ok());
+    assert!(first.or(second).unwrap().repeated);
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn crossed_numbers() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let (left, right) = (open_desk(&standin), open_desk(&standin));
+    for round in 0..10 {
+        let (low, high) = (2 * round + 1, 2 * round + 2);
+        let older = ticket(low, &[("a", 1), ("b", 1)]);
+        let newer = ticket(high, &[("a", 2)]);
+        let (old, new) = futures_util::join!(left.accept(&older), right.accept(&newer));
+        assert_eq!(new.unwrap().status, TicketStatus::Applied);
+        assert_eq!(share_of(&left, "a").await, Some(2), "round {round}");
+        if let Err(report) = old {
+            assert_eq!(*report.current_context(), ErrorKind::TicketStale);
+            let problem = report.downcast_ref::<TicketProblem>().unwrap();
+            assert_eq!(problem.path, "customers[0]");
+            assert!(problem.reason.contains("`a` already carries"), "{problem}");
+        }
+    }
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn lost_acceptance() {
+    for fault in [AnswerFault::Gateway, AnswerFault::Closed, AnswerFault::Silent] {
+        for lost in 1..=4 {
+            let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+            let desk = open_desk(&standin);
+            standin.set_faults(PlatformFaults {
+                lost_answers: lost,
+                lost_as: Some(fault),
+                ..PlatformFaults::default()
+            });
+            let ticket = ticket(1, &[("a", 3)]);
+            let acceptance = desk.accept(&ticket).await.unwrap();
+            assert_eq!(acceptance.status, TicketStatus::Applied, "{fault:?} {lost}");
+            assert_eq!(share_of(&desk, "a").await, Some(3));
+            standin.close().await;
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn late_acceptance() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let (frozen, other) = (open_frail_desk(&standin), open_desk(&standin));
+    standin.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
+    let late = frozen.accept(&ticket(1, &[("a", 1)])).await.unwrap_err();
+    assert_eq!(*late.current_context(), ErrorKind::PlatformUnavailable);
+    assert_eq!(standin.held_writes(), 1);
+    other.accept(&ticket(2, &[("a", 2)])).await.unwrap();
+    assert_eq!(standin.release_writes(), 0, "the late write took effect");
+    assert_eq!(share_of(&other, "a").await, Some(2));
+    let stale = frozen.accept(&ticket(1, &[("a", 1)])).await.unwrap_err();
+    assert_eq!(*stale.current_context(), ErrorKind::TicketStale);
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn stopped_desk() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let first = ticket(1, &[("a", 1), ("b", 1), ("c", 1)]);
+    // The desk stops after its commit and `done` further writes.
+    for done in 0..4 {
+        let number = TicketNumber(done + 1);
+        let mut ticket = first.clone();
+        ticket.number = number;
+        let frail = open_frail_desk(&standin);
+        standin.set_faults(PlatformFaults::default());
+        let stop = frail.accept(&ticket);
+        let watch = async {
+            let start = standin.counts().effective_writes;
+            while standin.counts().effective_writes <= start + done {
+                actix_rt::time::sleep(Duration::from_micros(100)).await;
+            }
+            standin.set_faults(PlatformFaults {
+                down: Some(AnswerFault::Gateway),
+                ..PlatformFaults::default()
+            });
+        };
+        let (result, ()) = futures_util::join!(stop, watch);
+        standin.set_faults(PlatformFaults::default());
+        let other = open_desk(&standin);
+        let next = TicketNumber(done + 100);
+        other.accept(&self::ticket(next.0, &[("d", 1)])).await.unwrap();
+        assert_eq!(other.status(number).await.unwrap(), TicketStatus::Applied, "{result:?}");
+        let acceptance = other.accept(&ticket).await.unwrap();
+        assert!(acceptance.repeated, "{result:?}");
+        assert_eq!(other.status(number).await.unwrap(), TicketStatus::Applied);
+        let catalog = other.catalog().await.unwrap();
+        for name in ["a", "b", "c"] {
+            let key = DocumentKey::Customer(CustomerId::from_name(name));
+            assert_eq!(catalog.document(key).unwrap().number, number.0);
+        }
+    }
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn foreign_owners() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let desk = open_desk(&standin);
+    let mut first = ticket(1, &[("a", 1)]);
+    first.set_service(ServiceRecord {
+        name: "asistente".to_owned(),
+        kind: ServiceKind::Engine,
+        models: vec!["m".to_owned()],
+        path_prefix: String::new(),
+        target: TargetRecord { place_limit: 1, checks_fencing: false },
+    });
+    desk.accept(&first).await.unwrap();
+    let mut second = ChangeTicket::new(TicketNumber(2));
+    let mut thief = customer("b", 1);
+    thief.keys = vec![digest_key("a")];
+    second.set_customer(thief);
+    second.set_service(ServiceRecord {
+        name: "report".to_owned(),
+        kind: ServiceKind::Engine,
+        models: vec!["m".to_owned()],
+        path_prefix: String::new(),
+        target: TargetRecord { place_limit: 1, checks_fencing: false },
+    });
+    let problems = desk.check(&second).await.unwrap();
+    let paths: Vec<&str> = problems.iter().map(|problem| problem.path.as_str()).collect();
+    assert_eq!(paths, ["customers[0].keys[0]", "services[0].models[0]"]);
+    let report = desk.accept(&second).await.unwrap_err();
+    assert_eq!(*report.current_context(), ErrorKind::TicketInvalid);
+    second.remove_customer("a");
+    second.remove_service("asistente");
+    assert_eq!(desk.check(&second).await.unwrap(), []);
+    assert_eq!(desk.status(TicketNumber(2)).await.unwrap(), TicketStatus::Absent);
+    desk.accept(&second).await.unwrap();
+    assert_eq!(share_of(&desk, "a").await, None);
+    assert_eq!(share_of(&desk, "b").await, Some(1));
+    standin.close().await;
+}
+
+/// Store that lets a rival desk act right before the next read of a key.
+#[derive(Clone)]
+struct RivalStore {
+    inner: PlatformClient,
+    rival: Rc<TicketDesk<PlatformClient>>,
+    plan: Rc<RefCell<Option<(String, ChangeTicket)>>>,
+}
+
+impl ObjectStore for RivalStore {
+    async fn read(&self, key: &str) -> Result<Option<StoredObject>, Report<ErrorKind>> {
+        let due = self.plan.borrow_mut().take_if(|(planned, _)| key.starts_with(&*planned));
+        if let Some((_, ticket)) = due {
+            self.rival.accept(&ticket).await.unwrap();
+        }
+        self.inner.read(key).await
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        condition: WriteCondition,
+        value: Bytes,
+    ) -> Result<ObjectVersion, Report<ErrorKind>> {
+        self.inner.write(key, condition, value).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<ObjectListing, Report<ErrorKind>> {
+        self.inner.list(prefix).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<ObjectListing, Report<ErrorKind>> {
+        self.inner.watch(prefix, after, wait).await
+    }
+
+    async fn vms(&self, after: u64, wait: Duration) -> Result<VmListing, Report<ErrorKind>> {
+        self.inner.vms(after, wait).await
+    }
+
+    fn counts(&self) -> CallCounts {
+        self.inner.counts()
+    }
+}
+
+fn open_rival(standin: &PlatformStandin, key: &str, ticket: ChangeTicket) -> RivalStore {
+    RivalStore {
+        inner: PlatformClient::open(PlatformSettings::new(standin.address())),
+        rival: Rc::new(open_desk(standin)),
+        plan: Rc::new(RefCell::new(Some((key.to_owned(), ticket)))),
+    }
+}
+
+#[actix_rt::test]
+async fn paused_check() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let store = open_rival(&standin, "tickets/", ticket(2, &[("a", 2)]));
+    let desk = TicketDesk::open(store.clone());
+    let stale = desk.accept(&ticket(1, &[("a", 1)])).await.unwrap_err();
+    assert_eq!(*stale.current_context(), ErrorKind::TicketStale);
+    assert_eq!(share_of(&store.rival, "a").await, Some(2));
+    standin.close().await;
+}
+
+#[actix_rt::test]
+async fn paused_apply() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let store = open_rival(&standin, "catalog/customers/", ticket(2, &[("a", 2)]));
+    let desk = TicketDesk::open(store.clone());
+    desk.accept(&ticket(1, &[("a", 1)])).await.unwrap();
+    assert!(store.plan.borrow().is_none());
+    assert_eq!(share_of(&open_desk(&standin), "a").await, Some(2));
+    standin.close().await;
+}
