Carry requests from callers through routers and agents to targets

Cause: decisions, links and stand-ins exist, nothing joins them. Change: router and agent daemons around the decision code; bytes of an answer flow past the actor, only begin, charges and end go through it. Ruled out: an actor message a token towards the caller (a mailbox hop each). Conclusion: builds; not yet run.

--- /dev/null
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -0,0 +1,245 @@
+//! The actor that owns the decision code and turns its commands into messages.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult};
+use jackdaw_base::{DocumentBody, MonotonicTime, OfferId, VersionedDocument, VmId};
+use jackdaw_link::{ControlMessage, PeerLink};
+use jackdaw_policy::{AgentCommand, AgentCore, AgentEvent, AgentSnapshot};
+use tokio::sync::oneshot;
+
+/// The period at which the decision code learns that time has passed.
+const TIMER_PERIOD: Duration = Duration::from_millis(10);
+
+/// Owner of the decision code and of the links to routers.
+pub struct DecisionActor {
+    /// The decision code.
+    core: AgentCore,
+    /// The moment that counts as zero.
+    start: Instant,
+    /// The open links by router.
+    links: HashMap<VmId, PeerLink>,
+    /// The commands of the event at hand.
+    commands: Vec<AgentCommand>,
+    /// The one that waits for the end of the drain.
+    drained: Option<oneshot::Sender<()>>,
+}
+
+/// What reaches the actor from links and runs.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum AgentInput {
+    /// A router has opened a link.
+    LinkOpened(PeerLink),
+    /// A link is gone.
+    LinkClosed(PeerLink),
+    /// A router has sent a control message.
+    Control(PeerLink, ControlMessage),
+    /// A run has something to charge or to measure.
+    Progress(AgentEvent),
+}
+
+/// Asks to begin a run; answered with whether the offer was granted to that router.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct BeginRun {
+    /// The router.
+    pub router: VmId,
+    /// The offer that was granted.
+    pub offer: OfferId,
+}
+
+/// Stops granting; `done` is told when all work has ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct DrainAgent {
+    /// The one to tell.
+    pub done: oneshot::Sender<()>,
+}
+
+/// Asks for the state of the decision code.
+#[derive(Message)]
+#[rtype(result = "AgentSnapshot")]
+pub struct DumpAgent;
+
+impl DecisionActor {
+    /// Creates the actor around the decision code.
+    pub fn new(core: AgentCore) -> DecisionActor {
+        DecisionActor {
+            core,
+            start: Instant::now(),
+            links: HashMap::new(),
+            commands: Vec::new(),
+            drained: None,
+        }
+    }
+
+    fn decide(&mut self, event: AgentEvent) {
+        let now = MonotonicTime(self.start.elapsed().as_micros() as u64);
+        let mut commands = std::mem::take(&mut self.commands);
+        self.core.handle(now, event, &mut commands);
+        for command in commands.drain(..) {
+            self.execute(command);
+        }
+        self.commands = commands;
+    }
+
+    fn execute(&mut self, command: AgentCommand) {
+        match command {
+            AgentCommand::SendGrant { router, offer } => {
+                self.send(router, ControlMessage::Grant(offer));
+            }
+            AgentCommand::SendReports { router, reports } => {
+                self.send(router, ControlMessage::Reports(reports));
+            }
+            AgentCommand::AnnounceRoom { router, places } => {
+                self.send(router, ControlMessage::Room(places));
+            }
+            AgentCommand::AnnounceLeaving { router } => {
+                self.send(router, ControlMessage::Leaving);
+            }
+            AgentCommand::FinishDrain => {
+                if let Some(sender) = self.drained.take() {
+                    // Nobody waits any more if this fails.
+                    let _ = sender.send(());
+                }
+            }
+            AgentCommand::ReportViolation { message } => {
+                log::error!("invariant violated: {message}");
+            }
+        }
+    }
+
+    fn send(&self, router: VmId, message: ControlMessage) {
+        let Some(link) = self.links.get(&router) else { return };
+        if let Err(report) = link.send(message) {
+            log::warn!("closing link to router {router}: {report}");
+            link.close("control queue is full");
+        }
+    }
+
+    fn open_link(&mut self, link: PeerLink) {
+        let router = link.greeting().vm;
+        if let Some(old) = self.links.insert(router, link) {
+            old.close("replaced by a newer link");
+            self.decide(AgentEvent::RouterLost { router });
+        }
+        self.decide(AgentEvent::RouterJoined { router });
+    }
+
+    fn close_link(&mut self, link: &PeerLink) {
+        let router = link.greeting().vm;
+        if !self.is_current(link) {
+            return;
+        }
+        self.links.remove(&router);
+        self.decide(AgentEvent::RouterLost { router });
+    }
+
+    /// Returns whether the link is the one in use for its router.
+    fn is_current(&self, link: &PeerLink) -> bool {
+        let router = link.greeting().vm;
+        self.links.get(&router).is_some_and(|current| current.id() == link.id())
+    }
+
+    fn receive(&mut self, link: &PeerLink, message: ControlMessage) {
+        if !self.is_current(link) {
+            return;
+        }
+        let router = link.greeting().vm;
+        match message {
+            ControlMessage::Offer(offer) => {
+                if offer.id.request.router != link.greeting().incarnation {
+                    return self.refuse(link, "offer of another router's incarnation");
+                }
+                self.decide(AgentEvent::OfferReceived { router, offer });
+            }
+            ControlMessage::Withdraw(offer) => {
+                self.decide(AgentEvent::OfferWithdrawn { router, offer });
+            }
+            ControlMessage::Decline(offer) => {
+                self.decide(AgentEvent::GrantDeclined { router, offer });
+            }
+            ControlMessage::Totals(totals) => self.decide(AgentEvent::TotalsReceived { totals }),
+            ControlMessage::Documents(documents) => self.apply_documents(&documents),
+            ControlMessage::Probe(nonce) => self.send(router, ControlMessage::ProbeReply(nonce)),
+            ControlMessage::ProbeReply(_)
+            | ControlMessage::Leaving
+            | ControlMessage::DocumentDigest(_)
+            | ControlMessage::DocumentRequest => {}
+            ControlMessage::Grant(_)
+            | ControlMessage::Room(_)
+            | ControlMessage::Reports(_)
+            | ControlMessage::RelayedTotals { .. } => {
+                self.refuse(link, "message that only agents and routers send to routers");
+            }
+        }
+    }
+
+    fn refuse(&self, link: &PeerLink, reason: &str) {
+        log::warn!("closing link to router {}: {reason}", link.greeting().vm);
+        link.close(reason);
+    }
+
+    fn apply_documents(&mut self, documents: &[VersionedDocument]) {
+        for document in documents {
+            let Some(DocumentBody::Service(record)) = &document.body else {
+                continue;
+            };
+            let places = record.target.place_limit;
+            self.decide(AgentEvent::PlaceLimitChanged { places });
+        }
+    }
+}
+
+impl Actor for DecisionActor {
+    type Context = Context<DecisionActor>;
+
+    fn started(&mut self, context: &mut Context<DecisionActor>) {
+        context.set_mailbox_capacity(4096);
+        context.run_interval(TIMER_PERIOD, |actor, _| actor.decide(AgentEvent::TimerFired));
+    }
+}
+
+impl Handler<AgentInput> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, input: AgentInput, _: &mut Context<DecisionActor>) {
+        match input {
+            AgentInput::LinkOpened(link) => self.open_link(link),
+            AgentInput::LinkClosed(link) => self.close_link(&link),
+            AgentInput::Control(link, message) => self.receive(&link, message),
+            AgentInput::Progress(event) => self.decide(event),
+        }
+    }
+}
+
+impl Handler<BeginRun> for DecisionActor {
+    type Result = bool;
+
+    fn handle(&mut self, begin: BeginRun, _: &mut Context<DecisionActor>) -> bool {
+        if !self.core.holds_grant(begin.router, begin.offer) {
+            return false;
+        }
+        self.decide(AgentEvent::RunStarted { offer: begin.offer });
+        true
+    }
+}
+
+impl Handler<DrainAgent> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, drain: DrainAgent, _: &mut Context<DecisionActor>) {
+        self.drained = Some(drain.done);
+        self.decide(AgentEvent::DrainStarted);
+    }
+}
+
+impl Handler<DumpAgent> for DecisionActor {
+    type Result = MessageResult<DumpAgent>;
+
+    fn handle(&mut self, _: DumpAgent, _: &mut Context<DecisionActor>) -> MessageResult<DumpAgent> {
+        MessageResult(self.core.snapshot())
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-agent/src/run.rs
@@ -0,0 +1,269 @@
+//! One run: from the router's run stream to the target and back.
+
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix::Addr;
+use bytes::{Bytes, BytesMut};
+use error_stack::Report;
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use futures_util::stream::Stream;
+use jackdaw_base::{ErrorKind, OfferId, ServiceKind, VmId, WorkUnits, describe_report};
+use jackdaw_link::{IncomingRun, RunReply, RunRequest, RunWriter};
+use jackdaw_policy::AgentEvent;
+use serde::Deserialize;
+
+use crate::claim_desk::ClaimDesk;
+use crate::decision_actor::{AgentInput, BeginRun, DecisionActor};
+use crate::target_client::{TargetAnswer, TargetClient, TargetFailure};
+
+/// The time after which a request that no claim could be kept for may come again, in
+/// milliseconds.
+const CLAIM_RETRY_MILLIS: u64 = 1000;
+
+/// What all runs of an agent share.
+pub struct RunContext {
+    /// The decisions.
+    pub actor: Addr<DecisionActor>,
+    /// The client of the target.
+    pub client: TargetClient,
+    /// The claims of recordings.
+    pub claims: ClaimDesk,
+}
+
+/// Token counts at the end of an engine's answer.
+#[derive(Deserialize)]
+struct UsageRecord {
+    /// The counts; absent in all events but the last.
+    usage: Option<UsageCounts>,
+}
+
+/// Token counts of one answer.
+#[derive(Deserialize)]
+struct UsageCounts {
+    /// The tokens that the engine generated.
+    completion_tokens: u64,
+}
+
+/// Charges one run while its answer streams.
+struct RunMeter {
+    /// The offer that was granted.
+    offer: OfferId,
+    /// The decisions.
+    actor: Addr<DecisionActor>,
+    /// The start of the run.
+    start: Instant,
+    /// The time of the latest token.
+    latest: Option<Instant>,
+    /// The tokens so far.
+    tokens: u64,
+    /// The unit of charge.
+    kind: ServiceKind,
+    /// Whether an earlier run gave a part of the answer.
+    is_resumed: bool,
+}
+
+/// Carries one run to its end; every path ends with a final reply or a reset stream.
+pub async fn carry_run(router: VmId, run: IncomingRun, context: Rc<RunContext>) {
+    let IncomingRun { request, mut writer } = run;
+    let begin = BeginRun { router, offer: request.offer };
+    if !context.actor.send(begin).await.unwrap_or(false) {
+        log::warn!("refused run of router {router}: its offer is not granted");
+        refuse(&mut writer, ErrorKind::NotReady, 0).await;
+        return;
+    }
+    let mut meter = RunMeter::start(&request, &context);
+    let final_reply = {
+        let work = run_request(&request, &mut writer, &context, &mut meter);
+        work.await
+    };
+    meter.finish();
+    if let Some(reply) = final_reply {
+        // The router is gone where this fails; it treats the run as broken.
+        let _ = writer.send(&reply).await;
+    }
+}
+
+/// Claims, sends and streams; returns the final reply, or `None` where the router is gone.
+async fn run_request(
+    request: &RunRequest,
+    writer: &mut RunWriter,
+    context: &RunContext,
+    meter: &mut RunMeter,
+) -> Option<RunReply> {
+    if let Some(key) = &request.recording_key
+        && let Err(report) = context.claims.claim(key).await
+    {
+        let kind = *report.current_context();
+        log::info!("recording not started: {}", describe_report(&report));
+        return Some(RunReply::Refused { kind, retry_after_millis: CLAIM_RETRY_MILLIS });
+    }
+    let answer = tokio::select! {
+        answer = context.client.send(request) => answer,
+        () = writer.cancelled(), if request.recording_key.is_none() => return None,
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(failure) => return Some(reply_to_failure(failure, request)),
+    };
+    match stream_answer(answer, writer, meter).await {
+        Ok(length) => Some(RunReply::End { length, units: meter.units() }),
+        Err(report) if *report.current_context() == ErrorKind::LinkFailed => None,
+        Err(report) => {
+            log::warn!("answer of the target is not whole: {report}");
+            Some(RunReply::Broken { crashed: true })
+        }
+    }
+}
+
+fn reply_to_failure(failure: TargetFailure, request: &RunRequest) -> RunReply {
+    match failure {
+        // A claim stands for this key by now, so the recording cannot come again.
+        TargetFailure::NotSent(report) if request.recording_key.is_some() => {
+            log::warn!("target cannot be reached after the claim: {report}");
+            RunReply::Broken { crashed: false }
+        }
+        TargetFailure::NotSent(report) => {
+            log::warn!("target cannot be reached: {report}");
+            RunReply::Refused { kind: ErrorKind::NoCapacity, retry_after_millis: 0 }
+        }
+        TargetFailure::Lost(report) => {
+            log::warn!("target lost: {report}");
+            RunReply::Broken { crashed: true }
+        }
+    }
+}
+
+/// Passes the answer on and returns the bytes of its body.
+///
+/// Fails with [`ErrorKind::LinkFailed`] where the router is gone and with
+/// [`ErrorKind::Interrupted`] where the target's answer breaks off.
+async fn stream_answer<S>(
+    answer: TargetAnswer<S>,
+    writer: &mut RunWriter,
+    meter: &mut RunMeter,
+) -> Result<u64, Report<ErrorKind>>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let head = RunReply::Head { status: answer.status, headers: answer.headers };
+    writer.send(&head).await?;
+    if answer.is_event_stream {
+        return stream_events(answer.body, writer, meter).await;
+    }
+    let mut body = answer.body;
+    let mut whole = BytesMut::new();
+    loop {
+        let part = tokio::select! {
+            part = body.next() => part,
+            () = writer.cancelled() => return Err(Report::new(ErrorKind::LinkFailed)),
+        };
+        let Some(part) = part else { break };
+        whole.extend_from_slice(&part.map_err(|error| broken_body(&error))?);
+    }
+    meter.count_body(&whole);
+    let length = whole.len() as u64;
+    writer.send(&RunReply::Chunk { events: 0, bytes: whole.freeze() }).await?;
+    Ok(length)
+}
+
+async fn stream_events<S>(
+    body: S,
+    writer: &mut RunWriter,
+    meter: &mut RunMeter,
+) -> Result<u64, Report<ErrorKind>>
+where
+    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+{
+    let mut events = pin!(body.eventsource());
+    let mut length = 0;
+    let mut is_done = false;
+    loop {
+        let event = tokio::select! {
+            event = events.next() => event,
+            () = writer.cancelled() => return Err(Report::new(ErrorKind::LinkFailed)),
+        };
+        let Some(event) = event else { break };
+        let event = event.map_err(|error| broken_body(&error))?;
+        is_done = event.data == "[DONE]";
+        meter.count_event(&event.data, is_done);
+        let bytes = Bytes::from(format!("data: {}\n\n", event.data));
+        length += bytes.len() as u64;
+        writer.send(&RunReply::Chunk { events: 1, bytes }).await?;
+    }
+    if !is_done {
+        return Err(Report::new(ErrorKind::Interrupted).attach("no final event"));
+    }
+    Ok(length)
+}
+
+fn broken_body(error: &impl std::fmt::Display) -> Report<ErrorKind> {
+    Report::new(ErrorKind::Interrupted).attach(error.to_string())
+}
+
+async fn refuse(writer: &mut RunWriter, kind: ErrorKind, retry_after_millis: u64) {
+    // The router is gone where this fails; nothing has run.
+    let _ = writer.send(&RunReply::Refused { kind, retry_after_millis }).await;
+}
+
+impl RunMeter {
+    fn start(request: &RunRequest, context: &RunContext) -> RunMeter {
+        RunMeter {
+            offer: request.offer,
+            is_resumed: request.resume_from > 0,
+            actor: context.actor.clone(),
+            start: Instant::now(),
+            latest: None,
+            tokens: 0,
+            kind: context.client.kind(),
+        }
+    }
+
+    /// Returns the cost so far.
+    fn units(&self) -> WorkUnits {
+        match self.kind {
+            ServiceKind::Engine => WorkUnits(self.tokens),
+            ServiceKind::Plain => WorkUnits(self.start.elapsed().as_millis().max(1) as u64),
+        }
+    }
+
+    fn count_event(&mut self, data: &str, is_done: bool) {
+        if is_done {
+            return;
+        }
+        if data.contains("\"usage\"")
+            && let Ok(UsageRecord { usage: Some(counts) }) = serde_json::from_str(data)
+        {
+            // The engine counts what an earlier run gave as well; that is charged already.
+            if !self.is_resumed {
+                self.tokens = self.tokens.max(counts.completion_tokens);
+            }
+            return;
+        }
+        self.tokens += 1;
+        let now = Instant::now();
+        let event = match self.latest.replace(now) {
+            None => AgentEvent::FirstToken { elapsed: now - self.start },
+            Some(latest) => AgentEvent::NextToken { elapsed: now - latest },
+        };
+        self.actor.do_send(AgentInput::Progress(event));
+        let progress = AgentEvent::RunProgressed { offer: self.offer, units: self.units() };
+        self.actor.do_send(AgentInput::Progress(progress));
+    }
+
+    fn count_body(&mut self, body: &[u8]) {
+        if self.kind != ServiceKind::Engine {
+            return;
+        }
+        if let Ok(UsageRecord { usage: Some(counts) }) = serde_json::from_slice(body) {
+            self.tokens = counts.completion_tokens;
+        }
+    }
+
+    fn finish(self) {
+        let event = AgentEvent::RunEnded { offer: self.offer, units: self.units() };
+        self.actor.do_send(AgentInput::Progress(event));
+    }
+}
--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -89,6 +89,11 @@
             .attach_with(|| format!("link to {address}"))
     }
 
+    /// Ends every link without waiting for the peers to learn of it.
+    pub fn shutdown(&self, reason: &str) {
+        self.endpoint.close(ORDINARY, reason.as_bytes());
+    }
+
     /// Ends every link and frees the address.
     pub async fn close(self) {
         self.endpoint.close(ORDINARY, b"process ends");
--- a/crates/jackdaw-link/src/peer.rs
+++ b/crates/jackdaw-link/src/peer.rs
@@ -118,6 +118,11 @@
         &self.shared.greeting
     }
 
+    /// Returns a number that tells this link from every other of the endpoint.
+    pub fn id(&self) -> usize {
+        self.connection().stable_id()
+    }
+
     /// Returns the newest message version that both ends speak.
     pub fn version(&self) -> u16 {
         self.shared.version
--- /dev/null
+++ b/crates/jackdaw-router/src/admin_server.rs
@@ -0,0 +1,1 @@
+//! Administration server of a router.
--- /dev/null
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -0,0 +1,616 @@
+//! The actor that owns the decision code and turns its commands into messages.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult};
+use jackdaw_base::{
+    CustomerId, DocumentBody, DocumentKey, ErrorKind, MonotonicTime, OfferId, ProcessIncarnation,
+    RequestClass, RequestId, ServiceId, VersionedDocument, VmId,
+};
+use jackdaw_link::{ControlMessage, PeerLink, ProcessRole, RunRequest};
+use jackdaw_platform::{CatalogUpdate, ConfigCatalog};
+use jackdaw_policy::{
+    ArrivedRequest, RouterCommand, RouterCore, RouterEvent, RouterSnapshot, RunFault,
+};
+use tokio::sync::{mpsc, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::call_reader::{CallTarget, IncomingCall};
+use crate::caller_server::AnswerPart;
+use crate::membership::LinkBook;
+use crate::run::{RunEnd, RunTask, carry_run};
+
+/// The period at which the decision code learns that time has passed.
+const TIMER_PERIOD: Duration = Duration::from_millis(10);
+
+/// The period at which routers compare what configuration they hold.
+const DIGEST_PERIOD: Duration = Duration::from_secs(1);
+
+/// The documents that one message carries at the most.
+const DOCUMENT_BATCH: usize = 500;
+
+/// Owner of the decision code, the configuration, the links and the waiting requests.
+pub struct DecisionActor {
+    /// The decision code.
+    core: RouterCore,
+    /// The moment that counts as zero.
+    start: Instant,
+    /// The incarnation of this router.
+    incarnation: ProcessIncarnation,
+    /// The next request's sequence number.
+    sequence: u64,
+    /// The configuration.
+    catalog: ConfigCatalog,
+    /// The links to agents and other routers.
+    links: LinkBook,
+    /// The requests that have no final answer yet.
+    requests: HashMap<RequestId, OpenRequest>,
+    /// The time within which a run is to start where the caller names none.
+    default_patience: Duration,
+    /// The commands of the event at hand.
+    commands: Vec<RouterCommand>,
+    /// The one that waits for the end of the drain.
+    drained: Option<oneshot::Sender<()>>,
+    /// Whether the router is leaving.
+    is_draining: bool,
+}
+
+/// A request that has no final answer yet.
+struct OpenRequest {
+    /// The message to the agent that will run it.
+    run: RunRequest,
+    /// The way to the caller.
+    sender: mpsc::Sender<AnswerPart>,
+    /// Whether the caller has the head of the answer.
+    head_sent: bool,
+    /// Whether the request may run more than once.
+    is_idempotent: bool,
+}
+
+/// Asks to place a caller's request; the answer goes to `sender`.
+#[derive(Message)]
+#[rtype(result = "Result<(), ErrorKind>")]
+pub struct AdmitCall {
+    /// The request.
+    pub call: IncomingCall,
+    /// The way to the caller.
+    pub sender: mpsc::Sender<AnswerPart>,
+}
+
+/// Tells that a caller is gone.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct CancelCall {
+    /// The request.
+    pub id: RequestId,
+}
+
+/// Tells how a run ended.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct RunOver {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: u32,
+    /// How it ended.
+    pub end: RunEnd,
+    /// The stream events that the caller has.
+    pub delivered: u64,
+    /// Whether the caller has the head of the answer.
+    pub head_sent: bool,
+}
+
+/// What reaches the actor from links.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum LinkInput {
+    /// A link is open.
+    Opened(PeerLink),
+    /// A link is gone.
+    Closed(PeerLink),
+    /// A control message has come.
+    Control(PeerLink, ControlMessage),
+}
+
+/// Configuration or VM list from the platform.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct LearnUpdate(pub CatalogUpdate);
+
+/// Asks whether the router takes callers.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct ReadReadiness;
+
+/// Asks for the state of the decision code.
+#[derive(Message)]
+#[rtype(result = "RouterSnapshot")]
+pub struct DumpRouter;
+
+/// Asks for the control traffic of all links, in bytes sent and received.
+#[derive(Message)]
+#[rtype(result = "(u64, u64)")]
+pub struct ReadTraffic;
+
+/// Takes no new requests; `done` is told when none is left.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct DrainRouter {
+    /// The one to tell.
+    pub done: oneshot::Sender<()>,
+}
+
+impl DecisionActor {
+    /// Creates the actor around the decision code.
+    pub fn new(
+        core: RouterCore,
+        incarnation: ProcessIncarnation,
+        links: LinkBook,
+        default_patience: Duration,
+    ) -> DecisionActor {
+        DecisionActor {
+            core,
+            start: Instant::now(),
+            incarnation,
+            sequence: 0,
+            catalog: ConfigCatalog::new(),
+            links,
+            requests: HashMap::new(),
+            default_patience,
+            commands: Vec::new(),
+            drained: None,
+            is_draining: false,
+        }
+    }
+
+    fn decide(&mut self, event: RouterEvent, context: &Context<DecisionActor>) {
+        let now = MonotonicTime(self.start.elapsed().as_micros() as u64);
+        let mut commands = std::mem::take(&mut self.commands);
+        self.core.handle(now, event, &mut commands);
+        for command in commands.drain(..) {
+            self.execute(command, context);
+        }
+        self.commands = commands;
+    }
+
+    fn execute(&mut self, command: RouterCommand, context: &Context<DecisionActor>) {
+        match command {
+            RouterCommand::SendOffer { agent, offer } => {
+                self.links.send(agent, ControlMessage::Offer(offer));
+            }
+            RouterCommand::SendWithdraw { agent, offer } => {
+                self.links.send(agent, ControlMessage::Withdraw(offer));
+            }
+            RouterCommand::SendDecline { agent, offer } => {
+                self.links.send(agent, ControlMessage::Decline(offer));
+            }
+            RouterCommand::StartRun { agent, offer } => self.start_run(agent, offer, context),
+            RouterCommand::Answer { request, kind, retry_after } => {
+                self.answer(request, kind, retry_after);
+            }
+            RouterCommand::ForwardReports { router, reports } => {
+                self.links.send(router, ControlMessage::Reports(reports));
+            }
+            RouterCommand::SendTotals { agent, totals } => {
+                self.links.send(agent, ControlMessage::Totals(totals));
+            }
+            RouterCommand::ForwardTotals { router, agent, totals } => {
+                self.links.send(router, ControlMessage::RelayedTotals { agent, totals });
+            }
+            RouterCommand::ReportViolation { message } => {
+                log::error!("invariant violated: {message}");
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        call: IncomingCall,
+        sender: mpsc::Sender<AnswerPart>,
+        context: &Context<DecisionActor>,
+    ) -> Result<(), ErrorKind> {
+        if self.is_draining {
+            return Err(ErrorKind::NotReady);
+        }
+        let Some((customer, record)) = self.catalog.customer_by_key(&call.key) else {
+            return Err(ErrorKind::Unauthorized);
+        };
+        let Some(service) = find_service(&self.catalog, &call) else {
+            return Err(ErrorKind::NotFound);
+        };
+        let id = RequestId { router: self.incarnation, sequence: self.sequence };
+        let request = ArrivedRequest {
+            id,
+            customer,
+            share: record.share,
+            queue_limit: record.queue_limit,
+            service,
+            class: call.class,
+            hint: call.hint,
+            prefix: call.prefix,
+            patience: call.patience.unwrap_or(self.default_patience),
+        };
+        self.sequence += 1;
+        watch_caller(id, &sender, context.address());
+        let open = OpenRequest {
+            is_idempotent: call.class != RequestClass::Recording,
+            run: build_run(id, customer, call),
+            sender,
+            head_sent: false,
+        };
+        self.requests.insert(id, open);
+        self.decide(RouterEvent::RequestArrived { request }, context);
+        Ok(())
+    }
+
+    fn start_run(&mut self, agent: VmId, offer: OfferId, context: &Context<DecisionActor>) {
+        let link = self.links.get(agent).cloned();
+        let (Some(open), Some(link)) = (self.requests.get_mut(&offer.request), link) else {
+            // The loss of the link reaches the decision code as an event of its own.
+            log::warn!("run of {} cannot start: link or request is gone", offer.request);
+            return;
+        };
+        open.run.offer = offer;
+        let task = RunTask {
+            id: offer.request,
+            request: open.run.clone(),
+            link,
+            sender: open.sender.clone(),
+            head_sent: open.head_sent,
+        };
+        actix_rt::spawn(carry_run(task, context.address()));
+    }
+
+    fn end_run(&mut self, over: RunOver, context: &Context<DecisionActor>) {
+        let request = over.id;
+        let Some(open) = self.requests.get_mut(&request) else { return };
+        if open.run.offer.attempt != over.attempt {
+            return;
+        }
+        open.head_sent = over.head_sent;
+        open.run.resume_from = over.delivered;
+        let event = match over.end {
+            RunEnd::Whole(units) => {
+                self.requests.remove(&request);
+                RouterEvent::RunCompleted { request, units }
+            }
+            RunEnd::Abandoned => {
+                self.requests.remove(&request);
+                RouterEvent::RequestCancelled { request }
+            }
+            RunEnd::Fault(fault) => {
+                let repeatable = open.is_idempotent
+                    || matches!(fault, RunFault::Refused(kind) if kind.is_retryable());
+                RouterEvent::RunFailed { request, fault, repeatable }
+            }
+        };
+        self.decide(event, context);
+        self.check_drain();
+    }
+
+    fn answer(&mut self, request: RequestId, kind: ErrorKind, retry_after: Duration) {
+        let Some(open) = self.requests.remove(&request) else { return };
+        let part = AnswerPart::Failure { kind, retry_after };
+        if let Err(mpsc::error::TrySendError::Full(part)) = open.sender.try_send(part) {
+            // The caller is still reading what came before.
+            actix_rt::spawn(async move { open.sender.send(part).await });
+        }
+        self.check_drain();
+    }
+
+    fn check_drain(&mut self) {
+        if !self.is_draining || !self.requests.is_empty() {
+            return;
+        }
+        if let Some(sender) = self.drained.take() {
+            // Nobody waits any more if this fails.
+            let _ = sender.send(());
+        }
+    }
+
+    fn open_link(&mut self, link: &PeerLink, context: &Context<DecisionActor>) {
+        let greeting = *link.greeting();
+        if self.links.insert(link) {
+            self.decide(lost_event(greeting.vm, greeting.role), context);
+        }
+        match greeting.role {
+            ProcessRole::Agent => {
+                let Some(service) = greeting.service else {
+                    return self.refuse(link, "agent without a service");
+                };
+                let domain = self.links.domain(greeting.vm);
+                self.send_service(link, service);
+                let event = RouterEvent::AgentJoined { agent: greeting.vm, service, domain };
+                self.decide(event, context);
+            }
+            ProcessRole::Router => {
+                let digest = ControlMessage::DocumentDigest(self.catalog.digest());
+                self.links.send(greeting.vm, digest);
+                self.decide(RouterEvent::PeerJoined { router: greeting.vm }, context);
+            }
+            ProcessRole::Operator => {}
+        }
+    }
+
+    fn close_link(&mut self, link: &PeerLink, context: &Context<DecisionActor>) {
+        if !self.links.remove(link) {
+            return;
+        }
+        let greeting = link.greeting();
+        self.decide(lost_event(greeting.vm, greeting.role), context);
+    }
+
+    fn send_service(&self, link: &PeerLink, service: ServiceId) {
+        if let Some(document) = self.catalog.document(DocumentKey::Service(service)) {
+            let documents = ControlMessage::Documents(vec![document.clone()]);
+            self.links.send(link.greeting().vm, documents);
+        }
+    }
+
+    fn refuse(&self, link: &PeerLink, reason: &str) {
+        log::warn!("closing link to {}: {reason}", link.greeting().vm);
+        link.close(reason);
+    }
+
+    fn receive(
+        &mut self,
+        link: &PeerLink,
+        message: ControlMessage,
+        context: &Context<DecisionActor>,
+    ) {
+        if !self.links.is_current(link) {
+            return;
+        }
+        match link.greeting().role {
+            ProcessRole::Agent => self.receive_from_agent(link, message, context),
+            ProcessRole::Router => self.receive_from_router(link, message, context),
+            ProcessRole::Operator => self.refuse(link, "operators send no control messages"),
+        }
+    }
+
+    fn receive_from_agent(
+        &mut self,
+        link: &PeerLink,
+        message: ControlMessage,
+        context: &Context<DecisionActor>,
+    ) {
+        let agent = link.greeting().vm;
+        let event = match message {
+            ControlMessage::Grant(offer) => RouterEvent::GrantReceived { agent, offer },
+            ControlMessage::Room(places) => RouterEvent::RoomAnnounced { agent, places },
+            ControlMessage::Leaving => RouterEvent::AgentLeaving { agent },
+            ControlMessage::Reports(reports) => {
+                RouterEvent::ReportsReceived { sender: agent, reports }
+            }
+            ControlMessage::Probe(nonce) => {
+                return self.links.send(agent, ControlMessage::ProbeReply(nonce));
+            }
+            ControlMessage::ProbeReply(_) => return,
+            _ => return self.refuse(link, "message that agents do not send"),
+        };
+        self.decide(event, context);
+    }
+
+    fn receive_from_router(
+        &mut self,
+        link: &PeerLink,
+        message: ControlMessage,
+        context: &Context<DecisionActor>,
+    ) {
+        let router = link.greeting().vm;
+        match message {
+            ControlMessage::Reports(reports) => {
+                let event = RouterEvent::ReportsReceived { sender: router, reports };
+                self.decide(event, context);
+            }
+            ControlMessage::RelayedTotals { agent, totals } => {
+                self.decide(RouterEvent::TotalsReceived { agent, totals }, context);
+            }
+            ControlMessage::Documents(documents) => {
+                let changed = self.catalog.merge(documents);
+                self.apply(&changed, Some(router), context);
+            }
+            ControlMessage::DocumentDigest(digest) => {
+                if digest != self.catalog.digest() {
+                    self.links.send(router, ControlMessage::DocumentRequest);
+                }
+            }
+            ControlMessage::DocumentRequest => self.send_catalog(router),
+            ControlMessage::Probe(nonce) => {
+                self.links.send(router, ControlMessage::ProbeReply(nonce));
+            }
+            ControlMessage::ProbeReply(_) | ControlMessage::Leaving => {}
+            _ => self.refuse(link, "message that routers do not send to routers"),
+        }
+    }
+
+    fn send_catalog(&self, router: VmId) {
+        let documents: Vec<VersionedDocument> = self.catalog.documents().cloned().collect();
+        for batch in documents.chunks(DOCUMENT_BATCH) {
+            self.links.send(router, ControlMessage::Documents(batch.to_vec()));
+        }
+    }
+
+    /// Passes what is new on to the other routers and acts on it.
+    fn apply(
+        &mut self,
+        changed: &[VersionedDocument],
+        source: Option<VmId>,
+        context: &Context<DecisionActor>,
+    ) {
+        for router in self.links.routers() {
+            if Some(router) == source {
+                continue;
+            }
+            for batch in changed.chunks(DOCUMENT_BATCH) {
+                self.links.send(router, ControlMessage::Documents(batch.to_vec()));
+            }
+        }
+        for document in changed {
+            if let Some(DocumentBody::Service(_)) = &document.body {
+                self.links.send_to_agents(document);
+            }
+        }
+        for (agent, role) in self.links.follow(changed, &context.address()) {
+            if role == ProcessRole::Agent {
+                self.decide(RouterEvent::AgentLeaving { agent }, context);
+            }
+        }
+    }
+
+    fn compare_digests(&self) {
+        let digest = self.catalog.digest();
+        for router in self.links.routers() {
+            self.links.send(router, ControlMessage::DocumentDigest(digest));
+        }
+    }
+}
+
+/// Finds the service that answers a call.
+fn find_service(catalog: &ConfigCatalog, call: &IncomingCall) -> Option<ServiceId> {
+    let found = match &call.target {
+        CallTarget::Model(model) => catalog.service_by_model(model),
+        CallTarget::Path => catalog.service_by_path(&call.path),
+    };
+    let (service, _) = found?;
+    Some(service)
+}
+
+/// Builds the message to the agent; the offer is filled in when one is granted.
+fn build_run(id: RequestId, customer: CustomerId, call: IncomingCall) -> RunRequest {
+    RunRequest {
+        offer: OfferId { request: id, attempt: 0 },
+        method: call.method,
+        path: call.path,
+        headers: call.headers,
+        recording_key: call.recording_key,
+        fingerprint: xxh3_64(&call.body) ^ customer.0,
+        resume_from: 0,
+        body: call.body,
+    }
+}
+
+/// Cancels the request once its caller is gone.
+fn watch_caller(id: RequestId, sender: &mpsc::Sender<AnswerPart>, actor: Addr<DecisionActor>) {
+    let sender = sender.clone();
+    actix_rt::spawn(async move {
+        sender.closed().await;
+        actor.do_send(CancelCall { id });
+    });
+}
+
+fn lost_event(vm: VmId, role: ProcessRole) -> RouterEvent {
+    match role {
+        ProcessRole::Router => RouterEvent::PeerLost { router: vm },
+        ProcessRole::Agent | ProcessRole::Operator => RouterEvent::AgentLost { agent: vm },
+    }
+}
+
+impl Actor for DecisionActor {
+    type Context = Context<DecisionActor>;
+
+    fn started(&mut self, context: &mut Context<DecisionActor>) {
+        context.set_mailbox_capacity(4096);
+        context.run_interval(TIMER_PERIOD, |actor, context| {
+            actor.decide(RouterEvent::TimerFired, context);
+        });
+        context.run_interval(DIGEST_PERIOD, |actor, _| actor.compare_digests());
+    }
+}
+
+impl Handler<AdmitCall> for DecisionActor {
+    type Result = Result<(), ErrorKind>;
+
+    fn handle(&mut self, admit: AdmitCall, context: &mut Context<DecisionActor>) -> Self::Result {
+        self.admit(admit.call, admit.sender, context)
+    }
+}
+
+impl Handler<CancelCall> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, cancel: CancelCall, context: &mut Context<DecisionActor>) {
+        if self.requests.remove(&cancel.id).is_none() {
+            return;
+        }
+        self.decide(RouterEvent::RequestCancelled { request: cancel.id }, context);
+        self.check_drain();
+    }
+}
+
+impl Handler<RunOver> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, over: RunOver, context: &mut Context<DecisionActor>) {
+        self.end_run(over, context);
+    }
+}
+
+impl Handler<LinkInput> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, input: LinkInput, context: &mut Context<DecisionActor>) {
+        match input {
+            LinkInput::Opened(link) => self.open_link(&link, context),
+            LinkInput::Closed(link) => self.close_link(&link, context),
+            LinkInput::Control(link, message) => self.receive(&link, message, context),
+        }
+    }
+}
+
+impl Handler<LearnUpdate> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, learn: LearnUpdate, context: &mut Context<DecisionActor>) {
+        let changed = match learn.0 {
+            CatalogUpdate::Documents(documents) => self.catalog.merge(documents),
+            CatalogUpdate::Vms(listing) => self.catalog.merge_vms(&listing),
+        };
+        self.apply(&changed, None, context);
+    }
+}
+
+impl Handler<ReadReadiness> for DecisionActor {
+    type Result = bool;
+
+    fn handle(&mut self, _: ReadReadiness, _: &mut Context<DecisionActor>) -> bool {
+        !self.is_draining && !self.catalog.is_empty()
+    }
+}
+
+impl Handler<DumpRouter> for DecisionActor {
+    type Result = MessageResult<DumpRouter>;
+
+    fn handle(
+        &mut self,
+        _: DumpRouter,
+        _: &mut Context<DecisionActor>,
+    ) -> MessageResult<DumpRouter> {
+        MessageResult(self.core.snapshot())
+    }
+}
+
+impl Handler<ReadTraffic> for DecisionActor {
+    type Result = MessageResult<ReadTraffic>;
+
+    fn handle(
+        &mut self,
+        _: ReadTraffic,
+        _: &mut Context<DecisionActor>,
+    ) -> MessageResult<ReadTraffic> {
+        MessageResult(self.links.control_bytes())
+    }
+}
+
+impl Handler<DrainRouter> for DecisionActor {
+    type Result = ();
+
+    fn handle(&mut self, drain: DrainRouter, context: &mut Context<DecisionActor>) {
+        self.is_draining = true;
+        self.drained = Some(drain.done);
+        self.decide(RouterEvent::DrainStarted, context);
+        self.check_drain();
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-router/src/membership.rs
@@ -0,0 +1,230 @@
+//! Links to agents and other routers, as the platform's list of VMs has them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Addr;
+use actix_rt::task::JoinHandle;
+use jackdaw_base::{
+    DocumentBody, DocumentKey, DomainId, VersionedDocument, VmId, VmRecord, VmState,
+};
+use jackdaw_link::{ControlMessage, LinkEndpoint, PeerLink, ProcessRole};
+use rand::Rng;
+
+use crate::decision_actor::{DecisionActor, LinkInput};
+
+/// The shortest wait before a lost link is opened again.
+const REDIAL_MIN: Duration = Duration::from_millis(50);
+
+/// The longest wait before a lost link is opened again.
+const REDIAL_MAX: Duration = Duration::from_secs(2);
+
+/// The links of a router, and the tasks that keep them open.
+pub struct LinkBook {
+    /// The router's own VM.
+    vm: VmId,
+    /// The endpoint that opens links.
+    endpoint: Rc<LinkEndpoint>,
+    /// The open links by the VM of the peer.
+    links: HashMap<VmId, PeerLink>,
+    /// The VMs of the list, and the tasks that dial them.
+    members: HashMap<VmId, FleetMember>,
+    /// The control traffic of links that are closed, in bytes sent and received.
+    closed_bytes: (u64, u64),
+}
+
+/// A VM of the list.
+struct FleetMember {
+    /// The failure domain.
+    domain: DomainId,
+    /// The address of its process.
+    address: SocketAddr,
+    /// The task that keeps the link open; `None` where the peer dials.
+    dialer: Option<JoinHandle<()>>,
+}
+
+impl LinkBook {
+    /// Creates an empty book.
+    pub fn new(vm: VmId, endpoint: Rc<LinkEndpoint>) -> LinkBook {
+        LinkBook {
+            vm,
+            endpoint,
+            links: HashMap::new(),
+            members: HashMap::new(),
+            closed_bytes: (0, 0),
+        }
+    }
+
+    /// Returns the open link to a VM.
+    pub fn get(&self, vm: VmId) -> Option<&PeerLink> {
+        self.links.get(&vm)
+    }
+
+    /// Returns the failure domain of a VM, or an empty one where the list has none.
+    pub fn domain(&self, vm: VmId) -> DomainId {
+        match self.members.get(&vm) {
+            Some(member) => member.domain,
+            None => DomainId(0),
+        }
+    }
+
+    /// Returns the routers to which links are open.
+    pub fn routers(&self) -> Vec<VmId> {
+        let mut routers = Vec::new();
+        for (vm, link) in &self.links {
+            if link.greeting().role == ProcessRole::Router {
+                routers.push(*vm);
+            }
+        }
+        routers
+    }
+
+    /// Returns the control traffic of all links, in bytes sent and received.
+    pub fn control_bytes(&self) -> (u64, u64) {
+        let mut total = self.closed_bytes;
+        for link in self.links.values() {
+            let (sent, received) = link.control_bytes();
+            total = (total.0 + sent, total.1 + received);
+        }
+        total
+    }
+
+    /// Takes up an open link; returns whether it replaced an older one.
+    pub fn insert(&mut self, link: &PeerLink) -> bool {
+        let Some(old) = self.links.insert(link.greeting().vm, link.clone()) else { return false };
+        self.retire(&old);
+        old.close("replaced by a newer link");
+        true
+    }
+
+    /// Drops a closed link; returns whether it was the one in use.
+    pub fn remove(&mut self, link: &PeerLink) -> bool {
+        if !self.is_current(link) {
+            return false;
+        }
+        self.links.remove(&link.greeting().vm);
+        self.retire(link);
+        true
+    }
+
+    /// Returns whether the link is the one in use for its peer.
+    pub fn is_current(&self, link: &PeerLink) -> bool {
+        self.links.get(&link.greeting().vm).is_some_and(|current| current.id() == link.id())
+    }
+
+    /// Sends a message where a link is open; a link whose queue is full is closed.
+    pub fn send(&self, vm: VmId, message: ControlMessage) {
+        let Some(link) = self.links.get(&vm) else { return };
+        if let Err(report) = link.send(message) {
+            log::warn!("closing link to {vm}: {report}");
+            link.close("control queue is full");
+        }
+    }
+
+    /// Sends a service's document to the agents beside its targets.
+    pub fn send_to_agents(&self, document: &VersionedDocument) {
+        for (vm, link) in &self.links {
+            let service = link.greeting().service;
+            if service.map(DocumentKey::Service) == Some(document.key) {
+                self.send(*vm, ControlMessage::Documents(vec![document.clone()]));
+            }
+        }
+    }
+
+    /// Follows changes of the VM list; returns the linked VMs that are leaving or gone.
+    pub fn follow(
+        &mut self,
+        documents: &[VersionedDocument],
+        actor: &Addr<DecisionActor>,
+    ) -> Vec<(VmId, ProcessRole)> {
+        let mut leaving = Vec::new();
+        for document in documents {
+            let DocumentKey::Vm(vm) = document.key else { continue };
+            if vm == self.vm {
+                continue;
+            }
+            match &document.body {
+                Some(DocumentBody::Vm(record)) => {
+                    self.keep(vm, record, actor);
+                    if record.state == VmState::Leaving {
+                        leaving.extend(self.role(vm));
+                    }
+                }
+                _ => {
+                    leaving.extend(self.role(vm));
+                    self.forget(vm);
+                }
+            }
+        }
+        leaving
+    }
+
+    fn role(&self, vm: VmId) -> Option<(VmId, ProcessRole)> {
+        self.links.get(&vm).map(|link| (vm, link.greeting().role))
+    }
+
+    fn keep(&mut self, vm: VmId, record: &VmRecord, actor: &Addr<DecisionActor>) {
+        if self.members.get(&vm).is_some_and(|member| member.address == record.link_address) {
+            return;
+        }
+        self.forget(vm);
+        // Of two routers, the one with the lower identifier dials.
+        let dials = record.service.is_some() || self.vm < vm;
+        let dialer = dials.then(|| {
+            let task = keep_dialing(self.endpoint.clone(), vm, record.link_address, actor.clone());
+            actix_rt::spawn(task)
+        });
+        let member = FleetMember { domain: record.domain, address: record.link_address, dialer };
+        self.members.insert(vm, member);
+    }
+
+    /// Stops dialling a VM; a link that is open stays until it closes by itself.
+    fn forget(&mut self, vm: VmId) {
+        let Some(member) = self.members.remove(&vm) else { return };
+        if let Some(dialer) = member.dialer {
+            dialer.abort();
+        }
+    }
+
+    fn retire(&mut self, link: &PeerLink) {
+        let (sent, received) = link.control_bytes();
+        self.closed_bytes.0 += sent;
+        self.closed_bytes.1 += received;
+    }
+}
+
+/// Passes control messages of one link to the actor until the link closes.
+pub async fn receive_control(link: PeerLink, actor: Addr<DecisionActor>) {
+    actor.do_send(LinkInput::Opened(link.clone()));
+    while let Some(message) = link.receive().await {
+        actor.do_send(LinkInput::Control(link.clone(), message));
+    }
+    actor.do_send(LinkInput::Closed(link));
+}
+
+/// Opens the link to a VM again each time it closes, with exponential backoff and full jitter.
+async fn keep_dialing(
+    endpoint: Rc<LinkEndpoint>,
+    vm: VmId,
+    address: SocketAddr,
+    actor: Addr<DecisionActor>,
+) {
+    let mut wait = REDIAL_MIN;
+    loop {
+        match endpoint.dial(address, vm).await {
+            Ok(link) => {
+                wait = REDIAL_MIN;
+                // A task of its own, so that a link outlives the dialer of a VM that is leaving.
+                let receiver = actix_rt::spawn(receive_control(link, actor.clone()));
+                // The task ends with its link and does not panic.
+                let _ = receiver.await;
+            }
+            Err(report) => log::debug!("cannot open link to {vm}: {report}"),
+        }
+        let jitter = rand::rng().random_range(0.5..1.0);
+        actix_rt::time::sleep(wait.mul_f64(jitter)).await;
+        wait = (wait * 2).min(REDIAL_MAX);
+    }
+}
