--- a/crates/jackdaw-link/tests/link/silent_link.rs
+++ b/crates/jackdaw-link/tests/link/silent_link.rs
@@ -1,6 +1,7 @@
 //! Links that go silent for good while new ones work.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -38,19 +39,17 @@
     let mut flows = HashMap::new();
     let mut buffer = vec![0; DATAGRAM_BYTES];
     while let Ok((length, client)) = socket.recv_from(&mut buffer).await {
-        if !flows.contains_key(&client) {
-            let upstream = Arc::new(UdpSocket::bind(common::loopback()).await.expect("socket"));
-            let born = era.load(Ordering::SeqCst);
-            let back = relay_back(
-                Arc::clone(&upstream),
-                Arc::clone(&socket),
-                client,
-                (born, Arc::clone(&era)),
-            );
-            tokio::spawn(back);
-            flows.insert(client, (born, upstream));
-        }
-        let (born, upstream) = &flows[&client];
+        let (born, upstream) = match flows.entry(client) {
+            Entry::Occupied(entry) => entry.into_mut(),
+            Entry::Vacant(entry) => {
+                let upstream = Arc::new(UdpSocket::bind(common::loopback()).await.expect("bound"));
+                let born = era.load(Ordering::SeqCst);
+                let flow = (born, Arc::clone(&era));
+                let back = relay_back(Arc::clone(&upstream), Arc::clone(&socket), client, flow);
+                tokio::spawn(back);
+                entry.insert((born, upstream))
+            }
+        };
         if *born == era.load(Ordering::SeqCst) {
             upstream.send_to(&buffer[..length], target).await.expect("relayed");
         }
