Run router and agent as daemons with settings, signals and an operators' interface

Cause: the roles could only be started from a program. Change: a crate for what daemons share (command line, identity, signals, admin server), thin binaries on it, router status and metrics. Ruled out: the same main twice. Conclusion: builds and lints; not yet run end to end.

--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -3,46 +3,24 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use actix::{Actor, Addr};
 use error_stack::Report;
-use jackdaw_base::{DomainId, ErrorKind, ProcessIncarnation, ServiceId, ServiceKind};
-use jackdaw_link::{
-    FleetIdentity, LinkEndpoint, LinkGreeting, LinkSettings, MESSAGE_VERSION, PeerLink, ProcessRole,
-};
-use jackdaw_platform::PlatformSettings;
-use jackdaw_policy::{AgentCore, AgentPolicy, AgentSnapshot};
+use jackdaw_base::{ErrorKind, ProcessIncarnation};
+use jackdaw_daemon::{AdminOptions, AdminServer};
+use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, PeerLink, ProcessRole};
+use jackdaw_policy::{AgentCore, AgentSnapshot};
+use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, Readiness, ReadyFlag};
+use serde_json::json;
 use tokio::sync::oneshot;
 
 use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, DecisionActor, DrainAgent, DumpAgent};
+use crate::options::AgentOptions;
 use crate::run::RunContext;
 use crate::target_client::TargetClient;
 
-/// What an agent needs to start.
-pub struct AgentOptions {
-    /// The certificate, key and authority.
-    pub identity: FleetIdentity,
-    /// The address on which routers open links; port zero lets the system choose.
-    pub link_address: SocketAddr,
-    /// The failure domain.
-    pub domain: DomainId,
-    /// The service of the target.
-    pub service: ServiceId,
-    /// The way requests of the service are forwarded.
-    pub kind: ServiceKind,
-    /// The base URL of the target.
-    pub target_url: String,
-    /// The settings of the decision code.
-    pub policy: AgentPolicy,
-    /// The settings of the links.
-    pub link: LinkSettings,
-    /// The platform that keeps the claims of recordings.
-    pub platform: PlatformSettings,
-    /// The seed of the decision code's randomness.
-    pub seed: u64,
-}
-
 /// Handle of a running agent.
 pub struct AgentDaemon {
     /// The link endpoint.
@@ -53,6 +31,8 @@
     acceptor: actix_rt::task::JoinHandle<()>,
     /// The links that are open.
     links: Rc<RefCell<Vec<PeerLink>>>,
+    /// The operators' interface.
+    admin: Option<AdminServer>,
 }
 
 impl AgentDaemon {
@@ -81,7 +61,11 @@
         });
         let links = Rc::new(RefCell::new(Vec::new()));
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
-        Ok(AgentDaemon { endpoint, actor, acceptor, links })
+        let admin = match &options.admin {
+            Some(admin) => Some(bind_admin(admin, &actor)?),
+            None => None,
+        };
+        Ok(AgentDaemon { endpoint, actor, acceptor, links, admin })
     }
 
     /// Returns the address on which routers open links.
@@ -89,6 +73,11 @@
         self.endpoint.local_address()
     }
 
+    /// Returns the address of the operators' interface, where it is served.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(AdminServer::address)
+    }
+
     /// Returns the state of the decision code.
     pub async fn dump(&self) -> Option<AgentSnapshot> {
         self.actor.send(DumpAgent).await.ok()
@@ -111,6 +100,9 @@
     /// Closes the links at once, as a crash would.
     pub async fn abort(self) {
         self.acceptor.abort();
+        if let Some(admin) = self.admin {
+            admin.close().await;
+        }
         for link in self.links.borrow().iter() {
             link.close("agent closed");
         }
@@ -121,6 +113,23 @@
     }
 }
 
+/// Serves the operators' interface of an agent, which is ready as soon as it runs.
+fn bind_admin(
+    options: &AdminOptions,
+    actor: &Addr<DecisionActor>,
+) -> Result<AdminServer, Report<ErrorKind>> {
+    let ready = ReadyFlag::default();
+    ready.set(Readiness::Ready);
+    let actor = actor.clone();
+    let dump = DumpSource::new(move || {
+        let answer = actor.send(DumpAgent);
+        async move { answer.await.map(|state| json!(state)).unwrap_or_default() }
+    });
+    let key = AdminKey::new(options.key_digest);
+    let state = AdminState { key, ready, metrics: Arc::default(), dump };
+    AdminServer::bind(options.address, &state, |_| {})
+}
+
 /// Adds up the control traffic of links.
 fn sum_control_bytes(links: &[PeerLink]) -> (u64, u64) {
     let mut total = (0, 0);
--- a/crates/jackdaw-agent/src/lib.rs
+++ b/crates/jackdaw-agent/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod claim_desk;
 pub mod daemon;
 pub mod decision_actor;
+pub mod options;
 pub mod run;
 pub mod target_client;
 
-pub use daemon::{AgentDaemon, AgentOptions};
+pub use daemon::AgentDaemon;
+pub use options::AgentOptions;
--- a/crates/jackdaw-router/src/daemon.rs
+++ b/crates/jackdaw-router/src/daemon.rs
@@ -2,42 +2,26 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix::{Actor, Addr};
 use actix_rt::task::JoinHandle;
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
-use jackdaw_link::{
-    FleetIdentity, LinkEndpoint, LinkGreeting, LinkSettings, MESSAGE_VERSION, ProcessRole,
-};
-use jackdaw_platform::{CatalogFeed, FeedSettings, PlatformClient, PlatformSettings};
-use jackdaw_policy::{RouterCore, RouterPolicy, RouterSnapshot};
+use jackdaw_daemon::AdminServer;
+use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, ProcessRole};
+use jackdaw_platform::{CatalogFeed, FeedSettings, PlatformClient};
+use jackdaw_policy::{RouterCore, RouterSnapshot};
+use jackdaw_telemetry::ReadyFlag;
 use tokio::sync::oneshot;
 
-use crate::caller_server::{CallerServer, CallerSettings};
-use crate::decision_actor::{DecisionActor, DrainRouter, DumpRouter, LearnUpdate, ReadTraffic};
+use crate::admin_server::bind_admin;
+use crate::caller_server::CallerServer;
+use crate::decision_actor::{
+    ActorParts, DecisionActor, DrainRouter, DumpRouter, LearnUpdate, ReadTraffic,
+};
 use crate::membership::{LinkBook, receive_control};
-
-/// What a router needs to start.
-pub struct RouterOptions {
-    /// The certificate, key and authority.
-    pub identity: FleetIdentity,
-    /// The server towards callers.
-    pub caller: CallerSettings,
-    /// The address on which other routers open links; port zero lets the system choose.
-    pub link_address: SocketAddr,
-    /// The settings of the links.
-    pub link: LinkSettings,
-    /// The settings of the decision code.
-    pub policy: RouterPolicy,
-    /// The platform that keeps the configuration.
-    pub platform: PlatformSettings,
-    /// The time within which a run is to start where the caller names none.
-    pub default_patience: Duration,
-    /// The seed of the decision code's randomness.
-    pub seed: u64,
-}
+use crate::metrics::RouterMetrics;
+use crate::options::RouterOptions;
 
 /// Handle of a running router.
 pub struct RouterDaemon {
@@ -49,6 +33,8 @@
     actor: Addr<DecisionActor>,
     /// The tasks that accept links and follow the configuration.
     tasks: Vec<JoinHandle<()>>,
+    /// The operators' interface.
+    admin: Option<AdminServer>,
 }
 
 impl RouterDaemon {
@@ -70,7 +56,18 @@
         let endpoint = Rc::new(endpoint);
         let core = RouterCore::new(options.policy, vm, incarnation, options.seed);
         let book = LinkBook::new(vm, endpoint.clone());
-        let actor = DecisionActor::new(core, incarnation, book, options.default_patience).start();
+        let ready = ReadyFlag::default();
+        let metrics = RouterMetrics::new();
+        let registry = metrics.registry();
+        let parts = ActorParts {
+            core,
+            incarnation,
+            links: book,
+            default_patience: options.default_patience,
+            ready: ready.clone(),
+            metrics,
+        };
+        let actor = DecisionActor::new(parts).start();
         let store = PlatformClient::open(options.platform);
         let feed = CatalogFeed::spawn(store, FeedSettings::default());
         let server = CallerServer::bind(options.caller, actor.clone())?;
@@ -78,7 +75,11 @@
             actix_rt::spawn(accept_links(endpoint.clone(), actor.clone())),
             actix_rt::spawn(follow_catalog(feed, actor.clone())),
         ];
-        Ok(RouterDaemon { server, endpoint, actor, tasks })
+        let admin = match &options.admin {
+            Some(admin) => Some(bind_admin(admin, ready, registry, &actor)?),
+            None => None,
+        };
+        Ok(RouterDaemon { server, endpoint, actor, tasks, admin })
     }
 
     /// Returns the address on which callers are served.
@@ -91,9 +92,9 @@
         self.endpoint.local_address()
     }
 
-    /// Returns the decisions, for the administration server.
-    pub fn actor(&self) -> &Addr<DecisionActor> {
-        &self.actor
+    /// Returns the address of the operators' interface, where it is served.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(AdminServer::address)
     }
 
     /// Returns the state of the decision code.
@@ -114,6 +115,9 @@
         let _ = receiver.await;
         self.server.close().await;
         close_tasks(&self.tasks);
+        if let Some(admin) = self.admin {
+            admin.close().await;
+        }
         self.endpoint.shutdown("router closed");
     }
 
@@ -121,6 +125,9 @@
     pub async fn abort(self) {
         close_tasks(&self.tasks);
         self.endpoint.shutdown("router aborted");
+        if let Some(admin) = self.admin {
+            admin.close().await;
+        }
         self.server.abort().await;
     }
 }
--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -13,12 +13,15 @@
 use jackdaw_policy::{
     ArrivedRequest, RouterCommand, RouterCore, RouterEvent, RouterSnapshot, RunFault,
 };
+use jackdaw_telemetry::{Readiness, ReadyFlag};
+use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call_reader::{CallTarget, IncomingCall};
 use crate::caller_server::AnswerPart;
 use crate::membership::LinkBook;
+use crate::metrics::RouterMetrics;
 use crate::run::{RunEnd, RunTask, carry_run};
 
 /// The period at which the decision code learns that time has passed.
@@ -52,8 +55,26 @@
     commands: Vec<RouterCommand>,
     /// The one that waits for the end of the drain.
     drained: Option<oneshot::Sender<()>>,
-    /// Whether the router is leaving.
-    is_draining: bool,
+    /// The stage of the process's life.
+    ready: ReadyFlag,
+    /// The metrics.
+    metrics: RouterMetrics,
+}
+
+/// What the actor is made of.
+pub struct ActorParts {
+    /// The decision code.
+    pub core: RouterCore,
+    /// The incarnation of this router.
+    pub incarnation: ProcessIncarnation,
+    /// The links to agents and other routers.
+    pub links: LinkBook,
+    /// The time within which a run is to start where the caller names none.
+    pub default_patience: Duration,
+    /// The stage of the process's life.
+    pub ready: ReadyFlag,
+    /// The metrics.
+    pub metrics: RouterMetrics,
 }
 
 /// A request that has no final answer yet.
@@ -129,6 +150,30 @@
 #[rtype(result = "RouterSnapshot")]
 pub struct DumpRouter;
 
+/// Asks for the configuration in force and the open links.
+#[derive(Message)]
+#[rtype(result = "FleetStatus")]
+pub struct ReadStatus;
+
+/// What a router knows of the fleet.
+#[derive(Debug, Serialize)]
+pub struct FleetStatus {
+    /// The incarnation of the router.
+    pub incarnation: String,
+    /// The documents of the configuration.
+    pub documents: usize,
+    /// The digest of the configuration; equal on routers that hold the same.
+    pub digest: String,
+    /// The highest number of a change ticket in force.
+    pub ticket: u64,
+    /// The requests without a final answer.
+    pub open_requests: usize,
+    /// The open links to agents.
+    pub agents: usize,
+    /// The open links to routers.
+    pub routers: usize,
+}
+
 /// Asks for the control traffic of all links, in bytes sent and received.
 #[derive(Message)]
 #[rtype(result = "(u64, u64)")]
@@ -144,24 +189,20 @@
 
 impl DecisionActor {
     /// Creates the actor around the decision code.
-    pub fn new(
-        core: RouterCore,
-        incarnation: ProcessIncarnation,
-        links: LinkBook,
-        default_patience: Duration,
-    ) -> DecisionActor {
+    pub fn new(parts: ActorParts) -> DecisionActor {
         DecisionActor {
-            core,
+            core: parts.core,
             start: Instant::now(),
-            incarnation,
+            incarnation: parts.incarnation,
             sequence: 0,
             catalog: ConfigCatalog::new(),
-            links,
+            links: parts.links,
             requests: HashMap::new(),
-            default_patience,
+            default_patience: parts.default_patience,
             commands: Vec::new(),
             drained: None,
-            is_draining: false,
+            ready: parts.ready,
+            metrics: parts.metrics,
         }
     }
 
@@ -178,6 +219,7 @@
     fn execute(&mut self, command: RouterCommand, context: &Context<DecisionActor>) {
         match command {
             RouterCommand::SendOffer { agent, offer } => {
+                self.metrics.count_offer();
                 self.links.send(agent, ControlMessage::Offer(offer));
             }
             RouterCommand::SendWithdraw { agent, offer } => {
@@ -200,6 +242,7 @@
                 self.links.send(router, ControlMessage::RelayedTotals { agent, totals });
             }
             RouterCommand::ReportViolation { message } => {
+                self.metrics.count_violation();
                 log::error!("invariant violated: {message}");
             }
         }
@@ -211,7 +254,7 @@
         sender: mpsc::Sender<AnswerPart>,
         context: &Context<DecisionActor>,
     ) -> Result<(), ErrorKind> {
-        if self.is_draining {
+        if self.ready.get() != Readiness::Ready {
             return Err(ErrorKind::NotReady);
         }
         let Some((customer, record)) = self.catalog.customer_by_key(&call.key) else {
@@ -252,6 +295,7 @@
             log::warn!("run of {} cannot start: link or request is gone", offer.request);
             return;
         };
+        self.metrics.count_run();
         open.run.offer = offer;
         let task = RunTask {
             id: offer.request,
@@ -263,7 +307,7 @@
         actix_rt::spawn(carry_run(task, context.address()));
     }
 
-    fn end_run(&mut self, over: RunOver, context: &Context<DecisionActor>) {
+    fn end_run(&mut self, over: &RunOver, context: &Context<DecisionActor>) {
         let request = over.id;
         let Some(open) = self.requests.get_mut(&request) else { return };
         if open.run.offer.attempt != over.attempt {
@@ -271,10 +315,11 @@
         }
         open.head_sent = over.head_sent;
         open.run.resume_from = over.delivered;
-        let event = match over.end {
+        let event = match &over.end {
             RunEnd::Whole(units) => {
                 self.requests.remove(&request);
-                RouterEvent::RunCompleted { request, units }
+                self.metrics.count_whole();
+                RouterEvent::RunCompleted { request, units: *units }
             }
             RunEnd::Abandoned => {
                 self.requests.remove(&request);
@@ -283,7 +328,7 @@
             RunEnd::Fault(fault) => {
                 let repeatable = open.is_idempotent
                     || matches!(fault, RunFault::Refused(kind) if kind.is_retryable());
-                RouterEvent::RunFailed { request, fault, repeatable }
+                RouterEvent::RunFailed { request, fault: *fault, repeatable }
             }
         };
         self.decide(event, context);
@@ -292,6 +337,7 @@
 
     fn answer(&mut self, request: RequestId, kind: ErrorKind, retry_after: Duration) {
         let Some(open) = self.requests.remove(&request) else { return };
+        self.metrics.count_failure(kind);
         let part = AnswerPart::Failure { kind, retry_after };
         if let Err(mpsc::error::TrySendError::Full(part)) = open.sender.try_send(part) {
             // The caller is still reading what came before.
@@ -301,7 +347,7 @@
     }
 
     fn check_drain(&mut self) {
-        if !self.is_draining || !self.requests.is_empty() {
+        if self.ready.get() != Readiness::Leaving || !self.requests.is_empty() {
             return;
         }
         if let Some(sender) = self.drained.take() {
@@ -440,6 +486,9 @@
         source: Option<VmId>,
         context: &Context<DecisionActor>,
     ) {
+        if self.ready.get() == Readiness::Starting && !self.catalog.is_empty() {
+            self.ready.set(Readiness::Ready);
+        }
         for router in self.links.routers() {
             if Some(router) == source {
                 continue;
@@ -461,6 +510,7 @@
     }
 
     fn compare_digests(&self) {
+        self.metrics.set_open(self.requests.len());
         let digest = self.catalog.digest();
         for router in self.links.routers() {
             self.links.send(router, ControlMessage::DocumentDigest(digest));
@@ -544,7 +594,7 @@
     type Result = ();
 
     fn handle(&mut self, over: RunOver, context: &mut Context<DecisionActor>) {
-        self.end_run(over, context);
+        self.end_run(&over, context);
     }
 }
 
@@ -576,7 +626,7 @@
     type Result = bool;
 
     fn handle(&mut self, _: ReadReadiness, _: &mut Context<DecisionActor>) -> bool {
-        !self.is_draining && !self.catalog.is_empty()
+        self.ready.get() == Readiness::Ready
     }
 }
 
@@ -592,6 +642,33 @@
     }
 }
 
+impl Handler<ReadStatus> for DecisionActor {
+    type Result = MessageResult<ReadStatus>;
+
+    fn handle(
+        &mut self,
+        _: ReadStatus,
+        _: &mut Context<DecisionActor>,
+    ) -> MessageResult<ReadStatus> {
+        let mut ticket = 0;
+        for document in self.catalog.documents() {
+            if !matches!(document.key, DocumentKey::Vm(_)) {
+                ticket = ticket.max(document.number);
+            }
+        }
+        let routers = self.links.routers().len();
+        MessageResult(FleetStatus {
+            incarnation: self.incarnation.to_string(),
+            documents: self.catalog.len(),
+            digest: format!("{:016x}", self.catalog.digest()),
+            ticket,
+            open_requests: self.requests.len(),
+            agents: self.links.len() - routers,
+            routers,
+        })
+    }
+}
+
 impl Handler<ReadTraffic> for DecisionActor {
     type Result = MessageResult<ReadTraffic>;
 
@@ -608,7 +685,7 @@
     type Result = ();
 
     fn handle(&mut self, drain: DrainRouter, context: &mut Context<DecisionActor>) {
-        self.is_draining = true;
+        self.ready.set(Readiness::Leaving);
         self.drained = Some(drain.done);
         self.decide(RouterEvent::DrainStarted, context);
         self.check_drain();
--- a/crates/jackdaw-router/src/lib.rs
+++ b/crates/jackdaw-router/src/lib.rs
@@ -12,7 +12,10 @@
 pub mod daemon;
 pub mod decision_actor;
 pub mod membership;
+pub mod metrics;
+pub mod options;
 pub mod problem;
 pub mod run;
 
-pub use daemon::{RouterDaemon, RouterOptions};
+pub use daemon::RouterDaemon;
+pub use options::RouterOptions;
--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -62,6 +62,16 @@
         self.links.get(&vm)
     }
 
+    /// Returns the number of open links.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Returns whether no link is open.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
     /// Returns the failure domain of a VM, or an empty one where the list has none.
     pub fn domain(&self, vm: VmId) -> DomainId {
         match self.members.get(&vm) {
--- a/crates/jackdaw-settings/src/section.rs
+++ b/crates/jackdaw-settings/src/section.rs
@@ -126,6 +126,11 @@
 }
 
 impl PlatformSettings {
+    /// Returns the address of the API, or `None` where the URL is not a plain HTTP one.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.url.strip_prefix("http://")?.parse().ok()
+    }
+
     pub(crate) fn read(reader: &mut SettingsReader<'_>) -> Option<PlatformSettings> {
         let url = reader.required("platform", "url", &URL);
         let calls = reader.number("platform", "calls_per_second", 1..=1000, 20);
