Prove fleet fairness through a small in-memory fleet

Change: gap_bound and GapMonitor; reservations are capped, so that the bound follows from the policy; a request behind offers of its own customer holds no timer; a fake fleet under tests/support with loss, doubling, overtaking, restarts, cuts, returning customers and changed shares.

--- /dev/null
+++ b/crates/jackdaw-policy/examples/shares.rs
@@ -0,0 +1,46 @@
+//! Prints fairness gap, utilisation and control traffic of the three policies.
+//!
+//! Arguments: seed, seconds, routers, agents; all optional.
+
+#[path = "../tests/support/fleet.rs"]
+mod fleet;
+
+use fleet::Fleet;
+use fleet::plan::FleetPlan;
+use jackdaw_policy::SharePolicy;
+
+const POLICIES: [SharePolicy; 3] = [SharePolicy::Fleet, SharePolicy::Local, SharePolicy::FirstCome];
+
+fn main() {
+    let mut numbers = std::env::args().skip(1).map(|text| text.parse().expect("a whole number"));
+    let seed: u64 = numbers.next().unwrap_or(1);
+    let seconds = numbers.next().unwrap_or(240);
+    let routers = numbers.next().unwrap_or(40) as usize;
+    let agents = numbers.next().unwrap_or(120) as usize;
+    println!("seed {seed}, {seconds} s, {routers} routers, {agents} agents of 8 places");
+    println!(
+        "load | policy | gap | bound | mean service | utilisation | messages/s | bytes/s/node | of it fairness"
+    );
+    for load in ["even", "flood", "uneven", "hints", "shares", "returns", "cut", "restarts"] {
+        for policy in POLICIES {
+            let mut plan = FleetPlan::even(seed, policy, routers, agents);
+            plan.seconds = seconds;
+            let plan = plan.shape(load);
+            let nodes = (routers + agents) as u64;
+            let result = Fleet::new(plan).run();
+            println!(
+                "{load} | {policy:?} | {} | {} | {} | {:.2} | {} | {} | {}",
+                result.gap,
+                result.bound,
+                result.mean_service,
+                result.utilisation,
+                result.messages / seconds,
+                result.bytes / seconds / nodes,
+                result.fairness_bytes / seconds / nodes,
+            );
+            for violation in result.violations.iter().take(3) {
+                println!("  violation: {violation}");
+            }
+        }
+    }
+}
--- a/crates/jackdaw-policy/src/agent.rs
+++ b/crates/jackdaw-policy/src/agent.rs
@@ -33,8 +33,12 @@
         pub share_policy: SharePolicy,
         /// The most requests that the target may run at a time.
         pub places: u32,
+        /// The most that is reserved for a request before it has done the work.
+        pub reservation_max: WorkUnits,
         /// The time between two reports of service.
         pub report_interval: Duration,
+        /// The time after which a waiting customer is reported again without a change.
+        pub heartbeat_interval: Duration,
         /// The time after which a grant that did not become a run is void.
         pub grant_timeout: Duration,
         /// The shortest time between two announcements of room.
@@ -53,7 +57,9 @@
         AgentPolicy {
             share_policy: SharePolicy::Fleet,
             places: 8,
+            reservation_max: WorkUnits(1_000),
             report_interval: Duration::from_millis(250),
+            heartbeat_interval: Duration::from_secs(1),
             grant_timeout: Duration::from_secs(2),
             room_interval: Duration::from_millis(20),
             room_interval_max: Duration::from_secs(1),
@@ -445,7 +451,8 @@
             self.offers.remove(&offer);
             return;
         }
-        entry.reserved = self.estimator.predict(customer, entry.class, entry.hint);
+        let predicted = self.estimator.predict(customer, entry.class, entry.hint);
+        entry.reserved = predicted.min(self.policy.reservation_max);
         entry.stage = OfferStage::Granted;
         entry.granted = now;
         let none = NormalService::default();
@@ -495,7 +502,9 @@
         };
         let mut reports = Vec::new();
         for (customer, account) in self.queue.accounts() {
-            if account.unreported == 0 && account.waiting == 0 {
+            let is_due = account.waiting > 0
+                && now.since(account.reported) >= self.policy.heartbeat_interval;
+            if account.unreported == 0 && !is_due {
                 continue;
             }
             reports.push(ServiceReport {
@@ -512,7 +521,7 @@
             return;
         }
         for report in &reports {
-            self.queue.mark_reported(report.customer);
+            self.queue.mark_reported(now, report.customer);
         }
         commands.push(AgentCommand::SendReports { router, reports });
     }
--- a/crates/jackdaw-policy/src/agent/fair_queue.rs
+++ b/crates/jackdaw-policy/src/agent/fair_queue.rs
@@ -45,6 +45,8 @@
     pub changed: MonotonicTime,
     /// The number of reports that are still to be sent for the last change.
     pub unreported: u8,
+    /// The time of the last report.
+    pub reported: MonotonicTime,
     /// The time at which a total of the fleet was last heard.
     pub heard: Option<MonotonicTime>,
     base: CounterBase,
@@ -256,8 +258,9 @@
     }
 
     /// Marks one report of a customer as sent.
-    pub fn mark_reported(&mut self, customer: CustomerId) {
+    pub fn mark_reported(&mut self, now: MonotonicTime, customer: CustomerId) {
         if let Some(account) = self.accounts.get_mut(&customer) {
+            account.reported = now;
             account.unreported = account.unreported.saturating_sub(1);
         }
     }
@@ -318,6 +321,7 @@
             active: 0,
             changed: MonotonicTime::default(),
             unreported: 0,
+            reported: MonotonicTime::default(),
             heard: None,
             base: CounterBase { total: NormalService::default(), own: given },
             lanes: [VecDeque::new(), VecDeque::new()],
@@ -342,8 +346,9 @@
 
     fn touch(&mut self, now: MonotonicTime) {
         self.changed = now;
-        // A change is reported twice, so that one report overtaken by an older one does no harm.
-        self.unreported = 2;
+        // The last change is reported twice: an older report that overtakes it does no harm.
+        let is_last = self.waiting == 0 && self.active == 0;
+        self.unreported = if is_last { 2 } else { 1 };
     }
 
     fn oldest(&self) -> u64 {
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod agent;
 pub mod estimate;
 pub mod event;
+pub mod fairness;
 pub mod rendezvous;
 pub mod router;
 
@@ -18,4 +19,5 @@
 pub use event::{
     AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
 };
+pub use fairness::{GapMonitor, GapTerms, gap_bound};
 pub use router::{RouterCore, RouterPolicy, RouterSnapshot};
--- a/crates/jackdaw-policy/src/router.rs
+++ b/crates/jackdaw-policy/src/router.rs
@@ -81,10 +81,10 @@
             retry_percent: 20,
             retry_reserve: 100,
             retry_backoff: Duration::from_millis(20),
-            totals_interval: Duration::from_millis(100),
+            totals_interval: Duration::from_millis(250),
             home_routers: 200,
             home_spans: HomeSpans {
-                idle_after: Duration::from_secs(2),
+                idle_after: Duration::from_secs(4),
                 gather: Duration::from_secs(1),
                 forget_after: Duration::from_secs(600),
             },
--- a/crates/jackdaw-policy/src/router/account_home.rs
+++ b/crates/jackdaw-policy/src/router/account_home.rs
@@ -161,7 +161,13 @@
             // An agent that has heard of no total brings its own part; the part of another one
             // is within the total that it knows.
             None if report.known_total == NormalService::default() => self.total += report.given,
-            None if now <= self.rebuild_until => self.total = self.total.max(report.known_total),
+            None if now <= self.rebuild_until => {
+                self.total = self.total.max(report.known_total);
+                // The agents have kept the customer from credit; a second lift is not due.
+                if self.last_waiting == MonotonicTime::default() {
+                    self.last_waiting = now;
+                }
+            }
             None => {}
         }
         if report.waiting {
--- a/crates/jackdaw-policy/src/router/dispatch.rs
+++ b/crates/jackdaw-policy/src/router/dispatch.rs
@@ -126,10 +126,17 @@
                 self.policy.widen_after
             }
         };
-        if let Some(entry) = self.requests.get_mut(&request) {
-            entry.pause = pause;
+        let Some(entry) = self.requests.get_mut(&request) else {
+            return;
+        };
+        entry.pause = pause;
+        // Behind offers of its own customer a request needs no timer: it follows when one ends.
+        let service = entry.request.service;
+        let is_behind = entry.holders.is_empty()
+            && self.services.get(&service).is_some_and(|pool| !pool.agents.is_empty());
+        if !is_behind {
+            self.set_timer(request, now.after(pause), TimerKind::Widen);
         }
-        self.set_timer(request, now.after(pause), TimerKind::Widen);
     }
 
     /// Offers a request that has waited for a while to further agents.
@@ -208,6 +215,7 @@
                 self.offer_to(now, request, *agent, commands);
             }
         }
+        self.set_timer(request, now.after(self.policy.widen_after), TimerKind::Widen);
     }
 
     /// Takes an offer out of the books of its agent and customer.
--- a/crates/jackdaw-policy/src/router/relay.rs
+++ b/crates/jackdaw-policy/src/router/relay.rs
@@ -83,5 +83,8 @@
         let mut routers = self.peers.clone();
         routers.push(self.vm);
         self.homes = rendezvous_top(HOME_KEY, &routers, self.policy.home_routers as usize);
+        let homes = &self.homes;
+        let vm = self.vm;
+        self.accounts.retain(|customer| rendezvous_first(customer.0, homes) == Some(vm));
     }
 }
--- /dev/null
+++ b/crates/jackdaw-policy/tests/account_homes.rs
@@ -0,0 +1,116 @@
+//! Totals of the whole fleet, as an account home sums them.
+
+use std::time::Duration;
+
+use jackdaw_base::{
+    CustomerId, FleetTotal, MonotonicTime, NormalService, ProcessIncarnation, ServiceReport, VmId,
+};
+use jackdaw_policy::RouterPolicy;
+use jackdaw_policy::router::account_home::AccountHome;
+use quickcheck::{TestResult, quickcheck};
+
+const CUSTOMER: CustomerId = CustomerId(3);
+const START: MonotonicTime = MonotonicTime(1_000_000);
+
+fn home() -> AccountHome {
+    AccountHome::new(RouterPolicy::default().home_spans)
+}
+
+fn report(agent: u64, given: u64, known_total: u64) -> ServiceReport {
+    ServiceReport {
+        agent: ProcessIncarnation(agent),
+        vm: VmId(agent),
+        customer: CUSTOMER,
+        given: NormalService(given),
+        known_total: NormalService(known_total),
+        virtual_time: NormalService(0),
+        waiting: true,
+    }
+}
+
+fn total(home: &AccountHome) -> u64 {
+    home.totals().iter().map(|(_, total)| total.0).sum()
+}
+
+#[test]
+fn repeated_reports() {
+    let mut home = home();
+    for _ in 0..3 {
+        home.take_report(START, None, &report(1, 500, 0));
+        home.take_report(START, None, &report(2, 300, 0));
+    }
+    assert_eq!(total(&home), 800);
+}
+
+#[test]
+fn returned_reservation() {
+    let mut home = home();
+    home.take_report(START, None, &report(1, 900, 0));
+    home.take_report(START, None, &report(1, 400, 0));
+    assert_eq!(total(&home), 400);
+}
+
+#[test]
+fn restarted_home() {
+    let mut home = home();
+    home.take_report(START, None, &report(1, 500, 9_000));
+    home.take_report(START, None, &report(2, 300, 8_900));
+    assert_eq!(total(&home), 9_000);
+    home.take_report(START, None, &report(2, 350, 8_950));
+    assert_eq!(total(&home), 9_050);
+}
+
+#[test]
+fn returning_customer() {
+    let mut home = home();
+    home.take_report(START, None, &report(1, 500, 0));
+    let later = START.after(Duration::from_secs(60));
+    let mut back = report(1, 500, 500);
+    back.virtual_time = NormalService(7_000);
+    home.take_report(later, None, &back);
+    back.agent = ProcessIncarnation(2);
+    back.virtual_time = NormalService(6_000);
+    home.take_report(later, None, &back);
+    assert_eq!(total(&home), 6_000);
+}
+
+#[test]
+fn waiting_without_lift() {
+    let mut home = home();
+    for second in 0..60 {
+        let mut steady = report(1, 500, 0);
+        steady.virtual_time = NormalService(second * 1_000);
+        home.take_report(START.after(Duration::from_secs(second)), None, &steady);
+    }
+    // A customer that lags while it waits keeps its claim.
+    assert_eq!(total(&home), 500);
+}
+
+#[test]
+fn totals_return() {
+    let mut home = home();
+    home.take_report(START, None, &report(1, 500, 0));
+    home.take_report(START, Some(VmId(77)), &report(2, 300, 0));
+    let batches = home.take_batches(START);
+    assert_eq!(batches.len(), 2);
+    assert_eq!((batches[0].agent, batches[0].via), (VmId(1), None));
+    assert_eq!((batches[1].agent, batches[1].via), (VmId(2), Some(VmId(77))));
+    let expected =
+        FleetTotal { customer: CUSTOMER, total: NormalService(800), own: NormalService(300) };
+    assert_eq!(batches[1].totals, [expected]);
+    assert!(home.take_batches(START).is_empty());
+}
+
+quickcheck! {
+    /// Any order, loss or repetition of reports ends at the sum of the last ones.
+    fn any_order(steps: Vec<(u8, u16)>) -> TestResult {
+        let mut home = home();
+        let mut last = std::collections::BTreeMap::new();
+        for (agent, given) in steps {
+            let agent = u64::from(agent % 8) + 1;
+            home.take_report(START, None, &report(agent, u64::from(given), 0));
+            last.insert(agent, u64::from(given));
+        }
+        TestResult::from_bool(total(&home) == last.values().sum::<u64>())
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/tests/fleet_fairness.rs
@@ -0,0 +1,90 @@
+//! Fair shares of the whole fleet, and the baselines that lack them.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::plan::FleetPlan;
+use fleet::{Fleet, FleetResult};
+use jackdaw_policy::SharePolicy;
+
+/// Seed of every run unless `JACKDAW_SEED` is set.
+const DEFAULT_SEED: u64 = 11;
+
+fn seed() -> u64 {
+    let seed = std::env::var("JACKDAW_SEED").ok().and_then(|text| text.parse().ok());
+    seed.unwrap_or(DEFAULT_SEED)
+}
+
+fn plan(policy: SharePolicy) -> FleetPlan {
+    let seed = seed();
+    println!("seed {seed}");
+    let mut plan = FleetPlan::even(seed, policy, 8, 24);
+    plan.subset = 8;
+    plan.agent_policy.places = 2;
+    plan
+}
+
+fn run(plan: FleetPlan, load: &str) -> FleetResult {
+    let result = Fleet::new(plan.shape(load)).run();
+    println!("{load}: {result:?}");
+    result
+}
+
+fn assert_fair(result: &FleetResult) {
+    assert_eq!(result.violations, Vec::<String>::new());
+    assert!(result.gap <= result.bound);
+    assert!(result.utilisation >= 97.0);
+}
+
+#[test]
+fn even_load() {
+    assert_fair(&run(plan(SharePolicy::Fleet), "even"));
+}
+
+#[test]
+fn flooding_customer() {
+    assert_fair(&run(plan(SharePolicy::Fleet), "flood"));
+    let first_come = run(plan(SharePolicy::FirstCome), "flood");
+    assert!(first_come.gap > first_come.bound);
+}
+
+#[test]
+fn uneven_spread() {
+    let fleet = run(plan(SharePolicy::Fleet), "uneven");
+    assert_fair(&fleet);
+    let local = run(plan(SharePolicy::Local), "uneven");
+    assert!(local.gap >= 5 * fleet.gap);
+    let mut longer = plan(SharePolicy::Local);
+    longer.seconds = 240;
+    let local = run(longer, "uneven");
+    assert!(local.gap > local.bound);
+}
+
+#[test]
+fn wrong_hints() {
+    assert_fair(&run(plan(SharePolicy::Fleet), "hints"));
+}
+
+#[test]
+fn cut_and_rejoin() {
+    assert_fair(&run(plan(SharePolicy::Fleet), "cut"));
+}
+
+#[test]
+fn restarts_and_losses() {
+    let result = run(plan(SharePolicy::Fleet), "restarts");
+    assert_eq!(result.violations, Vec::<String>::new());
+}
+
+#[test]
+fn unequal_shares() {
+    assert_fair(&run(plan(SharePolicy::Fleet), "shares"));
+}
+
+#[test]
+fn returning_customer() {
+    let mut plan = plan(SharePolicy::Fleet);
+    plan.customers.truncate(4);
+    plan.seconds = 200;
+    assert_fair(&run(plan, "returns"));
+}
