Generate load, judge every answer and measure from the targets' side

Cause: the demo's figures must come from what the stand-ins saw and callers received. Change: caller that compares tokens, ledger against the stand-ins' counts, meter of fairness gap and utilisation, seeded customers and load, report as JSON and table. Routers and agents are not wired yet: callers speak to the targets themselves.

--- /dev/null
+++ b/crates/jackdaw-demo/examples/demo.rs
@@ -0,0 +1,7 @@
+//! Runs the demo without the operator's command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::from(jackdaw_demo::execute(std::env::args_os().skip(1).collect()))
+}
--- /dev/null
+++ b/crates/jackdaw-demo/src/load.rs
@@ -0,0 +1,318 @@
+//! Seeded load: tasks that send calls for each customer and note how they end.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use actix_rt::time::sleep;
+use jackdaw_standin::answer::DRAFT_MARKER;
+use jackdaw_standin::{expected_reply, prompt_id};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+use crate::client::{CallEnd, CallerClient, CompletionCall, ServiceCall};
+use crate::fleet::{MODEL_NAME, SERVICE_PREFIX};
+use crate::ledger::CallLedger;
+use crate::population::{CustomerPlan, CustomerRole};
+
+/// The time that callers wait for an answer.
+const CALL_DEADLINE: Duration = Duration::from_secs(20);
+
+/// The most tokens of a short answer.
+const SHORT_TOKENS: u32 = 64;
+
+/// The most tokens of a long draft.
+const DRAFT_TOKENS: u32 = 600;
+
+/// Requests a second of the flooding customer for each engine.
+const FLOOD_RATE: f64 = 30.0;
+
+/// Requests a second of an interactive customer.
+const INTERACTIVE_RATE: f64 = 8.0;
+
+/// Reads a second.
+const READ_RATE: f64 = 20.0;
+
+/// Recordings a second.
+const RECORDING_RATE: f64 = 20.0;
+
+/// Recordings in a hundred that are sent again through another router.
+const RESENT_PERCENT: u32 = 25;
+
+/// The longest time after which a recording is sent again, in milliseconds.
+const RESEND_MILLIS: u64 = 40;
+
+/// The least time before a backlogged customer replaces a request that did not run.
+const RETRY_LEAST: Duration = Duration::from_millis(50);
+
+/// The longest time before a backlogged customer replaces a request that did not run.
+const RETRY_MOST: Duration = Duration::from_secs(1);
+
+/// State shared by all tasks of the load.
+pub(crate) struct LoadState {
+    /// The customers.
+    plans: Vec<CustomerPlan>,
+    /// The addresses for completions, by router.
+    completion_entries: Vec<SocketAddr>,
+    /// The addresses for reads and recordings, by router.
+    service_entries: Vec<SocketAddr>,
+    /// The number of engines.
+    engines: usize,
+    /// The client.
+    client: CallerClient,
+    /// The account of all calls.
+    ledger: RefCell<CallLedger>,
+    /// The open completions of each customer.
+    open: RefCell<Vec<usize>>,
+    /// Whether no more calls are sent.
+    is_stopped: Cell<bool>,
+    /// The number of the next call, which makes prompts unique.
+    sequence: Cell<u64>,
+    /// The seed.
+    seed: u64,
+}
+
+impl LoadState {
+    /// Creates the state before any call is sent.
+    pub(crate) fn new(
+        plans: Vec<CustomerPlan>,
+        completion_entries: Vec<SocketAddr>,
+        service_entries: Vec<SocketAddr>,
+        engines: usize,
+        seed: u64,
+    ) -> LoadState {
+        LoadState {
+            open: RefCell::new(vec![0; plans.len()]),
+            plans,
+            completion_entries,
+            service_entries,
+            engines,
+            client: CallerClient::new(),
+            ledger: RefCell::new(CallLedger::default()),
+            is_stopped: Cell::new(false),
+            sequence: Cell::new(0),
+            seed,
+        }
+    }
+
+    /// Returns the open completions of each customer.
+    pub(crate) fn open_requests(&self) -> Vec<usize> {
+        self.open.borrow().clone()
+    }
+
+    /// Returns a copy of the account.
+    pub(crate) fn ledger(&self) -> CallLedger {
+        self.ledger.borrow().clone()
+    }
+
+    /// Lets no more calls be sent.
+    pub(crate) fn stop(&self) {
+        self.is_stopped.set(true);
+    }
+
+    /// Returns the generator of one task.
+    fn generator(&self, task: u64) -> ChaCha8Rng {
+        let mut generator = ChaCha8Rng::seed_from_u64(self.seed);
+        generator.set_stream(task + 1);
+        generator
+    }
+
+    /// Returns the next number of a call.
+    fn next_sequence(&self) -> u64 {
+        let sequence = self.sequence.get();
+        self.sequence.set(sequence + 1);
+        sequence
+    }
+
+    /// Draws a completion of a customer.
+    fn draw_call(&self, plan: &CustomerPlan, generator: &mut ChaCha8Rng) -> CompletionCall {
+        let sequence = self.next_sequence();
+        let is_draft = generator.random_range(0..100) < plan.draft_percent;
+        let (marker, max_tokens) =
+            if is_draft { (DRAFT_MARKER, DRAFT_TOKENS) } else { ("", SHORT_TOKENS) };
+        CompletionCall {
+            model: MODEL_NAME.to_owned(),
+            prompt: format!("{marker}{} asks {sequence} of {}", plan.name, self.seed),
+            max_tokens,
+            user: plan.name.clone(),
+            deadline: CALL_DEADLINE,
+        }
+    }
+
+    /// Draws one of a customer's entries.
+    fn draw_entry(&self, plan: &CustomerPlan, generator: &mut ChaCha8Rng) -> SocketAddr {
+        let router = plan.routers[generator.random_range(0..plan.routers.len())];
+        self.completion_entries[router % self.completion_entries.len()]
+    }
+
+    /// Sends a completion and notes its end.
+    async fn complete(&self, index: usize, entry: SocketAddr, call: CompletionCall) -> CallEnd {
+        self.open.borrow_mut()[index] += 1;
+        self.ledger.borrow_mut().note_sent();
+        let result = self.client.complete(entry, &self.plans[index].key, &call).await;
+        self.open.borrow_mut()[index] -= 1;
+        self.ledger.borrow_mut().note_completion(prompt_id(&call.prompt), result.end);
+        result.end
+    }
+}
+
+/// Starts all tasks of the load.
+pub(crate) fn spawn_load(state: &Rc<LoadState>) -> Vec<JoinHandle<()>> {
+    let mut tasks = Vec::new();
+    let mut number = 0;
+    for (index, plan) in state.plans.iter().enumerate() {
+        match plan.role {
+            CustomerRole::Backlogged => {
+                for _ in 0..plan.window {
+                    tasks.push(actix_rt::spawn(keep_open(Rc::clone(state), index, number)));
+                    number += 1;
+                }
+            }
+            CustomerRole::Flooding => {
+                let rate = FLOOD_RATE * state.engines as f64;
+                tasks.push(actix_rt::spawn(send_at_rate(Rc::clone(state), index, number, rate)));
+                number += 1;
+            }
+            CustomerRole::Interactive => {
+                let rate = INTERACTIVE_RATE;
+                tasks.push(actix_rt::spawn(send_at_rate(Rc::clone(state), index, number, rate)));
+                number += 1;
+            }
+        }
+    }
+    tasks.push(actix_rt::spawn(send_reads(Rc::clone(state), number)));
+    tasks.push(actix_rt::spawn(send_recordings(Rc::clone(state), number + 1)));
+    tasks
+}
+
+/// Keeps one completion of a backlogged customer open.
+async fn keep_open(state: Rc<LoadState>, index: usize, task: u64) {
+    let mut generator = state.generator(task);
+    while !state.is_stopped.get() {
+        let plan = &state.plans[index];
+        let call = state.draw_call(plan, &mut generator);
+        let entry = state.draw_entry(plan, &mut generator);
+        match state.complete(index, entry, call).await {
+            CallEnd::Answered => {}
+            CallEnd::NotRun { retry_after } => {
+                sleep(retry_after.clamp(RETRY_LEAST, RETRY_MOST)).await;
+            }
+            CallEnd::Unknown | CallEnd::Lost | CallEnd::Crossed | CallEnd::Truncated => {
+                sleep(RETRY_LEAST).await;
+            }
+        }
+    }
+}
+
+/// Sends completions of a customer at a rate, whether earlier ones have ended or not.
+async fn send_at_rate(state: Rc<LoadState>, index: usize, task: u64, rate: f64) {
+    let mut generator = state.generator(task);
+    let mut calls = Vec::new();
+    while pause(&state, &mut generator, rate).await {
+        let plan = &state.plans[index];
+        let call = state.draw_call(plan, &mut generator);
+        let entry = state.draw_entry(plan, &mut generator);
+        let state = Rc::clone(&state);
+        calls.push(actix_rt::spawn(async move {
+            state.complete(index, entry, call).await;
+        }));
+    }
+    join_all(calls).await;
+}
+
+/// Sends reads to the plain service.
+async fn send_reads(state: Rc<LoadState>, task: u64) {
+    let mut generator = state.generator(task);
+    let mut calls = Vec::new();
+    while pause(&state, &mut generator, READ_RATE).await {
+        let path = format!("{SERVICE_PREFIX}/balance/{}", state.next_sequence());
+        let call = ServiceCall {
+            expected: expected_reply("GET", &path, b""),
+            path,
+            recording_key: None,
+            body: String::new(),
+            deadline: CALL_DEADLINE,
+        };
+        let entry = draw_service_entry(&state, &mut generator);
+        let plan = generator.random_range(0..state.plans.len());
+        let state = Rc::clone(&state);
+        calls.push(actix_rt::spawn(async move {
+            state.ledger.borrow_mut().note_sent();
+            let key = &state.plans[plan].key;
+            let result = state.client.call_service(entry, key, &call).await;
+            state.ledger.borrow_mut().note_read(result.end);
+        }));
+    }
+    join_all(calls).await;
+}
+
+/// Sends recordings to the plain service, some of them again through another router.
+async fn send_recordings(state: Rc<LoadState>, task: u64) {
+    let mut generator = state.generator(task);
+    let mut calls = Vec::new();
+    while pause(&state, &mut generator, RECORDING_RATE).await {
+        let sequence = state.next_sequence();
+        let path = format!("{SERVICE_PREFIX}/dues/{sequence}");
+        let body = format!("{{\"amount\":{sequence}}}");
+        let call = ServiceCall {
+            expected: expected_reply("POST", &path, body.as_bytes()),
+            path,
+            recording_key: Some(Uuid::now_v7().to_string()),
+            body,
+            deadline: CALL_DEADLINE,
+        };
+        let plan = generator.random_range(0..state.plans.len());
+        let first = generator.random_range(0..state.service_entries.len());
+        let is_resent = generator.random_range(0..100) < RESENT_PERCENT;
+        let delay = Duration::from_millis(generator.random_range(0..=RESEND_MILLIS));
+        if is_resent {
+            let second = (first + 1) % state.service_entries.len();
+            calls.push(spawn_recording(&state, plan, second, call.clone(), delay));
+        }
+        calls.push(spawn_recording(&state, plan, first, call, Duration::ZERO));
+    }
+    join_all(calls).await;
+}
+
+/// Sends one recording after a delay.
+fn spawn_recording(
+    state: &Rc<LoadState>,
+    plan: usize,
+    entry: usize,
+    call: ServiceCall,
+    delay: Duration,
+) -> JoinHandle<()> {
+    let state = Rc::clone(state);
+    actix_rt::spawn(async move {
+        sleep(delay).await;
+        state.ledger.borrow_mut().note_sent();
+        let address = state.service_entries[entry];
+        let result = state.client.call_service(address, &state.plans[plan].key, &call).await;
+        let key = call.recording_key.as_deref().unwrap_or_default();
+        state.ledger.borrow_mut().note_recording(key, result.end);
+    })
+}
+
+/// Draws the entry of a read.
+fn draw_service_entry(state: &LoadState, generator: &mut ChaCha8Rng) -> SocketAddr {
+    state.service_entries[generator.random_range(0..state.service_entries.len())]
+}
+
+/// Waits for the next call of a Poisson process; returns whether it is still to be sent.
+async fn pause(state: &LoadState, generator: &mut ChaCha8Rng, rate: f64) -> bool {
+    let uniform: f64 = generator.random_range(0.0..1.0);
+    sleep(Duration::from_secs_f64(-(1.0 - uniform).ln() / rate)).await;
+    !state.is_stopped.get()
+}
+
+/// Waits for tasks, whose results are in the ledger.
+async fn join_all(tasks: Vec<JoinHandle<()>>) {
+    for task in tasks {
+        if let Err(error) = task.await {
+            log::error!("a task of the load ended early: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-demo/src/session.rs
@@ -0,0 +1,158 @@
+//! One run of the demo from start to report.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use error_stack::Report;
+use jackdaw_base::{CustomerShare, ErrorKind};
+
+use crate::args::DemoSettings;
+use crate::client::{CallEnd, CallerClient, CompletionCall};
+use crate::fleet::{DemoFleet, ENGINE_PLACES, MODEL_NAME};
+use crate::latency::PathHistograms;
+use crate::load::{LoadState, spawn_load};
+use crate::meter::{FleetMeter, WindowFigures};
+use crate::population::{CustomerPlan, plan_customers};
+use crate::report::DemoReport;
+
+/// The part of the load time before the measured window.
+const WARM_UP_PART: f64 = 0.2;
+
+/// The time between samples of the meter.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time between progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pairs of requests that measure the added latency.
+const LATENCY_PAIRS: usize = 80;
+
+/// Tokens of such a request.
+const LATENCY_TOKENS: u32 = 3;
+
+/// The time that such a request may take.
+const LATENCY_DEADLINE: Duration = Duration::from_secs(5);
+
+/// What the path adds on an idle fleet.
+struct LatencyFigures {
+    /// The times to the first byte.
+    first_byte: PathHistograms,
+    /// The times of whole requests.
+    request: PathHistograms,
+}
+
+/// Runs the demo in an actix system of its own and returns its report.
+pub fn run(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
+    actix_rt::System::new().block_on(run_session(settings))
+}
+
+/// Runs the demo.
+async fn run_session(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
+    let start = Instant::now();
+    let places = settings.targets * ENGINE_PLACES;
+    let plans = plan_customers(&settings, places);
+    let fleet = DemoFleet::spawn(&settings, &plans).await?;
+    let latency = measure_latency(&fleet, &plans).await;
+    let state = Rc::new(LoadState::new(
+        plans.clone(),
+        fleet.completion_entries(),
+        fleet.service_entries(),
+        settings.targets,
+        settings.seed,
+    ));
+    let tasks = spawn_load(&state);
+    let figures = measure_window(&settings, &fleet, &state, &plans, places).await;
+    state.stop();
+    eprintln!("load stopped, waiting for open requests");
+    for task in tasks {
+        if let Err(error) = task.await {
+            log::error!("a task of the load ended early: {error}");
+        }
+    }
+    let run_seconds = start.elapsed().as_secs_f64();
+    let ledger = state.ledger();
+    let nodes = fleet.node_count() as f64;
+    let report = DemoReport {
+        seed: settings.seed,
+        policy: settings.policy,
+        window_seconds: figures.seconds,
+        requests: ledger.requests(&fleet.engine_tallies()),
+        recordings: ledger.recordings(&fleet.service_tallies()),
+        fairness_gap_tokens: figures.fairness_gap_tokens,
+        mean_normal_tokens: figures.mean_normal_tokens,
+        utilisation_percent: figures.utilisation_percent,
+        waiting_percent: figures.waiting_percent,
+        platform_calls_per_second: fleet.platform_calls() as f64 / run_seconds,
+        control_bytes_per_second_per_node: fleet.control_bytes() as f64 / run_seconds / nodes,
+        added_latency_ms: latency.request.added(),
+        added_first_byte_ms: latency.first_byte.added(),
+        customers: figures.customers,
+    };
+    fleet.close().await;
+    Ok(report)
+}
+
+/// Sends the same requests direct and through the idle fleet, in turn.
+async fn measure_latency(fleet: &DemoFleet, plans: &[CustomerPlan]) -> LatencyFigures {
+    let client = CallerClient::new();
+    let entries = fleet.completion_entries();
+    let engines = fleet.engine_addresses();
+    let mut figures =
+        LatencyFigures { first_byte: PathHistograms::new(), request: PathHistograms::new() };
+    let plan = &plans[plans.len() - 1];
+    for pair in 0..LATENCY_PAIRS {
+        let call = CompletionCall {
+            model: MODEL_NAME.to_owned(),
+            prompt: format!("latency probe {pair}"),
+            max_tokens: LATENCY_TOKENS,
+            user: plan.name.clone(),
+            deadline: LATENCY_DEADLINE,
+        };
+        let direct = client.complete(engines[pair % engines.len()], &plan.key, &call).await;
+        let path = client.complete(entries[pair % entries.len()], &plan.key, &call).await;
+        if direct.end != CallEnd::Answered || path.end != CallEnd::Answered {
+            log::warn!("latency probe {pair} ended {:?} and {:?}", direct.end, path.end);
+            continue;
+        }
+        figures.first_byte.add_direct(direct.first_byte);
+        figures.first_byte.add_path(path.first_byte);
+        figures.request.add_direct(direct.total);
+        figures.request.add_path(path.total);
+    }
+    figures
+}
+
+/// Warms up, then samples the fleet until the load time is over.
+async fn measure_window(
+    settings: &DemoSettings,
+    fleet: &DemoFleet,
+    state: &LoadState,
+    plans: &[CustomerPlan],
+    places: usize,
+) -> WindowFigures {
+    let mut customers: Vec<(String, CustomerShare)> = Vec::with_capacity(plans.len());
+    for plan in plans {
+        customers.push((plan.name.clone(), plan.share));
+    }
+    let warm_up = settings.load_time.mul_f64(WARM_UP_PART);
+    eprintln!("warming up for {:.1} s", warm_up.as_secs_f64());
+    sleep(warm_up).await;
+    let mut meter = FleetMeter::open(&customers, places, &fleet.engine_usages());
+    let start = Instant::now();
+    let window = settings.load_time - warm_up;
+    let mut next_progress = PROGRESS_INTERVAL;
+    while start.elapsed() < window {
+        sleep(SAMPLE_INTERVAL).await;
+        let open_requests = state.open_requests();
+        let usages = fleet.engine_usages();
+        meter.sample(start.elapsed(), &open_requests, &usages);
+        if start.elapsed() >= next_progress {
+            next_progress += PROGRESS_INTERVAL;
+            let open: usize = open_requests.iter().sum();
+            let running: usize = usages.iter().map(|usage| usage.running).sum();
+            eprintln!("{:>4} s: {open} open, {running} running", start.elapsed().as_secs());
+        }
+    }
+    meter.close(&fleet.engine_usages())
+}
--- /dev/null
+++ b/crates/jackdaw-demo/tests/fleet_meter.rs
@@ -0,0 +1,54 @@
+//! Fairness gap and utilisation from engine usage.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jackdaw_base::CustomerShare;
+use jackdaw_demo::meter::FleetMeter;
+use jackdaw_standin::EngineUsage;
+use jackdaw_standin::engine::UserTally;
+
+/// Builds the usage of an engine: users with tokens and running requests.
+fn usage(users: &[(&str, u64, usize)], place_millis: u64) -> EngineUsage {
+    let mut map = BTreeMap::new();
+    for (name, tokens, running) in users {
+        let user = UserTally { requests: 0, tokens: *tokens, running: *running };
+        map.insert((*name).to_owned(), user);
+    }
+    let place_time = Duration::from_millis(place_millis);
+    EngineUsage { users: map, place_time, ..EngineUsage::default() }
+}
+
+/// Returns three customers with shares of 1, 2 and 1.
+fn customers() -> Vec<(String, CustomerShare)> {
+    let names = [("a", 1), ("b", 2), ("c", 1)];
+    names.iter().map(|(name, share)| ((*name).to_owned(), CustomerShare(*share))).collect()
+}
+
+#[test]
+fn gap_by_share() {
+    let before = usage(&[("a", 100, 1), ("b", 0, 1)], 0);
+    let mut meter = FleetMeter::open(&customers(), 4, &[before]);
+    let first = usage(&[("a", 200, 1), ("b", 100, 1)], 100);
+    meter.sample(Duration::from_millis(100), &[5, 5, 0], &[first]);
+    let last = [usage(&[("a", 500, 1), ("b", 300, 1)], 200), usage(&[("b", 300, 1)], 100)];
+    meter.sample(Duration::from_millis(200), &[5, 5, 0], &last);
+    let figures = meter.close(&last);
+    assert_eq!(figures.fairness_gap_tokens, 100.0);
+    assert_eq!(figures.mean_normal_tokens, 350.0);
+    assert!(!figures.customers[2].is_backlogged);
+}
+
+#[test]
+fn waiting_time_only() {
+    let mut meter = FleetMeter::open(&customers(), 4, &[usage(&[], 0)]);
+    // Nothing waits: idle places do not count.
+    meter.sample(Duration::from_millis(100), &[1, 0, 0], &[usage(&[("a", 0, 1)], 50)]);
+    meter.sample(Duration::from_millis(200), &[3, 0, 0], &[usage(&[("a", 0, 1)], 100)]);
+    // Work waits for the next 100 ms, in which three of four places are busy.
+    meter.sample(Duration::from_millis(300), &[5, 0, 0], &[usage(&[("a", 0, 3)], 400)]);
+    meter.sample(Duration::from_millis(400), &[0, 0, 0], &[usage(&[], 400)]);
+    let figures = meter.close(&[usage(&[], 400)]);
+    assert_eq!(figures.utilisation_percent, 75.0);
+    assert_eq!(figures.waiting_percent, 25.0);
+}
--- /dev/null
+++ b/crates/jackdaw-demo/tests/path_latency.rs
@@ -0,0 +1,17 @@
+//! Difference of percentiles between the path and the direct way.
+
+use std::time::Duration;
+
+use jackdaw_demo::latency::PathHistograms;
+
+#[test]
+fn added_percentiles() {
+    let mut histograms = PathHistograms::new();
+    for millis in 1..=100 {
+        histograms.add_direct(Duration::from_millis(millis));
+        histograms.add_path(Duration::from_millis(millis * 2));
+    }
+    let added = histograms.added();
+    assert!((added.p50 - 50.0).abs() < 0.2, "{added:?}");
+    assert!((added.p99 - 99.0).abs() < 0.4, "{added:?}");
+}
--- a/crates/jackdaw-standin/src/engine.rs
+++ b/crates/jackdaw-standin/src/engine.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-pub use batch::{EngineTally, EngineUsage, UserTally};
+pub use batch::{EngineTally, EngineUsage, OrderRecord, PromptTally, UserTally};
 pub use cache::{CacheChange, CacheEvent};
 pub use wire::{EngineOrder, LoadReport, OrderAction};
 
--- a/crates/jackdaw-standin/src/engine/batch.rs
+++ b/crates/jackdaw-standin/src/engine/batch.rs
@@ -20,6 +20,8 @@
         pub requests: u64,
         /// The tokens produced.
         pub tokens: u64,
+        /// The requests that run now.
+        pub running: usize,
     }
 }
 
@@ -259,6 +261,12 @@
         self.sum_places(now);
         self.tally.usage.running = self.running.len();
         self.tally.usage.queued = self.queue.len();
+        for user in self.tally.usage.users.values_mut() {
+            user.running = 0;
+        }
+        for run in &self.running {
+            self.tally.usage.users.entry(run.user.clone()).or_default().running += 1;
+        }
         self.tally.usage.clone()
     }
 
