--- a/crates/jackdaw-settings/src/agent.rs
+++ b/crates/jackdaw-settings/src/agent.rs
@@ -7,7 +7,7 @@
 use jackdaw_policy::SharePolicy;
 
 use crate::reader::{SettingsReader, read_file};
-use crate::section::{NAME, SHARE_POLICIES, URL};
+use crate::section::{SERVICE_NAME, SHARE_POLICIES, URL};
 use crate::{AdminSettings, KeyFiles, LogSettings, PlatformSettings, ProcessSettings};
 
 const SERVICE_KINDS: &[(&str, ServiceKind)] =
@@ -92,7 +92,7 @@
     }
 
     fn read(reader: &mut SettingsReader<'_>) -> Option<TargetSettings> {
-        let service = reader.required("target", "service", &NAME);
+        let service = reader.required("target", "service", &SERVICE_NAME);
         let url = reader.required("target", "url", &URL);
         let kind = reader.choice("target", "kind", SERVICE_KINDS, None);
         let places = reader.number("target", "place_limit", 1..=4096, 8);
