Add the operator's command

Cause: operators need to check settings and tickets, apply tickets, ask for state and make keys without writing code. Ruled out: tickets through a router's admin interface; the desk works against the platform and a router would add nothing but one more thing that can fail. Ruled out: one exit status for all failures; an unanswered platform leaves a ticket's state open, and scripts must see it.

--- a/crates/jackdaw-cli/src/lib.rs
+++ b/crates/jackdaw-cli/src/lib.rs
@@ -1,1 +1,71 @@
 //! Operator's command.
+//!
+//! [`run`] parses the command line ([`args`]) and hands it to the part that does the work:
+//! checking files, change tickets at the platform, questions to running processes, keys, and
+//! the demo. Results go to standard output, errors to standard error, and [`exit`] lists what
+//! the exit status means.
+
+pub mod args;
+mod check;
+pub mod exit;
+pub mod help;
+mod keys;
+mod platform;
+mod process;
+mod ticket;
+
+use std::ffi::OsString;
+
+use error_stack::Report;
+use jackdaw_base::ErrorKind;
+
+use crate::args::{Command, TicketCommand, parse_args};
+use crate::exit::{ExitReason, print_report};
+
+/// Runs the command line without the program's name and returns the exit status.
+pub fn run(arguments: Vec<OsString>) -> u8 {
+    let command = match parse_args(arguments) {
+        Ok(command) => command,
+        Err(report) => {
+            print_report(&report);
+            eprintln!("`jackdaw --help` lists commands and options");
+            return ExitReason::Usage.status();
+        }
+    };
+    match execute(command) {
+        Ok(status) => status,
+        Err(report) => {
+            print_report(&report);
+            ExitReason::of_report(&report).status()
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<u8, Report<ErrorKind>> {
+    match command {
+        Command::Help(page) => print!("{}", page.text()),
+        Command::Version => println!("jackdaw {}", env!("CARGO_PKG_VERSION")),
+        Command::Check(file) => check::check_file(&file)?,
+        Command::Ticket(TicketCommand::Check { file, platform }) => {
+            ticket::check(&file, platform)?;
+        }
+        Command::Ticket(TicketCommand::Apply { file, platform }) => {
+            return ticket::apply(&file, platform).map(ExitReason::status);
+        }
+        Command::Ticket(TicketCommand::Status { number, platform }) => {
+            return Ok(ticket::status(number, platform)?.status());
+        }
+        Command::PlatformStatus(address) => platform::print_status(address)?,
+        Command::ProcessStatus(process) => {
+            return Ok(process::print_status(&process)?.status());
+        }
+        Command::Dump(process) => process::print_dump(&process)?,
+        Command::Keys(command) => keys::execute(&command)?,
+        Command::Replay(file) => {
+            let note = format!("{}: replay is not part of this build", file.display());
+            return Err(Report::new(ErrorKind::NotFound).attach(note));
+        }
+        Command::Demo(arguments) => return Ok(jackdaw_demo::execute(arguments)),
+    }
+    Ok(ExitReason::Done.status())
+}
--- /dev/null
+++ b/crates/jackdaw-cli/src/main.rs
@@ -0,0 +1,7 @@
+//! Operator's command of the fleet.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ExitCode::from(jackdaw_cli::run(std::env::args_os().skip(1).collect()))
+}
--- /dev/null
+++ b/crates/jackdaw-cli/src/process.rs
@@ -0,0 +1,108 @@
+//! Questions to running processes over their operators' interface.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use awc::http::StatusCode;
+use error_stack::{Report, ResultExt};
+use jackdaw_base::ErrorKind;
+use serde_json::Value;
+
+use crate::args::ProcessQuery;
+use crate::check::read_text;
+use crate::exit::ExitReason;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
+/// What a process answered.
+struct ProcessAnswer {
+    status: StatusCode,
+    body: String,
+}
+
+/// Prints whether a process is ready and, with a key, what it knows of the fleet.
+pub(crate) fn print_status(query: &ProcessQuery) -> Result<ExitReason, Report<ErrorKind>> {
+    let answer = fetch(query.address, "/ready", None)?;
+    let is_ready = answer.status.is_success();
+    match is_ready {
+        true => println!("ready"),
+        false => println!("not ready: {}", detail(&answer.body)),
+    }
+    if let Some(file) = &query.key_file {
+        let key = read_key(file)?;
+        let answer = fetch(query.address, "/status", Some(&key))?;
+        // Agents tell of themselves by dump only.
+        if answer.status != StatusCode::NOT_FOUND {
+            print_json(&accept(answer)?)?;
+        }
+    }
+    Ok(if is_ready { ExitReason::Done } else { ExitReason::Failed })
+}
+
+/// Prints the whole state of a process.
+pub(crate) fn print_dump(query: &ProcessQuery) -> Result<(), Report<ErrorKind>> {
+    let key = match &query.key_file {
+        Some(file) => Some(read_key(file)?),
+        None => None,
+    };
+    print_json(&accept(fetch(query.address, "/dump", key.as_deref())?)?)
+}
+
+fn read_key(file: &Path) -> Result<String, Report<ErrorKind>> {
+    Ok(read_text(file)?.trim().to_owned())
+}
+
+fn fetch(
+    address: SocketAddr,
+    path: &str,
+    key: Option<&str>,
+) -> Result<ProcessAnswer, Report<ErrorKind>> {
+    actix_rt::System::new().block_on(async {
+        let client = awc::Client::builder().timeout(CALL_TIMEOUT).disable_redirects().finish();
+        let mut request = client.get(format!("http://{address}{path}"));
+        if let Some(key) = key {
+            request = request.bearer_auth(key);
+        }
+        let mut response = request
+            .send()
+            .await
+            .map_err(|error| unreachable_process(address, &error.to_string()))?;
+        let body = response
+            .body()
+            .limit(ANSWER_LIMIT_BYTES)
+            .await
+            .map_err(|error| unreachable_process(address, &error.to_string()))?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Ok(ProcessAnswer { status: response.status(), body })
+    })
+}
+
+fn unreachable_process(address: SocketAddr, reason: &str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::LinkFailed).attach(format!("{address}: {reason}"))
+}
+
+/// Returns the body of a good answer.
+fn accept(answer: ProcessAnswer) -> Result<String, Report<ErrorKind>> {
+    if answer.status.is_success() {
+        return Ok(answer.body);
+    }
+    let kind = match answer.status {
+        StatusCode::UNAUTHORIZED => ErrorKind::Unauthorized,
+        _ => ErrorKind::LinkFailed,
+    };
+    Err(Report::new(kind).attach(format!("{}: {}", answer.status, detail(&answer.body))))
+}
+
+/// Returns the detail of a problem document, or the text itself.
+fn detail(body: &str) -> String {
+    let problem = serde_json::from_str::<Value>(body).unwrap_or_default();
+    problem["detail"].as_str().unwrap_or(body).trim().to_owned()
+}
+
+fn print_json(text: &str) -> Result<(), Report<ErrorKind>> {
+    let value = serde_json::from_str::<Value>(text).change_context(ErrorKind::ProtocolViolation)?;
+    println!("{value:#}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/jackdaw-cli/src/ticket.rs
@@ -0,0 +1,75 @@
+//! Change tickets at the platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use error_stack::Report;
+use jackdaw_base::{ErrorKind, TicketNumber};
+use jackdaw_platform::{PlatformClient, PlatformSettings, TicketDesk, TicketStatus};
+
+use crate::check::{read_ticket, refuse_problems};
+use crate::exit::{ExitReason, print_report};
+
+/// Checks a ticket, against the configuration in force where a platform is given.
+pub(crate) fn check(file: &Path, platform: Option<SocketAddr>) -> Result<(), Report<ErrorKind>> {
+    let ticket = read_ticket(file)?;
+    if let Some(address) = platform {
+        let problems = on_desk(address, async |desk| desk.check(&ticket).await)?;
+        if let Some(first) = problems.first() {
+            return Err(refuse_problems(first.kind, &problems));
+        }
+    }
+    println!("ticket {} would be accepted", ticket.number.0);
+    Ok(())
+}
+
+/// Applies a ticket; where the platform does not answer, it may have been accepted.
+pub(crate) fn apply(file: &Path, platform: SocketAddr) -> Result<ExitReason, Report<ErrorKind>> {
+    let ticket = read_ticket(file)?;
+    let number = ticket.number.0;
+    let acceptance = match on_desk(platform, async |desk| desk.accept(&ticket).await) {
+        Ok(acceptance) => acceptance,
+        Err(report) if is_unknown(&report) => {
+            print_report(&report);
+            eprintln!("jackdaw: ticket {number} may have been accepted: apply it again");
+            return Ok(ExitReason::Unknown);
+        }
+        Err(report) => return Err(report),
+    };
+    match acceptance.repeated {
+        true => println!("ticket {number} was accepted before and is in force"),
+        false => println!("ticket {number} is accepted and in force"),
+    }
+    Ok(ExitReason::Done)
+}
+
+fn is_unknown(report: &Report<ErrorKind>) -> bool {
+    let kind = *report.current_context();
+    matches!(kind, ErrorKind::PlatformUnavailable | ErrorKind::BudgetExhausted)
+}
+
+/// Prints the state of a ticket.
+pub(crate) fn status(
+    number: TicketNumber,
+    platform: SocketAddr,
+) -> Result<ExitReason, Report<ErrorKind>> {
+    let status = on_desk(platform, async |desk| desk.status(number).await)?;
+    let (text, reason) = match status {
+        TicketStatus::Absent => ("no ticket with this number was accepted", ExitReason::Refused),
+        TicketStatus::Accepted => ("accepted and in force", ExitReason::Done),
+        TicketStatus::Applied => ("applied", ExitReason::Done),
+    };
+    println!("ticket {}: {text}", number.0);
+    Ok(reason)
+}
+
+/// Runs an operation on the desk of a platform.
+pub(crate) fn on_desk<T>(
+    platform: SocketAddr,
+    operation: impl AsyncFnOnce(TicketDesk<PlatformClient>) -> Result<T, Report<ErrorKind>>,
+) -> Result<T, Report<ErrorKind>> {
+    actix_rt::System::new().block_on(async {
+        let client = PlatformClient::open(PlatformSettings::new(platform));
+        operation(TicketDesk::open(client)).await
+    })
+}
--- /dev/null
+++ b/crates/jackdaw-cli/tests/command/main.rs
@@ -0,0 +1,8 @@
+//! The `jackdaw` program as operators call it.
+
+mod check_files;
+mod command_line;
+mod fleet_keys;
+mod process_state;
+mod program;
+mod ticket_desk;
--- /dev/null
+++ b/crates/jackdaw-cli/tests/command/process_state.rs
@@ -0,0 +1,86 @@
+//! `status` and `dump` of a process.
+
+use std::fs;
+use std::sync::Arc;
+
+use actix_web::web::{self, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use jackdaw_daemon::AdminServer;
+use jackdaw_platform::digest_key;
+use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
+use serde_json::json;
+
+use crate::program::{RunResult, run};
+
+const KEY: &str = "operators-key";
+
+/// Runs the program while the server of this thread goes on.
+async fn run_beside(arguments: Vec<String>) -> RunResult {
+    let call = move || run(&arguments.iter().map(String::as_str).collect::<Vec<_>>());
+    web::block(call).await.expect("ran")
+}
+
+fn serve(ready: &ReadyFlag, has_status: bool) -> AdminServer {
+    let state = AdminState {
+        key: AdminKey::new(digest_key(KEY)),
+        ready: ready.clone(),
+        metrics: Arc::new(MetricRegistry::new()),
+        dump: DumpSource::new(|| async { json!({ "waiting": 3 }) }),
+    };
+    let status = |_: HttpRequest| async { HttpResponse::Ok().json(json!({ "ticket": 7 })) };
+    let address = "127.0.0.1:0".parse().expect("address");
+    AdminServer::bind(address, &state, move |config: &mut ServiceConfig| {
+        if has_status {
+            config.route("/status", web::get().to(status));
+        }
+    })
+    .expect("bound")
+}
+
+fn arguments(command: &str, server: &AdminServer, key_file: &str) -> Vec<String> {
+    let address = server.address().to_string();
+    [command, "--process", &address, "--key-file", key_file].map(str::to_owned).to_vec()
+}
+
+#[actix_web::test]
+async fn state_is_shown() {
+    let directory = tempfile::tempdir().expect("directory");
+    let path = directory.path().join("key");
+    fs::write(&path, format!("{KEY}\n")).expect("written");
+    let key_file = path.display().to_string();
+    let ready = ReadyFlag::default();
+    let server = serve(&ready, true);
+    let starting = run_beside(arguments("status", &server, &key_file)).await;
+    assert_eq!(starting.status, 1, "{starting:?}");
+    assert!(starting.output.starts_with("not ready: the process is starting"), "{starting:?}");
+    ready.set(Readiness::Ready);
+    let status = run_beside(arguments("status", &server, &key_file)).await;
+    assert_eq!(status.status, 0, "{status:?}");
+    assert!(status.output.starts_with("ready\n") && status.output.contains("\"ticket\": 7"));
+    let dump = run_beside(arguments("dump", &server, &key_file)).await;
+    assert_eq!(dump.output, "{\n  \"waiting\": 3\n}\n");
+    server.close().await;
+
+    let agent = serve(&ready, false);
+    let status = run_beside(arguments("status", &agent, &key_file)).await;
+    assert_eq!((status.status, status.output.as_str()), (0, "ready\n"));
+    agent.close().await;
+}
+
+#[actix_web::test]
+async fn wrong_key_shows_nothing() {
+    let directory = tempfile::tempdir().expect("directory");
+    let path = directory.path().join("key");
+    fs::write(&path, "other-key").expect("written");
+    let key_file = path.display().to_string();
+    let server = serve(&ReadyFlag::default(), false);
+    let dump = run_beside(arguments("dump", &server, &key_file)).await;
+    assert_eq!(dump.status, 3, "{dump:?}");
+    assert_eq!(dump.output, "");
+    assert!(dump.errors.contains("the operators' key is needed"), "{dump:?}");
+    let address = server.address().to_string();
+    server.close().await;
+    let gone = run_beside(["status", "--process", &address].map(str::to_owned).to_vec()).await;
+    assert_eq!(gone.status, 1, "{gone:?}");
+    assert!(gone.errors.contains(&address), "{gone:?}");
+}
