--- a/crates/jackdaw-link/tests/link/message_codec.rs
+++ b/crates/jackdaw-link/tests/link/message_codec.rs
@@ -37,6 +37,7 @@
 
 fn report(g: &mut Gen) -> ServiceReport {
     ServiceReport {
+        vm: VmId(7),
         agent: ProcessIncarnation(u64::arbitrary(g)),
         customer: CustomerId(u64::arbitrary(g)),
         given: NormalService(u64::arbitrary(g)),
--- /dev/null
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -0,0 +1,232 @@
+//! A small fleet of real processes against stand-ins.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use jackdaw_base::{
+    CustomerRecord, CustomerShare, DomainId, ServiceId, ServiceKind, ServiceRecord, TargetRecord,
+    TicketNumber, VmId, VmRecord, VmState,
+};
+use jackdaw_link::{FleetAuthority, ProcessRole};
+use jackdaw_platform::{ChangeTicket, PlatformClient, PlatformSettings, TicketDesk, digest_key};
+use jackdaw_standin::{PlatformStandin, StandinSettings};
+use tempfile::TempDir;
+
+use crate::process::FleetProcess;
+
+/// The operators' key of every process.
+pub const ADMIN_KEY: &str = "operators-key";
+
+/// The engine service and the model that it answers for.
+pub const ENGINE_SERVICE: &str = "asistente";
+
+/// The plain service; its path prefix is the name behind a slash.
+pub const PLAIN_SERVICE: &str = "cobranza";
+
+/// The days for which certificates are valid.
+const CERTIFICATE_DAYS: u32 = 2;
+
+/// The places that the ticket gives to one target.
+const TARGET_PLACES: u32 = 8;
+
+/// The pause between two looks at a condition.
+const POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// The looks at a condition before a proof fails; far above every stated bound.
+const POLL_LIMIT: u32 = 1500;
+
+/// A fleet of processes with the stand-in of the platform.
+pub struct ProcessFleet {
+    /// The stand-in of the platform.
+    pub platform: PlatformStandin,
+    /// The authority of all certificates.
+    authority: FleetAuthority,
+    /// The directory of keys, settings and logs.
+    directory: TempDir,
+    /// The VM list as it was last set.
+    vms: Vec<VmRecord>,
+}
+
+impl ProcessFleet {
+    /// Starts the platform's stand-in and accepts a ticket with the customers, each with the
+    /// key `key-<name>` and a share, and both services.
+    pub async fn spawn(customers: &[(&str, u32)]) -> ProcessFleet {
+        let platform =
+            PlatformStandin::bind(StandinSettings::default()).expect("stand-in can be bound");
+        let authority = FleetAuthority::generate(CERTIFICATE_DAYS).expect("authority can be made");
+        let directory = TempDir::new().expect("directory can be made");
+        authority.save(directory.path()).expect("authority can be saved");
+        let fleet = ProcessFleet { platform, authority, directory, vms: Vec::new() };
+        let mut ticket = ChangeTicket::new(TicketNumber(1));
+        for (name, share) in customers {
+            ticket.set_customer(customer(name, *share));
+        }
+        ticket.set_service(service(ENGINE_SERVICE, ServiceKind::Engine));
+        ticket.set_service(service(PLAIN_SERVICE, ServiceKind::Plain));
+        fleet.accept(&ticket).await;
+        fleet
+    }
+
+    /// Has a ticket accepted.
+    pub async fn accept(&self, ticket: &ChangeTicket) {
+        let desk = TicketDesk::open(self.platform_client());
+        desk.accept(ticket).await.expect("ticket is accepted");
+    }
+
+    /// Returns a client of the platform's stand-in.
+    pub fn platform_client(&self) -> PlatformClient {
+        PlatformClient::open(PlatformSettings::new(self.platform.address()))
+    }
+
+    /// Starts a router and puts its VM on the list.
+    pub fn spawn_router(&mut self, name: &str) -> FleetProcess {
+        self.spawn_router_at(name, loopback(), loopback())
+    }
+
+    /// Starts a router at given addresses and puts its VM on the list.
+    pub fn spawn_router_at(
+        &mut self,
+        name: &str,
+        callers: SocketAddr,
+        link: SocketAddr,
+    ) -> FleetProcess {
+        let process = format!("caller_address = {callers}\n");
+        let settings =
+            self.write_settings(name, ProcessRole::Router, link, &process, "[requests]\n");
+        let router = FleetProcess::spawn("jackdaw-router", &settings, self.log_path(name));
+        self.list_vm(name, router.address("link"), None);
+        router
+    }
+
+    /// Starts an agent beside a target and puts its VM on the list.
+    pub fn spawn_agent(
+        &mut self,
+        name: &str,
+        service: &str,
+        kind: ServiceKind,
+        target: SocketAddr,
+    ) -> FleetProcess {
+        let word = match kind {
+            ServiceKind::Engine => "engine",
+            ServiceKind::Plain => "plain",
+        };
+        let section =
+            format!("[target]\nservice = {service}\nurl = http://{target}\nkind = {word}\n");
+        let settings = self.write_settings(name, ProcessRole::Agent, loopback(), "", &section);
+        let agent = FleetProcess::spawn("jackdaw-agent", &settings, self.log_path(name));
+        self.list_vm(name, agent.address("link"), Some(ServiceId::from_name(service)));
+        agent
+    }
+
+    /// Sets the state of a VM on the list.
+    pub fn set_vm_state(&mut self, name: &str, state: VmState) {
+        for vm in &mut self.vms {
+            if vm.name == name {
+                vm.state = state;
+            }
+        }
+        self.platform.set_vms(self.vms.clone());
+    }
+
+    /// Takes a VM off the list.
+    pub fn remove_vm(&mut self, name: &str) {
+        self.vms.retain(|vm| vm.name != name);
+        self.platform.set_vms(self.vms.clone());
+    }
+
+    fn list_vm(&mut self, name: &str, link_address: SocketAddr, service: Option<ServiceId>) {
+        self.vms.retain(|vm| vm.name != name);
+        self.vms.push(VmRecord {
+            name: name.to_owned(),
+            domain: DomainId::from_name("ba-a"),
+            link_address,
+            service,
+            state: VmState::Live,
+        });
+        self.platform.set_vms(self.vms.clone());
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        role: ProcessRole,
+        link: SocketAddr,
+        process: &str,
+        section: &str,
+    ) -> PathBuf {
+        let directory = self.directory.path();
+        let certificate = directory.join(format!("{name}.pem"));
+        let key = directory.join(format!("{name}.key"));
+        let keys = self.authority.issue(name, role, CERTIFICATE_DAYS).expect("keys can be issued");
+        keys.save(&certificate, &key).expect("keys can be saved");
+        let digest = digest_key(ADMIN_KEY).0;
+        let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        let text = format!(
+            "[process]\nname = {name}\ndomain = ba-a\nregion = ba\n{process}\
+             link_address = {link}\nadmin_address = 127.0.0.1:0\n\
+             [keys]\nauthority = {authority}\ncertificate = {certificate}\nkey = {key}\n\
+             [platform]\nurl = http://{platform}\ncalls_per_second = 200\n{section}\
+             [log]\nlevel = debug\noutput = {log}\n[admin]\nkey_digest = {digest}\n",
+            authority = directory.join("authority.pem").display(),
+            certificate = certificate.display(),
+            key = key.display(),
+            platform = self.platform.address(),
+            log = self.log_path(name).display(),
+        );
+        let path = directory.join(format!("{name}.ini"));
+        std::fs::write(&path, text).expect("settings can be written");
+        path
+    }
+
+    fn log_path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(format!("{name}.log"))
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics with `what` where it does not come to hold.
+pub async fn wait_until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    for _ in 0..POLL_LIMIT {
+        if condition().await {
+            return;
+        }
+        actix_rt::time::sleep(POLL_PAUSE).await;
+    }
+    panic!("never came to hold: {what}");
+}
+
+/// Returns the VM of a name.
+pub fn vm(name: &str) -> VmId {
+    VmId::from_name(name)
+}
+
+/// Returns the key with which a customer authenticates.
+pub fn customer_key(name: &str) -> String {
+    format!("key-{name}")
+}
+
+fn customer(name: &str, share: u32) -> CustomerRecord {
+    CustomerRecord {
+        name: name.to_owned(),
+        share: CustomerShare(share),
+        keys: vec![digest_key(&customer_key(name))],
+        queue_limit: 1000,
+    }
+}
+
+fn service(name: &str, kind: ServiceKind) -> ServiceRecord {
+    let (models, path_prefix) = match kind {
+        ServiceKind::Engine => (vec![name.to_owned()], String::new()),
+        ServiceKind::Plain => (Vec::new(), format!("/{name}")),
+    };
+    let target = TargetRecord { place_limit: TARGET_PLACES, checks_fencing: true };
+    ServiceRecord { name: name.to_owned(), kind, models, path_prefix, target }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/jackdaw-proofs/src/lib.rs
@@ -0,0 +1,13 @@
+//! Proofs with real processes and real signals.
+//!
+//! [`ProcessFleet`] starts routers and agents as processes of their own, against stand-ins of
+//! platform and targets that the proof holds in its hands, so that faults can be injected and
+//! runs counted. [`CallerClient`] is a caller. The proofs themselves are in `tests/`.
+
+pub mod caller;
+pub mod fleet;
+pub mod process;
+
+pub use caller::{CallerAnswer, CallerClient};
+pub use fleet::ProcessFleet;
+pub use process::{FleetProcess, ProcessSignal};
--- /dev/null
+++ b/crates/jackdaw-proofs/tests/whole_path.rs
@@ -0,0 +1,38 @@
+//! The whole path with real processes: a streamed completion and a read.
+
+use jackdaw_base::ServiceKind;
+use jackdaw_proofs::fleet::{ENGINE_SERVICE, PLAIN_SERVICE, wait_until};
+use jackdaw_proofs::{CallerClient, ProcessFleet};
+use jackdaw_standin::{
+    EngineSettings, EngineStandin, ServiceSettings, ServiceStandin, expected_answer,
+};
+
+#[actix_rt::test]
+async fn streamed_completion() {
+    let mut fleet = ProcessFleet::spawn(&[("delegados", 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let _agent =
+        fleet.spawn_agent("engine-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    let caller = CallerClient::open(router.address("callers"), "delegados");
+    wait_until("the router answers", || async {
+        caller.read("/ready").await.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+    let answer = caller.complete("who owes dues in March?", 40).await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}\n{}", router.log());
+    assert_eq!(answer.tokens(), Some(expected_answer("who owes dues in March?", 40)));
+}
+
+#[actix_rt::test]
+async fn plain_read() {
+    let mut fleet = ProcessFleet::spawn(&[("delegados", 1)]).await;
+    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let agent = fleet.spawn_agent("plain-1", PLAIN_SERVICE, ServiceKind::Plain, service.address());
+    let caller = CallerClient::open(router.address("callers"), "delegados");
+    wait_until("the service is read", || async {
+        caller.read("/cobranza/members/7").await.is_some_and(|answer| answer.status == 200)
+    })
+    .await;
+}
