Choose subsets by rendezvous and replay recorded decisions

Ruled out: links by the router's choice alone: at 24 agents a router some agents have no router and the fleet falls into 4 parts. Ranking all routers for every agent takes a router 287 ms; ranking its own domain takes 7 ms. Change: choose_subset, linked_agents and home_routers; replay of trace lines. Before -> after (1,800 routers, 5,600 agents, 8 domains): 24 by the router and 8 by the agent give 35 to 66 agents a router, 8 to 27 routers an agent, one part; 7 routers an agent at least and one part with any domain gone. Conclusion: both ends must choose.

--- /dev/null
+++ b/crates/jackdaw-policy/examples/subsets.rs
@@ -0,0 +1,49 @@
+//! Prints the degrees and the connectivity of the subsets at the target size.
+//!
+//! Arguments: routers, agents of one service, failure domains; all optional.
+
+#[path = "../tests/support/reach.rs"]
+mod reach;
+
+use std::time::Instant;
+
+use jackdaw_base::DomainId;
+use jackdaw_policy::{SubsetPolicy, linked_agents};
+use reach::{SubsetReach, nodes};
+
+fn main() {
+    let mut numbers = std::env::args().skip(1).map(|text| text.parse().expect("a whole number"));
+    let routers: u64 = numbers.next().unwrap_or(1_800);
+    let agents: u64 = numbers.next().unwrap_or(5_600);
+    let domains: u64 = numbers.next().unwrap_or(8);
+    println!("{routers} routers, {agents} agents, {domains} failure domains");
+    println!(
+        "links | agents a router: min mean max | routers an agent: min mean max | parts | parts, domain gone: worst | routers an agent, domain gone: min"
+    );
+    for policy in [
+        SubsetPolicy { agents_per_router: 24, routers_per_agent: 0 },
+        SubsetPolicy { agents_per_router: 64, routers_per_agent: 0 },
+        SubsetPolicy::default(),
+        SubsetPolicy { agents_per_router: 64, routers_per_agent: 8 },
+    ] {
+        let routers = nodes(1_000_000, routers, domains);
+        let agents = nodes(2_000_000, agents, domains);
+        let reach = SubsetReach::measure(&routers, &agents, &policy, None);
+        let gone = (0..domains)
+            .map(|domain| SubsetReach::measure(&routers, &agents, &policy, Some(DomainId(domain))));
+        let gone: Vec<SubsetReach> = gone.collect();
+        println!(
+            "{} and {} | {} | {} | {} | {} | {}",
+            policy.agents_per_router,
+            policy.routers_per_agent,
+            reach.router_degrees(),
+            reach.agent_degrees(),
+            reach.parts,
+            gone.iter().map(|reach| reach.parts).max().unwrap_or(0),
+            gone.iter().map(|reach| reach.agent_min()).min().unwrap_or(0),
+        );
+        let start = Instant::now();
+        let linked = linked_agents(routers[0], &routers, &agents, &policy);
+        println!("  one router computes {} links in {:?}", linked.len(), start.elapsed());
+    }
+}
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -13,11 +13,15 @@
 pub mod event;
 pub mod fairness;
 pub mod rendezvous;
+pub mod replay;
 pub mod router;
+pub mod subset;
 
 pub use agent::{AgentCore, AgentCustomer, AgentPolicy, AgentSnapshot};
 pub use event::{
     AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
 };
 pub use fairness::{GapMonitor, GapTerms, gap_bound};
+pub use replay::{ReplayMismatch, ReplayReport, TraceLine, replay};
 pub use router::{RouterCore, RouterPolicy, RouterSnapshot};
+pub use subset::{SubsetNode, SubsetPolicy, choose_subset, linked_agents};
--- a/crates/jackdaw-policy/src/router/relay.rs
+++ b/crates/jackdaw-policy/src/router/relay.rs
@@ -6,10 +6,8 @@
 
 use super::RouterCore;
 use crate::event::RouterCommand;
-use crate::rendezvous::{rendezvous_first, rendezvous_top};
-
-/// Key by which the routers that keep account homes are ranked.
-const HOME_KEY: u64 = 0x6163_636f_756e_7473;
+use crate::rendezvous::rendezvous_first;
+use crate::subset::home_routers;
 
 impl RouterCore {
     pub(super) fn join_peer(&mut self, router: VmId) {
@@ -82,7 +80,7 @@
     fn rank_homes(&mut self) {
         let mut routers = self.peers.clone();
         routers.push(self.vm);
-        self.homes = rendezvous_top(HOME_KEY, &routers, self.policy.home_routers as usize);
+        self.homes = home_routers(&routers, self.policy.home_routers as usize);
         let homes = &self.homes;
         let vm = self.vm;
         self.accounts.retain(|customer| rendezvous_first(customer.0, homes) == Some(vm));
--- /dev/null
+++ b/crates/jackdaw-policy/tests/support/reach.rs
@@ -0,0 +1,85 @@
+//! Degrees and connectivity of the links between routers and agents.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jackdaw_base::{DomainId, VmId};
+use jackdaw_policy::{SubsetNode, SubsetPolicy, choose_subset};
+
+pub(crate) fn nodes(base: u64, count: u64, domains: u64) -> Vec<SubsetNode> {
+    let node = |index| SubsetNode { vm: VmId(base + index), domain: DomainId(index % domains) };
+    (0..count).map(node).collect()
+}
+
+pub(crate) struct SubsetReach {
+    pub(crate) routers: Vec<usize>,
+    agents: Vec<usize>,
+    pub(crate) parts: usize,
+}
+
+impl SubsetReach {
+    /// Measures the links that are left while the nodes of one domain are gone but still listed.
+    pub(crate) fn measure(
+        routers: &[SubsetNode],
+        agents: &[SubsetNode],
+        policy: &SubsetPolicy,
+        gone: Option<DomainId>,
+    ) -> SubsetReach {
+        let is_live = |node: &&SubsetNode| Some(node.domain) != gone;
+        let live: BTreeSet<VmId> =
+            routers.iter().chain(agents).filter(is_live).map(|node| node.vm).collect();
+        let mut links: BTreeMap<VmId, BTreeSet<VmId>> =
+            live.iter().map(|vm| (*vm, BTreeSet::new())).collect();
+        let mut link = |one: VmId, others: Vec<VmId>| {
+            for other in others.into_iter().filter(|other| live.contains(other)) {
+                links.entry(one).or_default().insert(other);
+                links.entry(other).or_default().insert(one);
+            }
+        };
+        for node in routers.iter().filter(is_live) {
+            link(node.vm, choose_subset(node.vm, agents, policy.agents_per_router as usize));
+        }
+        for node in agents.iter().filter(is_live) {
+            link(node.vm, choose_subset(node.vm, routers, policy.routers_per_agent as usize));
+        }
+        let degrees = |nodes: &[SubsetNode]| {
+            nodes.iter().filter(is_live).map(|node| links[&node.vm].len()).collect()
+        };
+        SubsetReach { routers: degrees(routers), agents: degrees(agents), parts: parts(&links) }
+    }
+
+    pub(crate) fn agent_min(&self) -> usize {
+        self.agents.iter().min().copied().unwrap_or(0)
+    }
+
+    pub(crate) fn agent_degrees(&self) -> String {
+        spread(&self.agents)
+    }
+
+    pub(crate) fn router_degrees(&self) -> String {
+        spread(&self.routers)
+    }
+}
+
+fn spread(degrees: &[usize]) -> String {
+    let least = degrees.iter().min().copied().unwrap_or(0);
+    let most = degrees.iter().max().copied().unwrap_or(0);
+    let mean = degrees.iter().sum::<usize>() as f64 / degrees.len().max(1) as f64;
+    format!("{least} {mean:.1} {most}")
+}
+
+/// Returns the number of parts that no link joins.
+fn parts(links: &BTreeMap<VmId, BTreeSet<VmId>>) -> usize {
+    let mut seen = BTreeSet::new();
+    let mut count = 0;
+    for start in links.keys() {
+        if !seen.insert(*start) {
+            continue;
+        }
+        count += 1;
+        let mut open = vec![*start];
+        while let Some(node) = open.pop() {
+            open.extend(links[&node].iter().copied().filter(|other| seen.insert(*other)));
+        }
+    }
+    count
+}
