--- a/crates/jackdaw-proofs/tests/whole_path.rs
+++ b/crates/jackdaw-proofs/tests/whole_path.rs
@@ -29,7 +29,7 @@
     let mut fleet = ProcessFleet::spawn(&[("delegados", 1)]).await;
     let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
     let router = fleet.spawn_router("router-1");
-    let agent = fleet.spawn_agent("plain-1", PLAIN_SERVICE, ServiceKind::Plain, service.address());
+    let _agent = fleet.spawn_agent("plain-1", PLAIN_SERVICE, ServiceKind::Plain, service.address());
     let caller = CallerClient::open(router.address("callers"), "delegados");
     wait_until("the service is read", || async {
         caller.read("/cobranza/members/7").await.is_some_and(|answer| answer.status == 200)
