Add the platform subcommand and answers that break off halfway

Cause: proofs need the platform as a process, and a body that ends early must not pass for whole. Ruled out: cutting right after the first half (the server drops what is not flushed, so the caller sees no head at all); trusting awc with a body shorter than its announced length: it reports it as whole (cut_answer shows it), so the caller compares the lengths itself. Change: jackdaw-standin platform; paths with the cut marker; the demo's client treats a short body as an unknown outcome; the latency pairs alternate in order after a warm-up. Conclusion: whoever passes on a target's body must compare its length with content-length.

--- a/crates/jackdaw-demo/src/client.rs
+++ b/crates/jackdaw-demo/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use awc::http::header::{AUTHORIZATION, RETRY_AFTER};
+use awc::http::header::{AUTHORIZATION, CONTENT_LENGTH, RETRY_AFTER};
 use awc::{Client, ClientRequest, ClientResponse, Connector};
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
@@ -234,14 +234,18 @@
     CallEnd::Truncated
 }
 
-/// Compares a whole body with the expected one.
+/// Compares a whole body with the expected one; a body shorter than announced claims nothing.
 async fn judge_body<S>(mut response: ClientResponse<S>, expected: &str) -> CallEnd
 where
     S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>,
 {
+    let announced = response.headers().get(CONTENT_LENGTH).cloned();
     let Ok(body) = response.body().limit(BODY_LIMIT).await else {
         return CallEnd::Unknown;
     };
+    if announced.is_some_and(|length| length != body.len().to_string().as_str()) {
+        return CallEnd::Unknown;
+    }
     if body == expected {
         CallEnd::Answered
     } else if expected.as_bytes().starts_with(&body) {
--- a/crates/jackdaw-demo/src/session.rs
+++ b/crates/jackdaw-demo/src/session.rs
@@ -26,10 +26,13 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Pairs of requests that measure the added latency.
-const LATENCY_PAIRS: usize = 80;
+const LATENCY_PAIRS: usize = 120;
+
+/// Pairs before them that open connections.
+const LATENCY_WARM_UP: usize = 12;
 
 /// Tokens of such a request.
-const LATENCY_TOKENS: u32 = 3;
+const LATENCY_TOKENS: u32 = 2;
 
 /// The time that such a request may take.
 const LATENCY_DEADLINE: Duration = Duration::from_secs(5);
@@ -101,7 +104,7 @@
     let mut figures =
         LatencyFigures { first_byte: PathHistograms::new(), request: PathHistograms::new() };
     let plan = &plans[plans.len() - 1];
-    for pair in 0..LATENCY_PAIRS {
+    for pair in 0..LATENCY_WARM_UP + LATENCY_PAIRS {
         let call = CompletionCall {
             model: MODEL_NAME.to_owned(),
             prompt: format!("latency probe {pair}"),
@@ -109,8 +112,19 @@
             user: plan.name.clone(),
             deadline: LATENCY_DEADLINE,
         };
-        let direct = client.complete(engines[pair % engines.len()], &plan.key, &call).await;
-        let path = client.complete(entries[pair % entries.len()], &plan.key, &call).await;
+        let engine = engines[pair % engines.len()];
+        let entry = entries[pair % entries.len()];
+        // The order alternates, since the second of a pair finds the prompt's prefix cached.
+        let (direct, path) = if pair % 2 == 0 {
+            let direct = client.complete(engine, &plan.key, &call).await;
+            (direct, client.complete(entry, &plan.key, &call).await)
+        } else {
+            let path = client.complete(entry, &plan.key, &call).await;
+            (client.complete(engine, &plan.key, &call).await, path)
+        };
+        if pair < LATENCY_WARM_UP {
+            continue;
+        }
         if direct.end != CallEnd::Answered || path.end != CallEnd::Answered {
             log::warn!("latency probe {pair} ended {:?} and {:?}", direct.end, path.end);
             continue;
--- a/crates/jackdaw-demo/tests/caller_client.rs
+++ b/crates/jackdaw-demo/tests/caller_client.rs
@@ -5,7 +5,10 @@
 
 use actix_web::{App, HttpResponse, HttpServer, web};
 use jackdaw_demo::client::{CallEnd, CallerClient, CompletionCall, ServiceCall};
-use jackdaw_standin::{EngineSettings, EngineStandin, expected_answer};
+use jackdaw_standin::service::CUT_MARKER;
+use jackdaw_standin::{
+    EngineSettings, EngineStandin, ServiceSettings, ServiceStandin, expected_answer, expected_reply,
+};
 use serde_json::json;
 
 /// Starts a server that gives every request the same answer.
@@ -115,3 +118,19 @@
         assert_eq!(result.end, end, "{body}");
     }
 }
+
+#[actix_web::test]
+async fn cut_body() {
+    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
+    let path = format!("/{CUT_MARKER}/7");
+    let call = ServiceCall {
+        expected: expected_reply("GET", &path, b""),
+        path,
+        recording_key: None,
+        body: String::new(),
+        deadline: Duration::from_secs(5),
+    };
+    let result = CallerClient::new().call_service(service.address(), "key", &call).await;
+    assert_eq!(result.end, CallEnd::Unknown);
+    service.close().await;
+}
--- a/crates/jackdaw-standin/src/args.rs
+++ b/crates/jackdaw-standin/src/args.rs
@@ -1,6 +1,7 @@
 //! Command line of the `jackdaw-standin` program.
 
 use std::ffi::OsString;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -8,13 +9,13 @@
 use jackdaw_base::ErrorKind;
 use pico_args::Arguments;
 
-use crate::{EngineSettings, ServiceSettings};
+use crate::{EngineSettings, ServiceSettings, StandinSettings};
 
 /// The help text.
 pub const HELP_TEXT: &str = "\
 Runs one stand-in on a loopback port and prints its address as one JSON line.
 
-Usage: jackdaw-standin <engine|service> [options]
+Usage: jackdaw-standin <engine|service|platform> [options]
 
 Options of every stand-in:
   --port N                  port; 0 for a free one (default 0)
@@ -38,11 +39,18 @@
   --capacity N              requests that run at a time (default 8)
   --processing-millis N     time that one request takes (default 5)
 
+Options of platform:
+  --writes N                writes a second above which calls are refused; 0 for no limit
+                            (default 0)
+  --reads N                 reads a second above which calls are refused; 0 for no limit
+                            (default 0)
+  --vm-lag-millis N         time after which a new VM list can be seen (default 0)
+
 Exit status: 0 after SIGTERM or --help, 1 when the port cannot be used, 2 for a wrong option.
 ";
 
 /// What the command line asks for.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub enum StandinCommand {
     /// Print the help text.
     Help,
@@ -50,6 +58,8 @@
     Engine(EngineSettings),
     /// Run a plain service.
     Service(ServiceSettings),
+    /// Run the platform.
+    Platform(StandinSettings),
 }
 
 /// Parses the arguments after the program's name. Fails with [`ErrorKind::Malformed`] when an
@@ -63,10 +73,11 @@
     let command = match kind.as_deref() {
         Some("engine") => StandinCommand::Engine(engine_settings(&mut arguments)?),
         Some("service") => StandinCommand::Service(service_settings(&mut arguments)?),
+        Some("platform") => StandinCommand::Platform(platform_settings(&mut arguments)?),
         Some(other) => {
             return Err(malformed(format!("unknown stand-in: {other}")));
         }
-        None => return Err(malformed("name a stand-in: engine or service".to_owned())),
+        None => return Err(malformed("name a stand-in: engine, service or platform".to_owned())),
     };
     let rest = arguments.finish();
     if let Some(first) = rest.first() {
@@ -109,6 +120,18 @@
     })
 }
 
+/// Reads the options of the platform.
+fn platform_settings(arguments: &mut Arguments) -> Result<StandinSettings, Report<ErrorKind>> {
+    let standard = StandinSettings::default();
+    let port = optional(arguments, "--port")?.unwrap_or(0);
+    Ok(StandinSettings {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        writes_per_second: optional(arguments, "--writes")?.unwrap_or(standard.writes_per_second),
+        reads_per_second: optional(arguments, "--reads")?.unwrap_or(standard.reads_per_second),
+        vm_lag: millis(arguments, "--vm-lag-millis", standard.vm_lag)?,
+    })
+}
+
 /// Reads an option with a value.
 fn optional<T>(
     arguments: &mut Arguments,
--- a/crates/jackdaw-standin/src/lib.rs
+++ b/crates/jackdaw-standin/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use answer::{CRASH_MARKER, expected_answer, prefix_hash, prompt_id};
 pub use engine::{EngineSettings, EngineStandin, EngineTally, EngineUsage};
-pub use service::{ServiceSettings, ServiceStandin, ServiceTally, expected_reply};
 pub use platform::{AnswerFault, PlatformCounts, PlatformFaults, PlatformStandin, StandinSettings};
+pub use service::{ServiceSettings, ServiceStandin, ServiceTally, expected_reply};
--- a/crates/jackdaw-standin/src/main.rs
+++ b/crates/jackdaw-standin/src/main.rs
@@ -6,7 +6,7 @@
 use error_stack::{Report, ResultExt};
 use jackdaw_base::ErrorKind;
 use jackdaw_standin::args::{HELP_TEXT, StandinCommand, parse_args};
-use jackdaw_standin::{EngineStandin, ServiceStandin};
+use jackdaw_standin::{EngineStandin, PlatformStandin, ServiceStandin};
 use serde_json::json;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -24,10 +24,6 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    if command == StandinCommand::Help {
-        print!("{HELP_TEXT}");
-        return ExitCode::SUCCESS;
-    }
     match actix_rt::System::new().block_on(run(command)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -41,7 +37,7 @@
 async fn run(command: StandinCommand) -> Result<(), Report<ErrorKind>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(ErrorKind::LocalResource)?;
     match command {
-        StandinCommand::Help => {}
+        StandinCommand::Help => print!("{HELP_TEXT}"),
         StandinCommand::Engine(settings) => {
             let engine = EngineStandin::bind(settings)?;
             wait(engine.address(), &mut terminate).await;
@@ -52,6 +48,11 @@
             wait(service.address(), &mut terminate).await;
             service.close().await;
         }
+        StandinCommand::Platform(settings) => {
+            let platform = PlatformStandin::bind(settings)?;
+            wait(platform.address(), &mut terminate).await;
+            platform.close().await;
+        }
     }
     Ok(())
 }
--- a/crates/jackdaw-standin/src/service.rs
+++ b/crates/jackdaw-standin/src/service.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use actix_web::body::SizedStream;
 use actix_web::dev::ServerHandle;
+use actix_web::error::ErrorInternalServerError;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
+use futures_util::{StreamExt, stream};
 use jackdaw_base::{ErrorKind, plain_data};
 use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,6 +22,12 @@
 /// The header that names a recording.
 pub const KEY_HEADER: &str = "Idempotency-Key";
 
+/// Text in a path that makes the service break its answer off halfway.
+pub const CUT_MARKER: &str = "cut-answer";
+
+/// The time between the first half of a cut answer and the cut.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+
 plain_data! {
     /// Properties of a plain-service stand-in.
     pub struct ServiceSettings {
@@ -161,9 +170,26 @@
     shared.lock().busy_time += span;
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
     let reply = expected_reply(method, path, &body);
+    if path.contains(CUT_MARKER) {
+        return cut_reply(reply);
+    }
     HttpResponse::Ok().content_type("application/json").body(reply)
 }
 
+/// Answers with the first half of a body whose whole length is announced.
+fn cut_reply(mut reply: String) -> HttpResponse {
+    let length = reply.len() as u64;
+    reply.truncate(reply.len() / 2);
+    let half = stream::iter([Ok(Bytes::from(reply))]);
+    let cut = stream::once(async {
+        // The server would drop what it has not flushed yet along with the connection.
+        actix_rt::time::sleep(CUT_DELAY).await;
+        Err(ErrorInternalServerError("the answer is cut"))
+    });
+    let body = SizedStream::new(length, Box::pin(half.chain(cut)));
+    HttpResponse::Ok().content_type("application/json").body(body)
+}
+
 /// Answers with the tally.
 async fn report_tally(shared: web::Data<ServiceShared>) -> HttpResponse {
     let tally = shared.lock().clone();
--- a/crates/jackdaw-standin/tests/service_counts.rs
+++ b/crates/jackdaw-standin/tests/service_counts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use awc::Client;
+use jackdaw_standin::service::CUT_MARKER;
 use jackdaw_standin::{ServiceSettings, ServiceStandin, expected_reply};
 
 #[actix_web::test]
@@ -24,3 +25,18 @@
     assert_eq!(tally.reads, 1);
     service.close().await;
 }
+
+#[actix_web::test]
+async fn cut_answer() {
+    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
+    let path = format!("/{CUT_MARKER}/7");
+    let whole = expected_reply("GET", &path, b"");
+    let url = format!("http://{}{path}", service.address());
+    let mut response = Client::new().get(&url).send().await.unwrap();
+    let announced = response.headers().get("content-length").unwrap().clone();
+    assert_eq!(announced, whole.len().to_string());
+    // The client library reports the short body as whole.
+    let body = response.body().await.unwrap_or_default();
+    assert!(body.len() < whole.len() && whole.as_bytes().starts_with(&body));
+    service.close().await;
+}
--- a/crates/jackdaw-standin/tests/standin_process.rs
+++ b/crates/jackdaw-standin/tests/standin_process.rs
@@ -50,10 +50,24 @@
     assert_eq!(terminate(child), Some(0));
 }
 
+#[actix_web::test]
+async fn platform_process() {
+    let mut child = start(&["platform", "--vm-lag-millis", "10"]);
+    let address = read_address(&mut child);
+    let response = Client::new().get(format!("http://{address}/objects/none")).send().await;
+    assert_eq!(response.unwrap().status(), 404);
+    assert_eq!(terminate(child), Some(0));
+}
+
 #[test]
 fn wrong_options() {
-    let cases: [&[&str]; 4] =
-        [&["engine", "--plces", "3"], &["engine", "--places", "x"], &["other"], &[]];
+    let cases: [&[&str]; 5] = [
+        &["engine", "--plces", "3"],
+        &["engine", "--places", "x"],
+        &["platform", "--places", "3"],
+        &["other"],
+        &[],
+    ];
     for arguments in cases {
         let status = start(arguments).wait().unwrap();
         assert_eq!(status.code(), Some(2), "{arguments:?}");
