--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -103,10 +103,10 @@
     }
 
     /// Ends every link without waiting for the peers to learn of it.
-    pub fn shutdown(&self, reason: &str) {
-        self.endpoint.close(ORDINARY, reason.as_bytes());
+    pub fn shutdown(&self) {
+        self.endpoint.close(ORDINARY, b"process ends");
         for socket in self.sockets().iter() {
-            socket.close(ORDINARY, reason.as_bytes());
+            socket.close(ORDINARY, b"process ends");
         }
     }
 
@@ -114,7 +114,7 @@
     ///
     /// [`PeerLink::drained`] tells when the peers have all answers.
     pub async fn close(self) {
-        self.shutdown("process ends");
+        self.shutdown();
         let dialled = self.sockets().clone();
         for socket in dialled {
             socket.wait_idle().await;
@@ -164,7 +164,7 @@
 
 impl Drop for LinkEndpoint {
     fn drop(&mut self) {
-        self.shutdown("process ends");
+        self.shutdown();
     }
 }
 
--- a/crates/jackdaw-settings/src/router.rs
+++ b/crates/jackdaw-settings/src/router.rs
@@ -6,10 +6,10 @@
 
 use error_stack::Report;
 use jackdaw_base::ErrorKind;
-use jackdaw_policy::SharePolicy;
+use jackdaw_policy::RouterPolicy;
 
 use crate::reader::{SettingsReader, read_file};
-use crate::section::{ADDRESS, PATH, SHARE_POLICIES};
+use crate::section::{ADDRESS, PATH};
 use crate::{AdminSettings, KeyFiles, LogSettings, PlatformSettings, ProcessSettings};
 
 const BODY_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
@@ -54,12 +54,8 @@
     pub body_limit_bytes: usize,
     /// The deadline of a request that brings none.
     pub deadline_default: Duration,
-    /// The most requests that may wait at this router, all customers together.
-    pub queue_limit: usize,
-    /// The agents to which a waiting request is offered at a time.
+    /// The agents to which a waiting request is offered at first.
     pub offers_per_request: usize,
-    /// The rule by which agents choose among waiting offers.
-    pub share_policy: SharePolicy,
 }
 
 impl RouterSettings {
@@ -137,16 +133,12 @@
             1..=DEADLINE_LIMIT_MS,
             DEADLINE_DEFAULT_MS,
         );
-        let queue = reader.number("requests", "queue_limit", 1..=1_000_000, 10_000);
-        let offers = reader.number("requests", "offers_per_request", 1..=64, 4);
-        let policy =
-            reader.choice("requests", "share_policy", SHARE_POLICIES, Some(SharePolicy::Fleet));
+        let offers_default = u64::from(RouterPolicy::default().offers_per_request);
+        let offers = reader.number("requests", "offers_per_request", 1..=64, offers_default);
         Some(RequestSettings {
             body_limit_bytes: body? as usize,
             deadline_default: Duration::from_millis(deadline?),
-            queue_limit: queue? as usize,
             offers_per_request: offers? as usize,
-            share_policy: policy?,
         })
     }
 }
--- a/crates/jackdaw-settings/src/section.rs
+++ b/crates/jackdaw-settings/src/section.rs
@@ -25,6 +25,7 @@
 ];
 
 const NAME_LIMIT_BYTES: usize = 128;
+const SERVICE_LIMIT_BYTES: usize = 40;
 
 /// A name that operators choose.
 pub(crate) const NAME: ValueRule<String> =
@@ -44,6 +45,18 @@
 pub(crate) const URL: ValueRule<String> =
     ValueRule { allowed: "http://IP-NUMBER:PORT or https://IP-NUMBER:PORT", parse: parse_url };
 
+/// A URL by IP number without TLS.
+const PLAIN_URL: ValueRule<String> = ValueRule {
+    allowed: "http://IP-NUMBER:PORT",
+    parse: |text| parse_url(text).filter(|url| url.starts_with("http://")),
+};
+
+/// The name of a service, as change tickets allow it.
+pub(crate) const SERVICE_NAME: ValueRule<String> = ValueRule {
+    allowed: "1 to 40 bytes of letters, digits, '-', '_', '.' and spaces",
+    parse: parse_service,
+};
+
 const DIGEST: ValueRule<KeyDigest> = ValueRule {
     allowed: "64 hexadecimal digits, as `jackdaw keys secret` prints them",
     parse: parse_digest,
@@ -121,8 +134,6 @@
     pub url: String,
     /// The most calls a second that this process makes.
     pub calls_per_second: u32,
-    /// The file with the key for the API; `None` where the API asks for none.
-    pub key_file: Option<PathBuf>,
 }
 
 impl PlatformSettings {
@@ -132,10 +143,9 @@
     }
 
     pub(crate) fn read(reader: &mut SettingsReader<'_>) -> Option<PlatformSettings> {
-        let url = reader.required("platform", "url", &URL);
+        let url = reader.required("platform", "url", &PLAIN_URL);
         let calls = reader.number("platform", "calls_per_second", 1..=1000, 20);
-        let key_file = reader.optional("platform", "key_file", &PATH);
-        Some(PlatformSettings { url: url?, calls_per_second: calls? as u32, key_file: key_file? })
+        Some(PlatformSettings { url: url?, calls_per_second: calls? as u32 })
     }
 }
 
@@ -185,6 +195,12 @@
     fits.then(|| text.to_owned())
 }
 
+fn parse_service(text: &str) -> Option<String> {
+    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.' | ' ');
+    let fits = !text.is_empty() && text.len() <= SERVICE_LIMIT_BYTES && text.chars().all(allowed);
+    fits.then(|| text.to_owned())
+}
+
 fn parse_path(text: &str) -> Option<PathBuf> {
     (!text.is_empty()).then(|| PathBuf::from(text))
 }
