--- a/crates/jackdaw-cli/src/args.rs
+++ b/crates/jackdaw-cli/src/args.rs
@@ -112,7 +112,7 @@
 /// `Malformed` for unknown commands and options and for wrong or missing values.
 pub fn parse_args(arguments: Vec<OsString>) -> Result<Command, Report<ErrorKind>> {
     let mut arguments = Arguments::from_vec(arguments);
-    let Some(name) = arguments.subcommand().map_err(usage)? else {
+    let Some(name) = arguments.subcommand().map_err(|error| usage(&error))? else {
         return parse_overview(arguments);
     };
     let page = match name.as_str() {
@@ -155,7 +155,7 @@
 }
 
 fn parse_ticket(arguments: &mut Arguments) -> Result<TicketCommand, Report<ErrorKind>> {
-    let action = arguments.subcommand().map_err(usage)?;
+    let action = arguments.subcommand().map_err(|error| usage(&error))?;
     match action.as_deref() {
         Some("check") => {
             let platform = optional(arguments, "--platform", platform_address)?;
@@ -167,7 +167,7 @@
         }
         Some("status") => {
             let platform = required(arguments, "--platform", platform_address)?;
-            let number = arguments.free_from_fn(ticket_number).map_err(usage)?;
+            let number = arguments.free_from_fn(ticket_number).map_err(|error| usage(&error))?;
             Ok(TicketCommand::Status { number, platform })
         }
         Some(other) => Err(wrong(format!("unknown command: ticket {other}"))),
@@ -194,7 +194,7 @@
 }
 
 fn parse_keys(arguments: &mut Arguments) -> Result<KeysCommand, Report<ErrorKind>> {
-    let action = arguments.subcommand().map_err(usage)?;
+    let action = arguments.subcommand().map_err(|error| usage(&error))?;
     match action.as_deref() {
         Some("authority") => {
             let directory = required_path(arguments, "--directory")?;
@@ -255,7 +255,7 @@
 ) -> Result<Option<PathBuf>, Report<ErrorKind>> {
     arguments
         .opt_value_from_os_str(name, |text| Ok::<_, String>(PathBuf::from(text)))
-        .map_err(usage)
+        .map_err(|error| usage(&error))
 }
 
 fn socket_address(text: &str) -> Result<SocketAddr, String> {
@@ -295,7 +295,7 @@
     }
 }
 
-fn usage(error: pico_args::Error) -> Report<ErrorKind> {
+fn usage(error: &pico_args::Error) -> Report<ErrorKind> {
     wrong(error.to_string())
 }
 
--- a/crates/jackdaw-cli/src/help.rs
+++ b/crates/jackdaw-cli/src/help.rs
@@ -149,5 +149,5 @@
 Usage: jackdaw replay FILE
 
 Exit status: 0 as stated, 1 the file cannot be used, 2 wrong command line,
-3 the outcomes differ.
+3 the outcomes differ or a line cannot be read.
 ";
--- a/crates/jackdaw-cli/src/lib.rs
+++ b/crates/jackdaw-cli/src/lib.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod platform;
 mod process;
+mod replay;
 mod ticket;
 
 use std::ffi::OsString;
@@ -61,10 +62,7 @@
         }
         Command::Dump(process) => process::print_dump(&process)?,
         Command::Keys(command) => keys::execute(&command)?,
-        Command::Replay(file) => {
-            let note = format!("{}: replay is not part of this build", file.display());
-            return Err(Report::new(ErrorKind::NotFound).attach(note));
-        }
+        Command::Replay(file) => return Ok(replay::replay_file(&file)?.status()),
         Command::Demo(arguments) => return Ok(jackdaw_demo::execute(arguments)),
     }
     Ok(ExitReason::Done.status())
--- a/crates/jackdaw-cli/tests/command/main.rs
+++ b/crates/jackdaw-cli/tests/command/main.rs
@@ -6,3 +6,4 @@
 mod process_state;
 mod program;
 mod ticket_desk;
+mod trace_replay;
--- a/crates/jackdaw-telemetry/src/metric.rs
+++ b/crates/jackdaw-telemetry/src/metric.rs
@@ -15,7 +15,7 @@
 /// Label names and values of one metric.
 type LabelSet = Vec<(String, String)>;
 
-/// The metrics of a process, all with the prefix `jackdaw_`.
+/// The metrics of a process, all with the prefix `jackdaw_`, which names may leave out.
 #[derive(Debug)]
 pub struct MetricRegistry {
     registry: Mutex<Registry>,
@@ -66,14 +66,14 @@
     /// Adds counters; the text form appends `_total` to the name.
     pub fn counter(&self, name: &str, help: &str) -> CounterFamily {
         let family = Family::default();
-        self.with(|registry| registry.register(name, sentence(help), family.clone()));
+        self.with(|registry| registry.register(suffix(name), sentence(help), family.clone()));
         CounterFamily { family }
     }
 
     /// Adds gauges.
     pub fn gauge(&self, name: &str, help: &str) -> GaugeFamily {
         let family = Family::default();
-        self.with(|registry| registry.register(name, sentence(help), family.clone()));
+        self.with(|registry| registry.register(suffix(name), sentence(help), family.clone()));
         GaugeFamily { family }
     }
 
@@ -81,7 +81,7 @@
     pub fn histogram(&self, name: &str, help: &str, bounds: &[f64]) -> HistogramFamily {
         let list = BucketList { bounds: bounds.to_vec() };
         let family = Family::new_with_constructor(list);
-        self.with(|registry| registry.register(name, sentence(help), family.clone()));
+        self.with(|registry| registry.register(suffix(name), sentence(help), family.clone()));
         HistogramFamily { family }
     }
 
@@ -133,6 +133,12 @@
     }
 }
 
+/// Returns a name without the prefix that the registry adds.
+fn suffix(name: &str) -> &str {
+    let rest = name.strip_prefix(PREFIX).and_then(|rest| rest.strip_prefix('_'));
+    rest.unwrap_or(name)
+}
+
 /// Returns a help text without the full stop that the text form adds.
 fn sentence(help: &str) -> &str {
     help.strip_suffix('.').unwrap_or(help)
--- a/crates/jackdaw-telemetry/tests/telemetry/metric_text.rs
+++ b/crates/jackdaw-telemetry/tests/telemetry/metric_text.rs
@@ -8,7 +8,7 @@
     let requests = registry.counter("requests", "Requests by outcome.");
     requests.add(&[("outcome", "answered")], 2);
     requests.handle(&[("outcome", "answered")]).inc();
-    registry.gauge("waiting", "Waiting requests.").set(&[], 5);
+    registry.gauge("jackdaw_waiting", "Waiting requests.").set(&[], 5);
     let waits = registry.histogram("wait_seconds", "Time in the queue.", &[0.1, 1.0]);
     waits.observe(&[("class", "short")], 0.5);
     let text = registry.encode().expect("text");
