Prove drained, the full queue and two authorities

Cause: a process that ends right after its last answers cuts them unless it waits for their acknowledgement; nothing showed that drained is enough, or that a full queue ends the link. Ruled out: a higher priority for the control stream. Change: tests only. Conclusion: daemons have to wait for drained on every link before they close.

--- a/crates/jackdaw-link/tests/link/control_stream.rs
+++ b/crates/jackdaw-link/tests/link/control_stream.rs
@@ -1,7 +1,7 @@
 //! Control messages between two processes.
 
 use crate::common;
-use jackdaw_base::ProcessIncarnation;
+use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_link::{ControlMessage, MESSAGE_VERSION, ProcessRole};
 
 #[tokio::test]
@@ -45,3 +45,21 @@
     assert!(pair.to_router.closed().await.reason.contains("process ends"));
     assert!(pair.to_router.send(ControlMessage::Leaving).is_err());
 }
+
+/// Both ends would disagree about everything after a lost message.
+#[tokio::test]
+async fn full_queue_ends_link() {
+    let pair = common::linked_pair().await;
+    let limit = common::quick_settings().send_queue;
+    let mut queued = 0;
+    let failure = loop {
+        match pair.to_agent.send(ControlMessage::Leaving) {
+            Ok(()) => queued += 1,
+            Err(report) => break *report.current_context(),
+        }
+        assert!(queued <= limit, "the queue is bounded");
+    };
+    assert_eq!(failure, ErrorKind::LinkFailed);
+    let closure = pair.to_router.closed().await;
+    assert!(closure.reason.contains("send queue is full"), "{closure:?}");
+}
--- a/crates/jackdaw-link/tests/link/fleet_keys.rs
+++ b/crates/jackdaw-link/tests/link/fleet_keys.rs
@@ -66,3 +66,23 @@
     let authority_only = FleetIdentity::from_pem(pem, pem, &first.key_pem);
     assert_eq!(common::kind_of(authority_only), ErrorKind::SettingsInvalid);
 }
+
+/// While an authority is replaced, processes trust the old and the new one.
+#[tokio::test]
+async fn two_authorities_are_trusted() {
+    let old = FleetAuthority::generate(1).expect("authority");
+    let new = FleetAuthority::generate(1).expect("authority");
+    let both = format!("{}{}", old.certificate_pem(), new.certificate_pem());
+    let bind = |authority: &FleetAuthority, vm_name: &str, role: ProcessRole| {
+        let keys = authority.issue(vm_name, role, 1).expect("issued");
+        let identity = FleetIdentity::from_pem(&both, &keys.certificate_pem, &keys.key_pem);
+        let greeting = common::greeting(vm_name, role);
+        let settings = common::quick_settings();
+        LinkEndpoint::bind(common::loopback(), &identity.expect("readable"), greeting, settings)
+            .expect("bound")
+    };
+    let router = bind(&old, "router-1", ProcessRole::Router);
+    let agent = bind(&new, "agent-1", ProcessRole::Agent);
+    let (to_agent, _to_router) = common::link(&router, &agent, "agent-1").await;
+    to_agent.probe().await.expect("answered");
+}
--- a/crates/jackdaw-link/tests/link/run_stream.rs
+++ b/crates/jackdaw-link/tests/link/run_stream.rs
@@ -96,3 +96,30 @@
     assert_eq!(common::kind_of(result), ErrorKind::TooLarge);
     pair.to_agent.probe().await.expect("link is intact");
 }
+
+/// A process that waits for `drained` may end without cutting an answer.
+#[tokio::test]
+async fn drained_answer_survives_close() {
+    let pair = common::linked_pair().await;
+    let body = vec![b'y'; 4 * MEBIBYTE];
+    let mut reader = pair.to_agent.open_run(&common::run_request(0)).await.expect("opened");
+    let mut run = pair.to_router.accept_run().await.expect("run");
+    let agent = async {
+        let length = body.len() as u64;
+        let part = RunReply::Chunk { events: 1, bytes: Bytes::from(body) };
+        run.writer.send(&part).await.expect("sent");
+        run.writer.send(&RunReply::End { length, units: WorkUnits(1) }).await.expect("sent");
+        pair.to_router.drained().await;
+        pair.agent.close().await;
+    };
+    let router = async {
+        let mut bytes = 0;
+        while let Some(reply) = reader.next().await.expect("whole answer") {
+            if let RunReply::Chunk { bytes: part, .. } = reply {
+                bytes += part.len();
+            }
+        }
+        assert_eq!(bytes, 4 * MEBIBYTE);
+    };
+    tokio::join!(agent, router);
+}
