Keep a cut-off reply from spoiling the link

Cause: where the future of RunWriter::send was dropped in the middle, the next reply would have been read as the rest of it, and the whole link closed for a protocol violation. Ruled out: finishing the rest in a task; the run is void anyway. Change: after a cut-off reply every further one fails with link-failed, and dropping the writer resets the one stream. Conclusion: one run's fault stays its own.

--- a/crates/jackdaw-link/src/run.rs
+++ b/crates/jackdaw-link/src/run.rs
@@ -42,6 +42,8 @@
     stream: SendStream,
     link: PeerLink,
     finished: bool,
+    /// Whether a reply is being sent; stays set where that future is dropped.
+    partial: bool,
 }
 
 impl RunReader {
@@ -54,7 +56,8 @@
         let length = frame.len() as u64;
         let (send, receive) =
             link.connection().open_bi().await.change_context(ErrorKind::LinkFailed)?;
-        let mut writer = RunWriter { stream: send, link: link.clone(), finished: false };
+        let mut writer =
+            RunWriter { stream: send, link: link.clone(), finished: false, partial: false };
         let reader = RunReader::new(receive, link.clone());
         writer.stream.write_chunk(frame).await.change_context(ErrorKind::LinkFailed)?;
         writer.finish();
@@ -146,7 +149,7 @@
 
     /// Hands the run to the process.
     pub(crate) fn into_run(self, link: PeerLink) -> IncomingRun {
-        let writer = RunWriter { stream: self.stream, link, finished: false };
+        let writer = RunWriter { stream: self.stream, link, finished: false, partial: false };
         IncomingRun { request: self.request, writer }
     }
 }
@@ -156,11 +159,17 @@
     ///
     /// # Errors
     ///
-    /// `LinkFailed` where the router has cancelled the run or the link is lost.
+    /// `LinkFailed` where the router has cancelled the run, the link is lost, or the future of an
+    /// earlier reply was dropped in the middle.
     pub async fn send(&mut self, reply: &RunReply) -> Result<(), Report<ErrorKind>> {
         let frame = encode_frame(reply, self.link.frame_limit())?;
         let length = frame.len() as u64;
+        if self.partial {
+            return Err(Report::new(ErrorKind::LinkFailed).attach("an earlier reply was cut off"));
+        }
+        self.partial = true;
         self.stream.write_chunk(frame).await.change_context(ErrorKind::LinkFailed)?;
+        self.partial = false;
         self.link.counters().run_sent(length);
         match reply {
             RunReply::Head { .. } | RunReply::Chunk { .. } => {}
--- a/crates/jackdaw-link/tests/link/run_stream.rs
+++ b/crates/jackdaw-link/tests/link/run_stream.rs
@@ -123,3 +123,21 @@
     };
     tokio::join!(agent, router);
 }
+
+/// A reply that is cut off must not become a frame that nobody can read.
+#[tokio::test]
+async fn dropped_send_spoils_one_run() {
+    let pair = common::linked_pair().await;
+    let mut reader = pair.to_agent.open_run(&common::run_request(0)).await.expect("opened");
+    let mut run = pair.to_router.accept_run().await.expect("run");
+    let large = RunReply::Chunk { events: 1, bytes: vec![b'z'; 16 * MEBIBYTE].into() };
+    tokio::select! {
+        biased;
+        _ = run.writer.send(&large) => panic!("16 MB fit no window"),
+        () = tokio::time::sleep(std::time::Duration::from_millis(50)) => {}
+    }
+    assert_eq!(common::kind_of(run.writer.send(&chunk(b"next")).await), ErrorKind::LinkFailed);
+    drop(run);
+    assert_eq!(common::kind_of(reader.next().await), ErrorKind::Interrupted);
+    pair.to_agent.probe().await.expect("link is intact");
+}
