Share one dial socket and probe only links in use

Cause: measured with examples/idle_links (6 s, both ends in one process): 1024 idle links cost an end 10.4 % of a core, 200 KB/s with headers and 614 KB a link. At the target a router holds some 500 links: over every budget. Two reasons: a UDP socket a link brings its own receive buffers, and a keep-alive each 0.6 s on every link. Ruled out: a longer keep-alive alone (a silent link in use would be found late). Change: one socket for all dialled links, replaced after silence or an unanswered dial, so a new link still gets a new port; idle links have a keep-alive each 15 s; a link that sends or waits for an answer is probed after 0.5 s without any datagram and ended 1 s later. The new test and the old one fail without the watch (45 s idle timeout, dial unanswered).

--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -1,11 +1,7 @@
-//! The socket on which a process takes links, and the sockets from which it opens them.
-//!
-//! Each dialled link has a socket of its own: where something between the two ends has lost
-//! track of a link, it drops everything between the same two addresses and ports, so that only
-//! a new port gets through.
+//! The socket on which a process takes links; those it opens come from a pool of their own.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
 use futures_util::StreamExt;
@@ -15,6 +11,7 @@
 use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::timeout;
 
+use crate::dial_pool::DialPool;
 use crate::frame::{FrameReader, decode_prefix, encode_frame, frame_reader};
 use crate::identity::{CertificateSubject, FleetIdentity, read_subject};
 use crate::keys::server_name;
@@ -28,8 +25,7 @@
 pub struct LinkEndpoint {
     endpoint: Endpoint,
     address: SocketAddr,
-    client: quinn::ClientConfig,
-    dialled: std::sync::Mutex<Vec<Endpoint>>,
+    pool: Arc<DialPool>,
     greeting: LinkGreeting,
     settings: LinkSettings,
     accepted: Mutex<mpsc::Receiver<PeerLink>>,
@@ -66,8 +62,7 @@
         Ok(LinkEndpoint {
             endpoint,
             address,
-            client,
-            dialled: std::sync::Mutex::default(),
+            pool: Arc::new(DialPool::new(address.ip(), client)),
             greeting,
             settings,
             accepted: Mutex::new(accepted),
@@ -95,8 +90,12 @@
         address: SocketAddr,
         expected: VmId,
     ) -> Result<PeerLink, Report<ErrorKind>> {
-        timeout(self.settings.handshake_timeout, self.open_link(address, expected))
-            .await
+        let opened =
+            timeout(self.settings.handshake_timeout, self.open_link(address, expected)).await;
+        if opened.is_err() {
+            self.pool.renew();
+        }
+        opened
             .change_context(ErrorKind::LinkFailed)
             .flatten()
             .attach_with(|| format!("link to {address}"))
@@ -105,9 +104,7 @@
     /// Ends every link without waiting for the peers to learn of it.
     pub fn shutdown(&self) {
         self.endpoint.close(ORDINARY, b"process ends");
-        for socket in self.sockets().iter() {
-            socket.close(ORDINARY, b"process ends");
-        }
+        self.pool.shutdown();
     }
 
     /// Ends every link at once and frees the address; dropping does the same without waiting.
@@ -115,36 +112,18 @@
     /// [`PeerLink::drained`] tells when the peers have all answers.
     pub async fn close(self) {
         self.shutdown();
-        let dialled = self.sockets().clone();
-        for socket in dialled {
-            socket.wait_idle().await;
-        }
+        self.pool.wait_idle().await;
         self.endpoint.wait_idle().await;
     }
 
-    /// Returns the sockets of links that this process has opened.
-    fn sockets(&self) -> MutexGuard<'_, Vec<Endpoint>> {
-        self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Binds the socket for one link, and forgets those whose links have ended.
-    fn dial_socket(&self) -> Result<Endpoint, Report<ErrorKind>> {
-        let address = SocketAddr::new(self.address.ip(), 0);
-        let mut socket = Endpoint::client(address).change_context(ErrorKind::LocalResource)?;
-        socket.set_default_client_config(self.client.clone());
-        let mut sockets = self.sockets();
-        sockets.retain(|socket| socket.open_connections() > 0);
-        sockets.push(socket.clone());
-        Ok(socket)
-    }
-
     async fn open_link(
         &self,
         address: SocketAddr,
         expected: VmId,
     ) -> Result<PeerLink, Report<ErrorKind>> {
         let connection = self
-            .dial_socket()?
+            .pool
+            .socket()?
             .connect(address, &server_name(expected))
             .change_context(ErrorKind::LinkFailed)?
             .await
@@ -157,7 +136,14 @@
         let peer = read_greeting(&mut frames).await?;
         check_greeting(&peer, &subject)
             .inspect_err(|_| connection.close(REFUSED, b"greeting does not fit certificate"))?;
-        let control = OpenedControl { connection, sender, frames, own: self.greeting, peer };
+        let control = OpenedControl {
+            connection,
+            sender,
+            frames,
+            own: self.greeting,
+            peer,
+            pool: Some(Arc::clone(&self.pool)),
+        };
         Ok(PeerLink::spawn(control, &self.settings))
     }
 }
@@ -222,7 +208,10 @@
     let peer =
         checked.inspect_err(|_| connection.close(REFUSED, b"greeting does not fit certificate"))?;
     send_greeting(&mut sender, &own, settings).await?;
-    Ok(PeerLink::spawn(OpenedControl { connection, sender, frames, own, peer }, settings))
+    Ok(PeerLink::spawn(
+        OpenedControl { connection, sender, frames, own, peer, pool: None },
+        settings,
+    ))
 }
 
 fn peer_subject(connection: &Connection) -> Result<CertificateSubject, Report<ErrorKind>> {
--- a/crates/jackdaw-link/src/lib.rs
+++ b/crates/jackdaw-link/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`endpoint`] takes and opens links, [`peer`] is an open link with its control stream and
 //! [`run`] carries one request and its answer. [`message`] holds what is sent.
 
+mod dial_pool;
 pub mod endpoint;
 mod frame;
 pub mod identity;
--- a/crates/jackdaw-link/src/peer.rs
+++ b/crates/jackdaw-link/src/peer.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod counters;
+mod silence;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use quinn::{Connection, ConnectionError, SendStream, VarInt};
 use tokio::sync::{Mutex, mpsc, watch};
 
+use crate::dial_pool::DialPool;
 use crate::frame::{FrameReader, encode_frame};
 use crate::run::{IncomingRun, QueuedRun, RunReader};
 use crate::{ControlMessage, LinkGreeting, LinkSettings, RunRequest};
@@ -66,6 +68,8 @@
     pub(crate) frames: FrameReader,
     pub(crate) own: LinkGreeting,
     pub(crate) peer: LinkGreeting,
+    /// The pool that the link was opened from; `None` where the peer opened it.
+    pub(crate) pool: Option<Arc<DialPool>>,
 }
 
 impl PeerLink {
@@ -98,6 +102,14 @@
             outgoing_queue,
             Arc::clone(&counters),
         ));
+        let watch = silence::SilenceWatch {
+            connection: connection.clone(),
+            outgoing: outgoing.clone(),
+            counters: Arc::clone(&counters),
+            settings: *settings,
+            pool: control.pool,
+        };
+        tokio::spawn(watch.run());
         let reader = control::ControlReader {
             connection: connection.clone(),
             frames: control.frames,
@@ -226,6 +238,11 @@
         (stats.udp_tx.bytes, stats.udp_rx.bytes)
     }
 
+    /// Returns the UDP datagrams sent.
+    pub fn datagrams_sent(&self) -> u64 {
+        self.shared.connection.stats().udp_tx.datagrams
+    }
+
     /// Waits until the peer has acknowledged every run stream that this end has finished.
     pub async fn drained(&self) {
         self.counters().drained().await;
--- a/crates/jackdaw-link/src/peer/counters.rs
+++ b/crates/jackdaw-link/src/peer/counters.rs
@@ -1,8 +1,8 @@
 //! Byte counts of a link and its unacknowledged run streams.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Counts of one link.
 pub(crate) struct LinkCounters {
@@ -11,6 +11,8 @@
     run_sent: AtomicU64,
     run_received: AtomicU64,
     violated: AtomicBool,
+    open_runs: AtomicUsize,
+    used: Notify,
     open_finals: watch::Sender<usize>,
 }
 
@@ -28,12 +30,15 @@
             run_sent: AtomicU64::new(0),
             run_received: AtomicU64::new(0),
             violated: AtomicBool::new(false),
+            open_runs: AtomicUsize::new(0),
+            used: Notify::new(),
             open_finals: watch::Sender::new(0),
         }
     }
 
     pub(crate) fn control_sent(&self, bytes: u64) {
         self.control_sent.fetch_add(bytes, Ordering::Relaxed);
+        self.used.notify_one();
     }
 
     pub(crate) fn control_received(&self, bytes: u64) {
@@ -42,6 +47,7 @@
 
     pub(crate) fn run_sent(&self, bytes: u64) {
         self.run_sent.fetch_add(bytes, Ordering::Relaxed);
+        self.used.notify_one();
     }
 
     pub(crate) fn run_received(&self, bytes: u64) {
@@ -56,6 +62,29 @@
         (self.run_sent.load(Ordering::Relaxed), self.run_received.load(Ordering::Relaxed))
     }
 
+    /// Counts a run whose answer this end waits for.
+    pub(crate) fn open_run(&self) {
+        self.open_runs.fetch_add(1, Ordering::Relaxed);
+        self.used.notify_one();
+    }
+
+    /// Counts a run as answered or given up.
+    pub(crate) fn close_run(&self) {
+        self.open_runs.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the runs whose answers this end waits for.
+    pub(crate) fn open_runs(&self) -> usize {
+        self.open_runs.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this end sends something or waits for an answer.
+    pub(crate) async fn used(&self) {
+        if self.open_runs() == 0 {
+            self.used.notified().await;
+        }
+    }
+
     /// Notes that this end closed the link because of a message.
     pub(crate) fn note_violation(&self) {
         self.violated.store(true, Ordering::Relaxed);
--- a/crates/jackdaw-link/src/run.rs
+++ b/crates/jackdaw-link/src/run.rs
@@ -64,6 +64,7 @@
 
     fn new(stream: RecvStream, link: PeerLink) -> RunReader {
         let frames = frame_reader(stream, link.frame_limit());
+        link.counters().open_run();
         RunReader { frames, link, body_bytes: 0, finished: false }
     }
 
@@ -113,6 +114,7 @@
 
 impl Drop for RunReader {
     fn drop(&mut self) {
+        self.link.counters().close_run();
         if !self.finished {
             // An error means that the stream has ended already.
             let _ = self.frames.get_mut().stop(CANCELLED);
@@ -198,6 +200,7 @@
 
 impl Drop for RunWriter {
     fn drop(&mut self) {
+        self.link.counters().close_run();
         if !self.finished {
             // An error means that the stream has ended already.
             let _ = self.stream.reset(ABANDONED);
--- a/crates/jackdaw-link/tests/link/common.rs
+++ b/crates/jackdaw-link/tests/link/common.rs
@@ -45,15 +45,38 @@
     bind_with(authority, greeting(vm_name, role), vm_name)
 }
 
+/// Binds an endpoint that finds silence by its probes alone.
+pub(crate) fn bind_watched(
+    authority: &FleetAuthority,
+    vm_name: &str,
+    role: ProcessRole,
+) -> LinkEndpoint {
+    let settings = LinkSettings {
+        watch_interval: Duration::from_millis(100),
+        probe_timeout: Duration::from_millis(300),
+        ..LinkSettings::default()
+    };
+    bind_settings(authority, greeting(vm_name, role), vm_name, settings)
+}
+
 /// Binds an endpoint with a greeting of its own.
 pub(crate) fn bind_with(
     authority: &FleetAuthority,
     greeting: LinkGreeting,
     vm_name: &str,
+) -> LinkEndpoint {
+    bind_settings(authority, greeting, vm_name, quick_settings())
+}
+
+fn bind_settings(
+    authority: &FleetAuthority,
+    greeting: LinkGreeting,
+    vm_name: &str,
+    settings: LinkSettings,
 ) -> LinkEndpoint {
     let keys = authority.issue(vm_name, greeting.role, 1).expect("issued");
     let identity = identity(authority, &keys);
-    LinkEndpoint::bind(loopback(), &identity, greeting, quick_settings()).expect("bound")
+    LinkEndpoint::bind(loopback(), &identity, greeting, settings).expect("bound")
 }
 
 /// A router linked to an agent.
--- a/crates/jackdaw-link/tests/link/silent_link.rs
+++ b/crates/jackdaw-link/tests/link/silent_link.rs
@@ -96,6 +96,26 @@
     assert_eq!(other_end.receive().await, Some(ControlMessage::Room(2)));
 }
 
+/// A link that waits for an answer is probed long before it would count as idle.
+#[tokio::test]
+async fn waiting_link_is_probed() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let router = common::bind_watched(&fleet, "router-1", ProcessRole::Router);
+    let agent = common::bind_watched(&fleet, "agent-1", ProcessRole::Agent);
+    let relay = FlowRelay::spawn(agent.local_address()).await;
+    let expected = VmId::from_name("agent-1");
+    let silent = router.dial(relay.address, expected).await.expect("dialled");
+    let other_end = agent.accept().await.expect("accepted");
+    let mut reader = silent.open_run(&common::run_request(1)).await.expect("opened");
+    let _run = other_end.accept_run().await.expect("run");
+
+    relay.forget_flows();
+    assert_eq!(common::kind_of(reader.next().await), ErrorKind::Interrupted);
+    assert!(silent.closed().await.reason.contains("closed"));
+    let fresh = router.dial(relay.address, expected).await.expect("dialled again");
+    fresh.probe().await.expect("answered");
+}
+
 /// An idle link stays open by keep-alives alone.
 #[tokio::test]
 async fn idle_link_stays_open() {
