Run the whole fleet inside the demo

Cause: the daemons have landed; the demo still spoke to the targets themselves. Change: DemoFleet starts platform stand-in, ticket, authority, agents and routers, each on a thread of its own; control traffic is taken over the measured window.

--- a/crates/jackdaw-demo/src/fleet.rs
+++ b/crates/jackdaw-demo/src/fleet.rs
@@ -1,16 +1,27 @@
 //! The processes of the demo, all inside this one.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
 
+use actix_rt::time::sleep;
 use error_stack::Report;
-use jackdaw_base::ErrorKind;
+use jackdaw_agent::AgentOptions;
+use jackdaw_base::{
+    CustomerRecord, DomainId, ErrorKind, ServiceId, ServiceKind, ServiceRecord, TargetRecord,
+    TicketNumber, VmRecord, VmState,
+};
+use jackdaw_link::{FleetAuthority, FleetIdentity, LinkSettings, ProcessRole};
+use jackdaw_platform::{ChangeTicket, PlatformClient, PlatformSettings, TicketDesk, digest_key};
+use jackdaw_policy::{AgentPolicy, RouterPolicy, SharePolicy};
+use jackdaw_router::RouterOptions;
+use jackdaw_router::caller_server::CallerSettings;
 use jackdaw_standin::{
-    EngineSettings, EngineStandin, EngineTally, EngineUsage, ServiceSettings, ServiceStandin,
-    ServiceTally,
+    EngineSettings, EngineStandin, EngineTally, EngineUsage, PlatformStandin, ServiceSettings,
+    ServiceStandin, ServiceTally, StandinSettings, expected_reply,
 };
 
-use crate::args::DemoSettings;
+use crate::client::{CallEnd, CallerClient, CompletionCall, ServiceCall};
+use crate::node::{FleetNode, NodeOptions};
 use crate::population::CustomerPlan;
 
 /// The model that every engine answers for.
@@ -19,54 +30,121 @@
 /// The path under which the plain service is reached.
 pub const SERVICE_PREFIX: &str = "/cobranza";
 
-/// Places of an engine.
-pub const ENGINE_PLACES: usize = 8;
+/// The service of the engines.
+const ENGINE_SERVICE: &str = "asistente";
+
+/// The plain service.
+const PLAIN_SERVICE: &str = "cobranza";
 
 /// Engines for each plain-service target.
 const ENGINES_PER_SERVICE: usize = 4;
 
-/// The time of an engine's step before any request is counted.
-const STEP_BASE: Duration = Duration::from_millis(4);
+/// The failure domains, over which the VMs are spread in turn.
+const DOMAIN_NAMES: [&str; 3] = ["ba-a", "ba-b", "ba-c"];
+
+/// The days for which certificates are valid.
+const CERTIFICATE_DAYS: u32 = 2;
+
+/// The longest body of a request, in bytes.
+const BODY_LIMIT: usize = 1 << 20;
+
+/// The time within which a run is to start where the caller names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// The least requests that a customer may have waiting at one router.
+const QUEUE_LEAST: usize = 64;
+
+/// The longest time until every router serves both services.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// The pause between tries.
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// The time that a try may take.
+const PROBE_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Size and kind of a fleet.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// The number of routers.
+    pub routers: usize,
+    /// The number of engines.
+    pub engines: usize,
+    /// The properties of the engines.
+    pub engine: EngineSettings,
+    /// The rule by which agents choose among offers.
+    pub policy: SharePolicy,
+    /// The seed.
+    pub seed: u64,
+}
 
 /// A running fleet.
 pub struct DemoFleet {
+    /// The platform.
+    platform: PlatformStandin,
     /// The engines.
     engines: Vec<EngineStandin>,
     /// The plain-service targets.
     services: Vec<ServiceStandin>,
+    /// The agents.
+    agents: Vec<FleetNode>,
+    /// The routers.
+    routers: Vec<FleetNode>,
+}
+
+/// A fleet that is being started.
+struct FleetBuilder {
+    /// The plan.
+    plan: FleetPlan,
+    /// The platform.
+    platform: PlatformStandin,
+    /// The authority of all certificates.
+    authority: FleetAuthority,
+    /// The VMs so far.
+    vms: Vec<VmRecord>,
 }
 
 impl DemoFleet {
-    /// Starts all processes and waits until they serve.
+    /// Starts all processes and waits until each router serves both services.
+    ///
+    /// Fails with [`ErrorKind::NotReady`] when one does not serve in time.
     pub async fn spawn(
-        settings: &DemoSettings,
-        _customers: &[CustomerPlan],
+        plan: FleetPlan,
+        customers: &[CustomerPlan],
     ) -> Result<DemoFleet, Report<ErrorKind>> {
-        let mut engines = Vec::with_capacity(settings.targets);
-        for index in 0..settings.targets {
-            engines.push(EngineStandin::bind(EngineSettings {
-                models: vec![MODEL_NAME.to_owned()],
-                batch_places: ENGINE_PLACES,
-                step_base: STEP_BASE,
-                seed: settings.seed + index as u64,
-                ..EngineSettings::default()
-            })?);
-        }
+        let platform = PlatformStandin::bind(StandinSettings::default())?;
+        accept_ticket(&platform, &plan, customers).await?;
+        let authority = FleetAuthority::generate(CERTIFICATE_DAYS)?;
+        let mut builder = FleetBuilder { plan, platform, authority, vms: Vec::new() };
+        let mut engines = Vec::with_capacity(builder.plan.engines);
         let mut services = Vec::new();
-        for _ in 0..settings.targets.div_ceil(ENGINES_PER_SERVICE) {
-            services.push(ServiceStandin::bind(ServiceSettings::default())?);
+        let mut agents = Vec::new();
+        for index in 0..builder.plan.engines {
+            let seed = builder.plan.seed + index as u64;
+            let settings = EngineSettings { seed, ..builder.plan.engine.clone() };
+            let engine = EngineStandin::bind(settings)?;
+            agents.push(builder.spawn_agent(ServiceKind::Engine, engine.address()).await?);
+            engines.push(engine);
         }
-        Ok(DemoFleet { engines, services })
-    }
-
-    /// Returns the addresses to which callers send completions, one for each router.
-    pub fn completion_entries(&self) -> Vec<SocketAddr> {
-        self.engines.iter().map(EngineStandin::address).collect()
+        for _ in 0..builder.plan.engines.div_ceil(ENGINES_PER_SERVICE) {
+            let service = ServiceStandin::bind(ServiceSettings::default())?;
+            agents.push(builder.spawn_agent(ServiceKind::Plain, service.address()).await?);
+            services.push(service);
+        }
+        let mut routers = Vec::with_capacity(builder.plan.routers);
+        for _ in 0..builder.plan.routers {
+            routers.push(builder.spawn_router().await?);
+        }
+        let FleetBuilder { platform, vms, .. } = builder;
+        platform.set_vms(vms);
+        let fleet = DemoFleet { platform, engines, services, agents, routers };
+        fleet.wait_ready(&customers[customers.len() - 1]).await?;
+        Ok(fleet)
     }
 
-    /// Returns the addresses to which callers send reads and recordings, one for each router.
-    pub fn service_entries(&self) -> Vec<SocketAddr> {
-        self.services.iter().map(ServiceStandin::address).collect()
+    /// Returns the addresses of the routers.
+    pub fn router_addresses(&self) -> Vec<SocketAddr> {
+        self.routers.iter().filter_map(FleetNode::caller_address).collect()
     }
 
     /// Returns the addresses of the engines themselves.
@@ -91,26 +169,199 @@
 
     /// Returns the calls that the platform stand-in has counted.
     pub fn platform_calls(&self) -> u64 {
-        0
+        self.platform.counts().calls()
     }
 
-    /// Returns the bytes that routers and agents have sent on control streams.
-    pub fn control_bytes(&self) -> u64 {
-        0
+    /// Returns the bytes of control traffic, sent and received, summed over routers and agents.
+    pub async fn control_bytes(&self) -> u64 {
+        let mut total = 0;
+        for node in self.agents.iter().chain(&self.routers) {
+            total += node.control_bytes().await;
+        }
+        total
     }
 
     /// Returns the number of routers and agents.
     pub fn node_count(&self) -> usize {
-        self.engines.len() + self.services.len()
+        self.agents.len() + self.routers.len()
     }
 
-    /// Stops all processes.
+    /// Stops all processes, routers first.
     pub async fn close(self) {
+        for node in self.routers.into_iter().chain(self.agents) {
+            node.close().await;
+        }
         for engine in self.engines {
             engine.close().await;
         }
         for service in self.services {
             service.close().await;
         }
+        self.platform.close().await;
+    }
+
+    /// Sends a completion and a read to each router until both are answered.
+    async fn wait_ready(&self, customer: &CustomerPlan) -> Result<(), Report<ErrorKind>> {
+        let client = CallerClient::new();
+        let start = Instant::now();
+        for (router, address) in self.router_addresses().into_iter().enumerate() {
+            let completion = CompletionCall {
+                model: MODEL_NAME.to_owned(),
+                prompt: format!("is router {router} ready?"),
+                max_tokens: 1,
+                user: customer.name.clone(),
+                deadline: PROBE_DEADLINE,
+            };
+            let path = format!("{SERVICE_PREFIX}/ready/{router}");
+            let read = ServiceCall {
+                expected: expected_reply("GET", &path, b""),
+                path,
+                recording_key: None,
+                body: String::new(),
+                deadline: PROBE_DEADLINE,
+            };
+            loop {
+                let first = client.complete(address, &customer.key, &completion).await.end;
+                let second = client.call_service(address, &customer.key, &read).await.end;
+                if first == CallEnd::Answered && second == CallEnd::Answered {
+                    break;
+                }
+                if start.elapsed() > READY_LIMIT {
+                    let note = format!("router {router}: completion {first:?}, read {second:?}");
+                    return Err(Report::new(ErrorKind::NotReady).attach(note));
+                }
+                sleep(READY_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl FleetBuilder {
+    /// Starts an agent beside a target.
+    async fn spawn_agent(
+        &mut self,
+        kind: ServiceKind,
+        target: SocketAddr,
+    ) -> Result<FleetNode, Report<ErrorKind>> {
+        let index = self.vms.len();
+        let name = format!("target-{index}");
+        let (service, places) = match kind {
+            ServiceKind::Engine => (ENGINE_SERVICE, self.plan.engine.batch_places),
+            ServiceKind::Plain => (PLAIN_SERVICE, ServiceSettings::default().capacity),
+        };
+        let service = ServiceId::from_name(service);
+        let options = AgentOptions {
+            identity: self.issue(&name, ProcessRole::Agent)?,
+            link_address: loopback(),
+            admin: None,
+            domain: self.domain(),
+            service,
+            kind,
+            target_url: format!("http://{target}"),
+            policy: AgentPolicy {
+                share_policy: self.plan.policy,
+                places: places as u32,
+                ..AgentPolicy::default()
+            },
+            link: LinkSettings::default(),
+            platform: PlatformSettings::new(self.platform.address()),
+            seed: self.plan.seed + index as u64,
+        };
+        let node = FleetNode::spawn(NodeOptions::Agent(Box::new(options))).await?;
+        self.list_vm(name, &node, Some(service));
+        Ok(node)
+    }
+
+    /// Starts a router.
+    async fn spawn_router(&mut self) -> Result<FleetNode, Report<ErrorKind>> {
+        let index = self.vms.len();
+        let name = format!("router-{index}");
+        let options = RouterOptions {
+            identity: self.issue(&name, ProcessRole::Router)?,
+            caller: CallerSettings { address: loopback(), body_limit: BODY_LIMIT, tls: None },
+            link_address: loopback(),
+            admin: None,
+            domain: self.domain(),
+            link: LinkSettings::default(),
+            policy: RouterPolicy::default(),
+            platform: PlatformSettings::new(self.platform.address()),
+            default_patience: DEFAULT_PATIENCE,
+            seed: self.plan.seed + index as u64,
+        };
+        let node = FleetNode::spawn(NodeOptions::Router(Box::new(options))).await?;
+        self.list_vm(name, &node, None);
+        Ok(node)
+    }
+
+    /// Issues the identity of a process.
+    fn issue(&self, name: &str, role: ProcessRole) -> Result<FleetIdentity, Report<ErrorKind>> {
+        let keys = self.authority.issue(name, role, CERTIFICATE_DAYS)?;
+        FleetIdentity::from_pem(
+            self.authority.certificate_pem(),
+            &keys.certificate_pem,
+            &keys.key_pem,
+        )
+    }
+
+    /// Returns the failure domain of the next VM.
+    fn domain(&self) -> DomainId {
+        DomainId::from_name(DOMAIN_NAMES[self.vms.len() % DOMAIN_NAMES.len()])
+    }
+
+    /// Puts a VM on the list.
+    fn list_vm(&mut self, name: String, node: &FleetNode, service: Option<ServiceId>) {
+        self.vms.push(VmRecord {
+            name,
+            domain: self.domain(),
+            link_address: node.link_address(),
+            service,
+            state: VmState::Live,
+        });
     }
 }
+
+/// Has a ticket with all customers and services accepted.
+async fn accept_ticket(
+    platform: &PlatformStandin,
+    plan: &FleetPlan,
+    customers: &[CustomerPlan],
+) -> Result<(), Report<ErrorKind>> {
+    let mut ticket = ChangeTicket::new(TicketNumber(1));
+    for customer in customers {
+        ticket.set_customer(CustomerRecord {
+            name: customer.name.clone(),
+            share: customer.share,
+            keys: vec![digest_key(&customer.key)],
+            queue_limit: QUEUE_LEAST.max(2 * customer.window) as u32,
+        });
+    }
+    ticket.set_service(ServiceRecord {
+        name: ENGINE_SERVICE.to_owned(),
+        kind: ServiceKind::Engine,
+        models: vec![MODEL_NAME.to_owned()],
+        path_prefix: String::new(),
+        target: TargetRecord {
+            place_limit: plan.engine.batch_places as u32,
+            checks_fencing: plan.engine.checks_fencing,
+        },
+    });
+    ticket.set_service(ServiceRecord {
+        name: PLAIN_SERVICE.to_owned(),
+        kind: ServiceKind::Plain,
+        models: Vec::new(),
+        path_prefix: SERVICE_PREFIX.to_owned(),
+        target: TargetRecord {
+            place_limit: ServiceSettings::default().capacity as u32,
+            checks_fencing: false,
+        },
+    });
+    let client = PlatformClient::open(PlatformSettings::new(platform.address()));
+    TicketDesk::open(client).accept(&ticket).await?;
+    Ok(())
+}
+
+/// Returns a loopback address with a port that the system chooses.
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- a/crates/jackdaw-demo/src/lib.rs
+++ b/crates/jackdaw-demo/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 mod load;
 pub mod meter;
+mod node;
 pub mod population;
 pub mod report;
 mod session;
--- a/crates/jackdaw-demo/src/load.rs
+++ b/crates/jackdaw-demo/src/load.rs
@@ -55,10 +55,8 @@
 pub(crate) struct LoadState {
     /// The customers.
     plans: Vec<CustomerPlan>,
-    /// The addresses for completions, by router.
-    completion_entries: Vec<SocketAddr>,
-    /// The addresses for reads and recordings, by router.
-    service_entries: Vec<SocketAddr>,
+    /// The addresses of the routers.
+    routers: Vec<SocketAddr>,
     /// The number of engines.
     engines: usize,
     /// The client.
@@ -79,16 +77,14 @@
     /// Creates the state before any call is sent.
     pub(crate) fn new(
         plans: Vec<CustomerPlan>,
-        completion_entries: Vec<SocketAddr>,
-        service_entries: Vec<SocketAddr>,
+        routers: Vec<SocketAddr>,
         engines: usize,
         seed: u64,
     ) -> LoadState {
         LoadState {
             open: RefCell::new(vec![0; plans.len()]),
             plans,
-            completion_entries,
-            service_entries,
+            routers,
             engines,
             client: CallerClient::new(),
             ledger: RefCell::new(CallLedger::default()),
@@ -142,10 +138,10 @@
         }
     }
 
-    /// Draws one of a customer's entries.
-    fn draw_entry(&self, plan: &CustomerPlan, generator: &mut ChaCha8Rng) -> SocketAddr {
+    /// Draws one of a customer's routers.
+    fn pick_router(&self, plan: &CustomerPlan, generator: &mut ChaCha8Rng) -> SocketAddr {
         let router = plan.routers[generator.random_range(0..plan.routers.len())];
-        self.completion_entries[router % self.completion_entries.len()]
+        self.routers[router]
     }
 
     /// Sends a completion and notes its end.
@@ -194,7 +190,7 @@
     while !state.is_stopped.get() {
         let plan = &state.plans[index];
         let call = state.draw_call(plan, &mut generator);
-        let entry = state.draw_entry(plan, &mut generator);
+        let entry = state.pick_router(plan, &mut generator);
         match state.complete(index, entry, call).await {
             CallEnd::Answered => {}
             CallEnd::NotRun { retry_after } => {
@@ -214,7 +210,7 @@
     while pause(&state, &mut generator, rate).await {
         let plan = &state.plans[index];
         let call = state.draw_call(plan, &mut generator);
-        let entry = state.draw_entry(plan, &mut generator);
+        let entry = state.pick_router(plan, &mut generator);
         let state = Rc::clone(&state);
         calls.push(actix_rt::spawn(async move {
             state.complete(index, entry, call).await;
@@ -236,7 +232,7 @@
             body: String::new(),
             deadline: CALL_DEADLINE,
         };
-        let entry = draw_service_entry(&state, &mut generator);
+        let entry = draw_router(&state, &mut generator);
         let plan = generator.random_range(0..state.plans.len());
         let state = Rc::clone(&state);
         calls.push(actix_rt::spawn(async move {
@@ -265,11 +261,11 @@
             deadline: CALL_DEADLINE,
         };
         let plan = generator.random_range(0..state.plans.len());
-        let first = generator.random_range(0..state.service_entries.len());
+        let first = generator.random_range(0..state.routers.len());
         let is_resent = generator.random_range(0..100) < RESENT_PERCENT;
         let delay = Duration::from_millis(generator.random_range(0..=RESEND_MILLIS));
         if is_resent {
-            let second = (first + 1) % state.service_entries.len();
+            let second = (first + 1) % state.routers.len();
             calls.push(spawn_recording(&state, plan, second, call.clone(), delay));
         }
         calls.push(spawn_recording(&state, plan, first, call, Duration::ZERO));
@@ -289,16 +285,16 @@
     actix_rt::spawn(async move {
         sleep(delay).await;
         state.ledger.borrow_mut().note_sent();
-        let address = state.service_entries[entry];
+        let address = state.routers[entry];
         let result = state.client.call_service(address, &state.plans[plan].key, &call).await;
         let key = call.recording_key.as_deref().unwrap_or_default();
         state.ledger.borrow_mut().note_recording(key, result.end);
     })
 }
 
-/// Draws the entry of a read.
-fn draw_service_entry(state: &LoadState, generator: &mut ChaCha8Rng) -> SocketAddr {
-    state.service_entries[generator.random_range(0..state.service_entries.len())]
+/// Draws the router of a read.
+fn draw_router(state: &LoadState, generator: &mut ChaCha8Rng) -> SocketAddr {
+    state.routers[generator.random_range(0..state.routers.len())]
 }
 
 /// Waits for the next call of a Poisson process; returns whether it is still to be sent.
--- a/crates/jackdaw-demo/src/report.rs
+++ b/crates/jackdaw-demo/src/report.rs
@@ -31,9 +31,10 @@
         pub utilisation_percent: f64,
         /// The part of the window in which work waited, in percent.
         pub waiting_percent: f64,
-        /// The calls that the platform stand-in counted, by second of the whole run.
+        /// The calls that the platform stand-in counted, by second of the window.
         pub platform_calls_per_second: f64,
-        /// The bytes of the control streams, by second and process of the fleet.
+        /// The bytes of the control streams, sent and received, by second of the window and
+        /// process of the fleet.
         pub control_bytes_per_second_per_node: f64,
         /// What the path adds to the time of a whole request on an idle fleet.
         pub added_latency_ms: AddedLatency,
--- a/crates/jackdaw-demo/src/session.rs
+++ b/crates/jackdaw-demo/src/session.rs
@@ -6,16 +6,23 @@
 use actix_rt::time::sleep;
 use error_stack::Report;
 use jackdaw_base::{CustomerShare, ErrorKind};
+use jackdaw_standin::EngineSettings;
 
 use crate::args::DemoSettings;
 use crate::client::{CallEnd, CallerClient, CompletionCall};
-use crate::fleet::{DemoFleet, ENGINE_PLACES, MODEL_NAME};
+use crate::fleet::{DemoFleet, FleetPlan, MODEL_NAME};
 use crate::latency::PathHistograms;
 use crate::load::{LoadState, spawn_load};
 use crate::meter::{FleetMeter, WindowFigures};
 use crate::population::{CustomerPlan, plan_customers};
 use crate::report::DemoReport;
 
+/// Places of an engine.
+const ENGINE_PLACES: usize = 8;
+
+/// The time of an engine's step before any request is counted.
+const STEP_BASE: Duration = Duration::from_millis(4);
+
 /// The part of the load time before the measured window.
 const WARM_UP_PART: f64 = 0.2;
 
@@ -45,6 +52,14 @@
     request: PathHistograms,
 }
 
+/// Control traffic of the window.
+struct TrafficFigures {
+    /// The calls that the platform stand-in counted, by second.
+    platform_calls_per_second: f64,
+    /// The bytes of control traffic, sent and received, by second and node.
+    control_bytes_per_second_per_node: f64,
+}
+
 /// Runs the demo in an actix system of its own and returns its report.
 pub fn run(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
     actix_rt::System::new().block_on(run_session(settings))
@@ -52,20 +67,18 @@
 
 /// Runs the demo.
 async fn run_session(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
-    let start = Instant::now();
     let places = settings.targets * ENGINE_PLACES;
     let plans = plan_customers(&settings, places);
-    let fleet = DemoFleet::spawn(&settings, &plans).await?;
+    let fleet = DemoFleet::spawn(plan_fleet(&settings), &plans).await?;
     let latency = measure_latency(&fleet, &plans).await;
     let state = Rc::new(LoadState::new(
         plans.clone(),
-        fleet.completion_entries(),
-        fleet.service_entries(),
+        fleet.router_addresses(),
         settings.targets,
         settings.seed,
     ));
     let tasks = spawn_load(&state);
-    let figures = measure_window(&settings, &fleet, &state, &plans, places).await;
+    let (figures, traffic) = measure_window(&settings, &fleet, &state, &plans, places).await;
     state.stop();
     eprintln!("load stopped, waiting for open requests");
     for task in tasks {
@@ -73,9 +86,7 @@
             log::error!("a task of the load ended early: {error}");
         }
     }
-    let run_seconds = start.elapsed().as_secs_f64();
     let ledger = state.ledger();
-    let nodes = fleet.node_count() as f64;
     let report = DemoReport {
         seed: settings.seed,
         policy: settings.policy,
@@ -86,8 +97,8 @@
         mean_normal_tokens: figures.mean_normal_tokens,
         utilisation_percent: figures.utilisation_percent,
         waiting_percent: figures.waiting_percent,
-        platform_calls_per_second: fleet.platform_calls() as f64 / run_seconds,
-        control_bytes_per_second_per_node: fleet.control_bytes() as f64 / run_seconds / nodes,
+        platform_calls_per_second: traffic.platform_calls_per_second,
+        control_bytes_per_second_per_node: traffic.control_bytes_per_second_per_node,
         added_latency_ms: latency.request.added(),
         added_first_byte_ms: latency.first_byte.added(),
         customers: figures.customers,
@@ -96,10 +107,26 @@
     Ok(report)
 }
 
+/// Returns the fleet that the settings ask for.
+fn plan_fleet(settings: &DemoSettings) -> FleetPlan {
+    FleetPlan {
+        routers: settings.routers,
+        engines: settings.targets,
+        engine: EngineSettings {
+            models: vec![MODEL_NAME.to_owned()],
+            batch_places: ENGINE_PLACES,
+            step_base: STEP_BASE,
+            ..EngineSettings::default()
+        },
+        policy: settings.policy,
+        seed: settings.seed,
+    }
+}
+
 /// Sends the same requests direct and through the idle fleet, in turn.
 async fn measure_latency(fleet: &DemoFleet, plans: &[CustomerPlan]) -> LatencyFigures {
     let client = CallerClient::new();
-    let entries = fleet.completion_entries();
+    let entries = fleet.router_addresses();
     let engines = fleet.engine_addresses();
     let mut figures =
         LatencyFigures { first_byte: PathHistograms::new(), request: PathHistograms::new() };
@@ -144,7 +171,7 @@
     state: &LoadState,
     plans: &[CustomerPlan],
     places: usize,
-) -> WindowFigures {
+) -> (WindowFigures, TrafficFigures) {
     let mut customers: Vec<(String, CustomerShare)> = Vec::with_capacity(plans.len());
     for plan in plans {
         customers.push((plan.name.clone(), plan.share));
@@ -152,6 +179,8 @@
     let warm_up = settings.load_time.mul_f64(WARM_UP_PART);
     eprintln!("warming up for {:.1} s", warm_up.as_secs_f64());
     sleep(warm_up).await;
+    let calls_before = fleet.platform_calls();
+    let bytes_before = fleet.control_bytes().await;
     let mut meter = FleetMeter::open(&customers, places, &fleet.engine_usages());
     let start = Instant::now();
     let window = settings.load_time - warm_up;
@@ -168,5 +197,13 @@
             eprintln!("{:>4} s: {open} open, {running} running", start.elapsed().as_secs());
         }
     }
-    meter.close(&fleet.engine_usages())
+    let figures = meter.close(&fleet.engine_usages());
+    let seconds = start.elapsed().as_secs_f64();
+    let calls = fleet.platform_calls() - calls_before;
+    let bytes = fleet.control_bytes().await.saturating_sub(bytes_before);
+    let traffic = TrafficFigures {
+        platform_calls_per_second: calls as f64 / seconds,
+        control_bytes_per_second_per_node: bytes as f64 / seconds / fleet.node_count() as f64,
+    };
+    (figures, traffic)
 }
