--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -104,14 +104,17 @@
 
     /// Ends every link without waiting for the peers to learn of it.
     pub fn shutdown(&self) {
-        self.end_links();
+        self.endpoint.close(ORDINARY, b"process ends");
+        for socket in self.sockets().iter() {
+            socket.close(ORDINARY, b"process ends");
+        }
     }
 
     /// Ends every link at once and frees the address; dropping does the same without waiting.
     ///
     /// [`PeerLink::drained`] tells when the peers have all answers.
     pub async fn close(self) {
-        self.end_links();
+        self.shutdown();
         let dialled = self.sockets().clone();
         for socket in dialled {
             socket.wait_idle().await;
@@ -119,13 +122,6 @@
         self.endpoint.wait_idle().await;
     }
 
-    fn end_links(&self) {
-        self.endpoint.close(ORDINARY, b"process ends");
-        for socket in self.sockets().iter() {
-            socket.close(ORDINARY, b"process ends");
-        }
-    }
-
     /// Returns the sockets of links that this process has opened.
     fn sockets(&self) -> MutexGuard<'_, Vec<Endpoint>> {
         self.dialled.lock().unwrap_or_else(PoisonError::into_inner)
@@ -168,7 +164,7 @@
 
 impl Drop for LinkEndpoint {
     fn drop(&mut self) {
-        self.end_links();
+        self.shutdown();
     }
 }
 
--- a/crates/jackdaw-link/src/peer.rs
+++ b/crates/jackdaw-link/src/peer.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -42,7 +42,11 @@
     pub reason: String,
 }
 
+/// The number of the next link of this process.
+static NEXT_LINK: AtomicUsize = AtomicUsize::new(0);
+
 struct SharedLink {
+    id: usize,
     connection: Connection,
     greeting: LinkGreeting,
     version: u16,
@@ -75,6 +79,7 @@
         let connection = control.connection;
         let link = PeerLink {
             shared: Arc::new(SharedLink {
+                id: NEXT_LINK.fetch_add(1, Ordering::Relaxed),
                 connection: connection.clone(),
                 greeting: control.peer,
                 version: control.own.version.min(control.peer.version),
@@ -118,9 +123,9 @@
         &self.shared.greeting
     }
 
-    /// Returns a number that tells this link from every other of the endpoint.
+    /// Returns a number that tells this link from every other of this process, past ones too.
     pub fn id(&self) -> usize {
-        self.connection().stable_id()
+        self.shared.id
     }
 
     /// Returns the newest message version that both ends speak.
