Follow the link's shutdown in the router

Cause: the link's shutdown takes no reason any more, so the router did not compile. Change: call it without one. Conclusion: the workspace builds again.

--- a/crates/jackdaw-router/src/daemon.rs
+++ b/crates/jackdaw-router/src/daemon.rs
@@ -118,13 +118,13 @@
         if let Some(admin) = self.admin {
             admin.close().await;
         }
-        self.endpoint.shutdown("router closed");
+        self.endpoint.shutdown();
     }
 
     /// Cuts everything at once, as a crash would.
     pub async fn abort(self) {
         close_tasks(&self.tasks);
-        self.endpoint.shutdown("router aborted");
+        self.endpoint.shutdown();
         if let Some(admin) = self.admin {
             admin.close().await;
         }
