Let an agent's last replies arrive before it closes its links

Cause: the agent counted a run as over before its final reply was written, and closed its links as soon as the last run was over. Data that did not fit the congestion window was lost; the caller of a long answer got 502 interrupted on a graceful shutdown. Its readiness also stayed 200 while it drained. Ruled out: the router's side; its log has the run interrupted at the agent's close. Change: a run is over after its final reply, close waits until every link is drained, and readiness turns 503 at the start of the drain. Conclusion: a graceful shutdown of an agent cuts no reply.

--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -31,6 +31,8 @@
     acceptor: actix_rt::task::JoinHandle<()>,
     /// The links that are open.
     links: Rc<RefCell<Vec<PeerLink>>>,
+    /// The stage of the process's life.
+    ready: ReadyFlag,
     /// The operators' interface.
     admin: Option<AdminServer>,
 }
@@ -61,11 +63,13 @@
         });
         let links = Rc::new(RefCell::new(Vec::new()));
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
+        let ready = ReadyFlag::default();
         let admin = match &options.admin {
-            Some(admin) => Some(bind_admin(admin, &actor)?),
+            Some(admin) => Some(bind_admin(admin, ready.clone(), &actor)?),
             None => None,
         };
-        Ok(AgentDaemon { endpoint, actor, acceptor, links, admin })
+        ready.set(Readiness::Ready);
+        Ok(AgentDaemon { endpoint, actor, acceptor, links, ready, admin })
     }
 
     /// Returns the address on which routers open links.
@@ -90,10 +94,15 @@
 
     /// Takes no new work, lets what runs end, then closes the links.
     pub async fn close(self) {
+        self.ready.set(Readiness::Leaving);
         let (sender, receiver) = oneshot::channel();
         self.actor.do_send(DrainAgent { done: sender });
         // An error means that the actor is gone, and with it everything that ran.
         let _ = receiver.await;
+        let links = self.links.borrow().clone();
+        for link in links {
+            link.drained().await;
+        }
         self.abort().await;
     }
 
@@ -113,13 +122,12 @@
     }
 }
 
-/// Serves the operators' interface of an agent, which is ready as soon as it runs.
+/// Serves the operators' interface of an agent.
 fn bind_admin(
     options: &AdminOptions,
+    ready: ReadyFlag,
     actor: &Addr<DecisionActor>,
 ) -> Result<AdminServer, Report<ErrorKind>> {
-    let ready = ReadyFlag::default();
-    ready.set(Readiness::Ready);
     let actor = actor.clone();
     let dump = DumpSource::new(move || {
         let answer = actor.send(DumpAgent);
--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -79,11 +79,12 @@
         let work = run_request(&request, &mut writer, &context, &mut meter);
         work.await
     };
-    meter.finish();
     if let Some(reply) = final_reply {
         // The router is gone where this fails; it treats the run as broken.
         let _ = writer.send(&reply).await;
     }
+    // Only now, since an agent that drains ends with its last run.
+    meter.finish();
 }
 
 /// Claims, sends and streams; returns the final reply, or `None` where the router is gone.
