Prove broken runs and graceful shutdown with real processes

Cause: nothing showed that a killed agent or router leaves callers with whole answers or a visible cut, and that SIGTERM under streaming load cuts nothing. Change: an operators' client, a load of streams that is compared byte for byte with an engine's own answer, and proofs broken_runs and graceful_shutdown. The caller is built on hyper, because awc ends a cut body like a whole one: with awc, router_killed and lone_agent_killed failed with 'taken for whole'.

--- a/crates/jackdaw-proofs/src/caller.rs
+++ b/crates/jackdaw-proofs/src/caller.rs
@@ -1,24 +1,27 @@
 //! A caller of the fleet.
+//!
+//! It is built on `hyper`, since `awc` ends a body that is cut like one that is whole.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use awc::Client;
-use awc::http::Method;
-use bytes::BytesMut;
-use futures_util::StreamExt;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 
 use crate::fleet::{ENGINE_SERVICE, customer_key};
 
-/// The longest time that a caller waits for the head of an answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CallerAnswer {
     /// The HTTP status.
     pub status: u16,
+    /// The media type.
+    pub content_type: String,
     /// The seconds after which to come back, where the answer says so.
     pub retry_after: Option<u64>,
     /// The body as far as it came.
@@ -33,8 +36,6 @@
     address: SocketAddr,
     /// The customer's key.
     key: String,
-    /// The connections.
-    client: Client,
 }
 
 impl CallerClient {
@@ -45,17 +46,30 @@
 
     /// Creates a caller that shows a given key.
     pub fn with_key(address: SocketAddr, key: &str) -> CallerClient {
-        let client = Client::builder().timeout(CALL_TIMEOUT).finish();
-        CallerClient { address, key: key.to_owned(), client }
+        CallerClient { address, key: key.to_owned() }
     }
 
     /// Asks for a streamed completion.
     pub async fn complete(&self, prompt: &str, max_tokens: u32) -> Option<CallerAnswer> {
+        self.send_prompt(prompt, max_tokens, true).await
+    }
+
+    /// Asks for a completion in one piece.
+    pub async fn complete_whole(&self, prompt: &str, max_tokens: u32) -> Option<CallerAnswer> {
+        self.send_prompt(prompt, max_tokens, false).await
+    }
+
+    async fn send_prompt(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+        stream: bool,
+    ) -> Option<CallerAnswer> {
         let body = json!({
             "model": ENGINE_SERVICE,
             "prompt": prompt,
             "max_tokens": max_tokens,
-            "stream": true,
+            "stream": stream,
             "user": self.key,
         });
         let headers = [("content-type", "application/json")];
@@ -80,32 +94,44 @@
         headers: &[(&str, &str)],
         body: String,
     ) -> Option<CallerAnswer> {
-        let url = format!("http://{}{path}", self.address);
-        let mut request = self.client.request(method, url).bearer_auth(&self.key);
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        // The task ends with the connection; what went wrong is seen where the answer is read.
+        let connection = actix_rt::spawn(connection);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .header("authorization", format!("Bearer {}", self.key));
         for (name, value) in headers {
-            request = request.insert_header((*name, *value));
+            request = request.header(*name, *value);
         }
-        let mut response = request.send_body(body).await.ok()?;
-        let retry_after = response.headers().get("retry-after");
-        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-        let mut bytes = BytesMut::new();
-        let mut is_whole = true;
-        while let Some(part) = response.next().await {
-            match part {
-                Ok(part) => bytes.extend_from_slice(&part),
-                Err(_) => is_whole = false,
-            }
-            if !is_whole {
-                break;
-            }
+        let request = request.body(Full::new(Bytes::from(body))).expect("request is well formed");
+        let response = sender.send_request(request).await.ok()?;
+        let answer = read_answer(response).await;
+        connection.abort();
+        Some(answer)
+    }
+}
+
+async fn read_answer(mut response: Response<Incoming>) -> CallerAnswer {
+    let status = response.status().as_u16();
+    let header = |name: &str| Some(response.headers().get(name)?.to_str().ok()?.to_owned());
+    let retry_after = header("retry-after").and_then(|value| value.parse().ok());
+    let content_type = header("content-type").unwrap_or_default();
+    let mut bytes = BytesMut::new();
+    let mut is_whole = true;
+    while let Some(part) = response.body_mut().frame().await {
+        let Ok(frame) = part else {
+            is_whole = false;
+            break;
+        };
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
         }
-        Some(CallerAnswer {
-            status: response.status().as_u16(),
-            retry_after,
-            body: String::from_utf8_lossy(&bytes).into_owned(),
-            is_whole,
-        })
     }
+    let body = String::from_utf8_lossy(&bytes).into_owned();
+    CallerAnswer { status, retry_after, content_type, body, is_whole }
 }
 
 impl CallerAnswer {
--- a/crates/jackdaw-proofs/src/fleet.rs
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -13,6 +13,7 @@
 use jackdaw_standin::{PlatformStandin, StandinSettings};
 use tempfile::TempDir;
 
+use crate::operator::OperatorClient;
 use crate::process::FleetProcess;
 
 /// The operators' key of every process.
@@ -52,8 +53,12 @@
     /// Starts the platform's stand-in and accepts a ticket with the customers, each with the
     /// key `key-<name>` and a share, and both services.
     pub async fn spawn(customers: &[(&str, u32)]) -> ProcessFleet {
-        let platform =
-            PlatformStandin::bind(StandinSettings::default()).expect("stand-in can be bound");
+        ProcessFleet::spawn_with(customers, StandinSettings::default()).await
+    }
+
+    /// Starts a fleet as [`ProcessFleet::spawn`] does, with a platform of given behaviour.
+    pub async fn spawn_with(customers: &[(&str, u32)], settings: StandinSettings) -> ProcessFleet {
+        let platform = PlatformStandin::bind(settings).expect("stand-in can be bound");
         let authority = FleetAuthority::generate(CERTIFICATE_DAYS).expect("authority can be made");
         let directory = TempDir::new().expect("directory can be made");
         authority.save(directory.path()).expect("authority can be saved");
@@ -119,6 +124,11 @@
         agent
     }
 
+    /// Puts an agent on the list under another address, such as that of a relay before it.
+    pub fn list_agent_at(&mut self, name: &str, service: &str, address: SocketAddr) {
+        self.list_vm(name, address, Some(ServiceId::from_name(service)));
+    }
+
     /// Sets the state of a VM on the list.
     pub fn set_vm_state(&mut self, name: &str, state: VmState) {
         for vm in &mut self.vms {
@@ -158,8 +168,11 @@
         let directory = self.directory.path();
         let certificate = directory.join(format!("{name}.pem"));
         let key = directory.join(format!("{name}.key"));
-        let keys = self.authority.issue(name, role, CERTIFICATE_DAYS).expect("keys can be issued");
-        keys.save(&certificate, &key).expect("keys can be saved");
+        // A process that is started anew goes on with the identity of its VM.
+        if !key.exists() {
+            let keys = self.authority.issue(name, role, CERTIFICATE_DAYS).expect("keys are issued");
+            keys.save(&certificate, &key).expect("keys can be saved");
+        }
         let digest = digest_key(ADMIN_KEY).0;
         let digest: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
         let text = format!(
@@ -199,6 +212,16 @@
     panic!("never came to hold: {what}");
 }
 
+/// Waits until a router is ready and holds open links to so many agents.
+pub async fn wait_agents(router: &FleetProcess, agents: u64) {
+    let operator = OperatorClient::open(router);
+    wait_until("the router holds its links", || async {
+        operator.is_ready().await
+            && operator.status().await.is_some_and(|status| status["agents"] == agents)
+    })
+    .await;
+}
+
 /// Returns the VM of a name.
 pub fn vm(name: &str) -> VmId {
     VmId::from_name(name)
@@ -218,7 +241,8 @@
     }
 }
 
-fn service(name: &str, kind: ServiceKind) -> ServiceRecord {
+/// Returns the record of one of the fleet's services as the first ticket has it.
+pub fn service(name: &str, kind: ServiceKind) -> ServiceRecord {
     let (models, path_prefix) = match kind {
         ServiceKind::Engine => (vec![name.to_owned()], String::new()),
         ServiceKind::Plain => (Vec::new(), format!("/{name}")),
--- a/crates/jackdaw-proofs/src/lib.rs
+++ b/crates/jackdaw-proofs/src/lib.rs
@@ -6,8 +6,12 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod load;
+pub mod operator;
 pub mod process;
 
 pub use caller::{CallerAnswer, CallerClient};
 pub use fleet::ProcessFleet;
+pub use load::{StreamEnd, StreamLoad};
+pub use operator::OperatorClient;
 pub use process::{FleetProcess, ProcessSignal};
--- /dev/null
+++ b/crates/jackdaw-proofs/tests/broken_runs.rs
@@ -0,0 +1,73 @@
+//! Runs that break: the agent or the router is killed while an answer streams.
+
+use jackdaw_base::ServiceKind;
+use jackdaw_proofs::fleet::{ENGINE_SERVICE, wait_agents, wait_until};
+use jackdaw_proofs::load::assert_byte_equal;
+use jackdaw_proofs::{ProcessFleet, ProcessSignal, StreamLoad};
+use jackdaw_standin::{EngineSettings, EngineStandin};
+
+const CUSTOMER: &str = "delegados";
+
+/// Returns the tokens that an engine has produced for all callers.
+fn tokens(engine: &EngineStandin) -> u64 {
+    engine.usage().users.values().map(|user| user.tokens).sum()
+}
+
+#[actix_rt::test]
+async fn agent_killed() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let first = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let second = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let killed = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, first.address());
+    let _kept = fleet.spawn_agent("a-2", ENGINE_SERVICE, ServiceKind::Engine, second.address());
+    wait_agents(&router, 2).await;
+    let load = StreamLoad::spawn(router.address("callers"), CUSTOMER, "agent killed", 8);
+    wait_until("both engines stream", || async { tokens(&first) > 20 && tokens(&second) > 20 })
+        .await;
+    killed.signal(ProcessSignal::Kill);
+    let ends = load.finish().await;
+    assert_byte_equal(&ends).await;
+    let resumes: u32 = second.tally().prompts.values().map(|prompt| prompt.resumes).sum();
+    assert!(resumes > 0, "no stream went on where it was cut");
+    wait_until("the engine of the killed agent stops", || async { first.usage().running == 0 })
+        .await;
+}
+
+/// With nobody to go on, the caller must see that the answer is not whole.
+#[actix_rt::test]
+async fn lone_agent_killed() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    let load = StreamLoad::spawn(router.address("callers"), CUSTOMER, "lone agent", 2);
+    wait_until("the engine streams", || async { tokens(&engine) > 20 }).await;
+    agent.signal(ProcessSignal::Kill);
+    for end in load.finish().await {
+        let answer = end.answer.expect("the head had been sent");
+        assert!(!answer.is_whole && !answer.body.is_empty(), "taken for whole: {answer:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn router_killed() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let _agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    let load = StreamLoad::spawn(router.address("callers"), CUSTOMER, "router killed", 4);
+    wait_until("the engine streams", || async { tokens(&engine) > 20 }).await;
+    router.signal(ProcessSignal::Kill);
+    for end in load.finish().await {
+        let is_whole = end.answer.is_some_and(|answer| answer.is_whole);
+        assert!(!is_whole, "{:?} was taken for whole", end.prompt);
+    }
+    wait_until("the engine is told that nobody waits", || async {
+        let usage = engine.usage();
+        usage.running == 0 && usage.cancelled + usage.completed == 4
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/jackdaw-proofs/tests/graceful_shutdown.rs
@@ -0,0 +1,117 @@
+//! SIGTERM under streaming load: no answer is cut, and nothing is run twice for it.
+
+use std::time::Duration;
+
+use jackdaw_base::ServiceKind;
+use jackdaw_proofs::fleet::{ENGINE_SERVICE, wait_agents, wait_until};
+use jackdaw_proofs::load::{assert_byte_equal, count_runs};
+use jackdaw_proofs::{CallerClient, OperatorClient, ProcessFleet, ProcessSignal, StreamLoad};
+use jackdaw_standin::answer::{DRAFT_MARKER, answer_length};
+use jackdaw_standin::{EngineSettings, EngineStandin, expected_answer};
+
+const CUSTOMER: &str = "delegados";
+
+/// Times that an agent drains while the last answer is on its way.
+const DRAIN_ROUNDS: u32 = 3;
+
+/// The tokens of a long reply.
+const LONG_TOKENS: u32 = 3000;
+
+#[actix_rt::test]
+async fn router_leaves() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let mut router = fleet.spawn_router("router-1");
+    let _agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    let callers = router.address("callers");
+    // More than the places, so that some still wait for a grant when the signal comes.
+    let load = StreamLoad::spawn(callers, CUSTOMER, "router leaves", 12);
+    wait_until("the engine is full", || async { engine.usage().running == 8 }).await;
+    router.signal(ProcessSignal::Terminate);
+    let operator = OperatorClient::open(&router);
+    wait_until("the router says that it leaves", || async {
+        operator.ready_status().await == Some(503)
+    })
+    .await;
+    assert!(engine.usage().running > 0, "the router said so only after the work had ended");
+    let late = CallerClient::open(callers, CUSTOMER).complete("late", 5).await;
+    let late = late.expect("a router that drains still answers");
+    assert_eq!((late.status, late.outcome().as_deref()), (503, Some("not-run")), "{late:?}");
+    let ends = load.finish().await;
+    assert_byte_equal(&ends).await;
+    assert!(router.wait().await.success());
+    let tally = engine.tally();
+    assert_eq!(count_runs(&tally, "late"), 0);
+    for end in &ends {
+        assert_eq!(count_runs(&tally, &end.prompt), 1, "{:?}", end.prompt);
+    }
+}
+
+#[actix_rt::test]
+async fn agent_leaves() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let first = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let second = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let mut leaving =
+        fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, first.address());
+    let _kept = fleet.spawn_agent("a-2", ENGINE_SERVICE, ServiceKind::Engine, second.address());
+    wait_agents(&router, 2).await;
+    let load = StreamLoad::spawn(router.address("callers"), CUSTOMER, "agent leaves", 20);
+    wait_until("both engines are full", || async {
+        first.usage().running == 8 && second.usage().running == 8
+    })
+    .await;
+    leaving.signal(ProcessSignal::Terminate);
+    let operator = OperatorClient::open(&leaving);
+    wait_until("the agent says that it leaves", || async {
+        operator.ready_status().await != Some(200)
+    })
+    .await;
+    assert!(first.usage().running > 0, "the agent said so only after the work had ended");
+    let ends = load.finish().await;
+    assert_byte_equal(&ends).await;
+    assert!(leaving.wait().await.success());
+    let (first, second) = (first.tally(), second.tally());
+    for end in &ends {
+        let runs = count_runs(&first, &end.prompt) + count_runs(&second, &end.prompt);
+        assert_eq!(runs, 1, "{:?} was cut and run again", end.prompt);
+    }
+}
+
+/// The agent ends as soon as its last run does, while a long reply is still on its way.
+#[actix_rt::test]
+async fn last_reply_arrives() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let settings = EngineSettings { step_base: Duration::from_micros(50), ..Default::default() };
+    let engine = EngineStandin::bind(settings).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let prompt = long_prompt();
+    for round in 1..=DRAIN_ROUNDS {
+        let mut agent =
+            fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+        wait_agents(&router, 1).await;
+        let caller = CallerClient::open(router.address("callers"), CUSTOMER);
+        let sent = prompt.clone();
+        let call = actix_rt::spawn(async move { caller.complete_whole(&sent, u32::MAX).await });
+        wait_until("the request runs", || async { engine.usage().running > 0 }).await;
+        agent.signal(ProcessSignal::Terminate);
+        assert!(agent.wait().await.success());
+        // Had the reply been cut, the request would wait for another agent and find none.
+        let answer = call.await.unwrap().expect("an answer");
+        assert_eq!(answer.status, 200, "round {round}: {answer:?}\n{}", router.log());
+        let expected = expected_answer(&prompt, u32::MAX).concat();
+        assert!(answer.body.contains(&expected), "round {round}");
+        assert_eq!(count_runs(&engine.tally(), &prompt), round);
+        fleet.remove_vm("a-1");
+        wait_agents(&router, 0).await;
+    }
+}
+
+/// Returns a prompt whose answer does not fit the first flight of a connection.
+fn long_prompt() -> String {
+    let prompts = (0..).map(|number| format!("{DRAFT_MARKER} long {number}"));
+    let mut prompts = prompts.filter(|prompt| answer_length(prompt, u32::MAX) > LONG_TOKENS);
+    prompts.next().expect("some draft is long")
+}
