--- a/crates/jackdaw-cli/src/args.rs
+++ b/crates/jackdaw-cli/src/args.rs
@@ -35,6 +35,8 @@
     Dump(ProcessQuery),
     /// Make keys.
     Keys(KeysCommand),
+    /// Print the identifier of a name.
+    Id(String),
     /// Run a recorded trace.
     Replay(PathBuf),
     /// Run the demo with its own options.
@@ -121,6 +123,7 @@
         "status" => HelpPage::Status,
         "dump" => HelpPage::Dump,
         "keys" => HelpPage::Keys,
+        "id" => HelpPage::Id,
         "replay" => HelpPage::Replay,
         "demo" => return Ok(Command::Demo(arguments.finish())),
         other => return Err(wrong(format!("unknown command: {other}"))),
@@ -134,6 +137,7 @@
         HelpPage::Status => parse_status(&mut arguments)?,
         HelpPage::Dump => parse_dump(&mut arguments)?,
         HelpPage::Keys => Command::Keys(parse_keys(&mut arguments)?),
+        HelpPage::Id => Command::Id(free_name(&mut arguments)?),
         HelpPage::Replay => Command::Replay(file(&mut arguments)?),
         HelpPage::Overview => Command::Help(page),
     };
@@ -215,6 +219,15 @@
     }
 }
 
+/// Takes the one free argument as a name.
+fn free_name(arguments: &mut Arguments) -> Result<String, Report<ErrorKind>> {
+    let name: String = arguments.free_from_str().map_err(|_| wrong("give a name"))?;
+    if name.starts_with('-') {
+        return Err(wrong(format!("unknown option: {name}")));
+    }
+    Ok(name)
+}
+
 /// Takes the one free argument as a file.
 fn file(arguments: &mut Arguments) -> Result<PathBuf, Report<ErrorKind>> {
     let path = arguments
--- a/crates/jackdaw-cli/src/help.rs
+++ b/crates/jackdaw-cli/src/help.rs
@@ -15,6 +15,8 @@
     Dump,
     /// `keys`.
     Keys,
+    /// `id`.
+    Id,
     /// `replay`.
     Replay,
 }
@@ -29,6 +31,7 @@
             HelpPage::Status => STATUS,
             HelpPage::Dump => DUMP,
             HelpPage::Keys => KEYS,
+            HelpPage::Id => ID,
             HelpPage::Replay => REPLAY,
         }
     }
@@ -45,6 +48,7 @@
   status   shows the configuration in force, or the state of a process
   dump     prints the whole state of a process as JSON
   keys     makes the fleet authority, certificates and secret keys
+  id       prints the identifier by which logs and dumps call a name
   replay   runs a recorded trace through the decision code
   demo     runs a whole fleet in one process under load
 
@@ -143,6 +147,15 @@
 Exit status: 0 made, 1 a file cannot be used, 2 wrong command line, 3 refused.
 ";
 
+const ID: &str = "\
+Prints the identifier of a VM, customer, service or failure domain, first as logs
+show it and then as dumps do.
+
+Usage: jackdaw id NAME
+
+Exit status: 0 printed, 2 wrong command line.
+";
+
 const REPLAY: &str = "\
 Runs a recorded trace through the decision code and compares the outcomes.
 
--- a/crates/jackdaw-cli/src/lib.rs
+++ b/crates/jackdaw-cli/src/lib.rs
@@ -18,7 +18,7 @@
 use std::ffi::OsString;
 
 use error_stack::Report;
-use jackdaw_base::ErrorKind;
+use jackdaw_base::{ErrorKind, VmId};
 
 use crate::args::{Command, TicketCommand, parse_args};
 use crate::exit::{ExitReason, print_report};
@@ -62,6 +62,10 @@
         }
         Command::Dump(process) => process::print_dump(&process)?,
         Command::Keys(command) => keys::execute(&command)?,
+        Command::Id(name) => {
+            let id = VmId::from_name(&name);
+            println!("{id} {}", id.0);
+        }
         Command::Replay(file) => return Ok(replay::replay_file(&file)?.status()),
         Command::Demo(arguments) => return Ok(jackdaw_demo::execute(arguments)),
     }
--- a/crates/jackdaw-cli/tests/command/command_line.rs
+++ b/crates/jackdaw-cli/tests/command/command_line.rs
@@ -13,6 +13,7 @@
         &["dump"],
         &["keys"],
         &["keys", "issue"],
+        &["id"],
         &["replay"],
         &["demo"],
     ] {
@@ -37,6 +38,7 @@
         &["status", "--platform", "http://127.0.0.1:1", "--json"],
         &["dump", "--process", "127.0.0.1:1", "--key-file", "key", "now"],
         &["keys", "secret", "--days", "5"],
+        &["id", "--long"],
         &["replay", "--fast"],
         &["demo", "--colour"],
     ] {
@@ -68,3 +70,10 @@
         assert!(result.errors.contains(reason), "{arguments:?}: {}", result.errors);
     }
 }
+
+#[test]
+fn id_of_a_name() {
+    let id = jackdaw_base::CustomerId::from_name("Sindicato Norte");
+    let result = run(&["id", "Sindicato Norte"]);
+    assert_eq!((result.status, result.output), (0, format!("{id} {}\n", id.0)));
+}
--- a/crates/jackdaw-cli/tests/command/main.rs
+++ b/crates/jackdaw-cli/tests/command/main.rs
@@ -3,6 +3,7 @@
 mod check_files;
 mod command_line;
 mod fleet_keys;
+mod operators_page;
 mod process_state;
 mod program;
 mod ticket_desk;
