Put a report's kinds before their notes

Ruled out: leaving kinds out; scripts look for them. Change: report_parts in jackdaw-base, used by describe_report and the operator's command. Before -> after: note: kind -> kind: note. Seen to fail first: the order of the old function.

--- a/crates/jackdaw-base/src/error.rs
+++ b/crates/jackdaw-base/src/error.rs
@@ -124,16 +124,26 @@
 
 impl Error for ErrorKind {}
 
-/// Returns a report on one line: kinds, causes and attachments from the outermost in.
+/// Returns a report on one line: each kind or cause with its notes, from the outermost in.
 pub fn describe_report(report: &Report<ErrorKind>) -> String {
+    report_parts(report).join(": ")
+}
+
+/// Returns kinds, causes and notes of a report; notes follow what they were attached to.
+pub fn report_parts(report: &Report<ErrorKind>) -> Vec<String> {
     let mut parts = Vec::new();
+    let mut notes = Vec::new();
     for frame in report.frames() {
         match frame.kind() {
-            FrameKind::Context(context) => parts.push(context.to_string()),
-            FrameKind::Attachment(AttachmentKind::Printable(note)) => parts.push(note.to_string()),
+            FrameKind::Context(context) => {
+                parts.push(context.to_string());
+                parts.extend(notes.drain(..).rev());
+            }
+            FrameKind::Attachment(AttachmentKind::Printable(note)) => notes.push(note.to_string()),
             FrameKind::Attachment(_) => {}
         }
     }
+    parts.extend(notes.into_iter().rev());
     parts.dedup();
-    parts.join(": ")
+    parts
 }
--- a/crates/jackdaw-base/src/lib.rs
+++ b/crates/jackdaw-base/src/lib.rs
@@ -16,7 +16,7 @@
     CustomerRecord, DocumentBody, DocumentKey, ServiceKind, ServiceRecord, TargetRecord,
     VersionedDocument, VmRecord, VmState,
 };
-pub use error::{ErrorKind, RequestOutcome, describe_report};
+pub use error::{ErrorKind, RequestOutcome, describe_report, report_parts};
 pub use ids::{
     CustomerId, DomainId, KeyDigest, OfferId, ProcessIncarnation, RequestId, ServiceId,
     TicketNumber, VmId,
--- a/crates/jackdaw-cli/src/exit.rs
+++ b/crates/jackdaw-cli/src/exit.rs
@@ -1,7 +1,7 @@
-//! Exit statuses, and reports as lines.
+//! Exit statuses and what goes to standard error.
 
-use error_stack::{AttachmentKind, FrameKind, Report};
-use jackdaw_base::ErrorKind;
+use error_stack::Report;
+use jackdaw_base::{ErrorKind, report_parts};
 
 /// What the exit status says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,25 +47,9 @@
 
 /// Prints a report to standard error.
 pub(crate) fn print_report(report: &Report<ErrorKind>) {
-    for line in report_lines(report) {
-        eprintln!("jackdaw: {line}");
-    }
-}
-
-/// Returns kinds, causes and attachments of a report, one a line, from the outermost in.
-pub fn report_lines(report: &Report<ErrorKind>) -> Vec<String> {
-    let mut lines: Vec<String> = Vec::new();
-    for frame in report.frames() {
-        let text = match frame.kind() {
-            FrameKind::Context(context) => context.to_string(),
-            FrameKind::Attachment(AttachmentKind::Printable(note)) => note.to_string(),
-            FrameKind::Attachment(_) => continue,
-        };
-        for line in text.lines() {
-            if !lines.iter().any(|known| known == line) {
-                lines.push(line.to_owned());
-            }
+    for part in report_parts(report) {
+        for line in part.lines() {
+            eprintln!("jackdaw: {line}");
         }
     }
-    lines
 }
