Count waiting runs once, so that silence is found during long ones

Cause: dropping a RunWriter took a run off the count of waiting ones although only a RunReader puts one on. A router waiting for an answer counted none, so a link that went silent after everything was acknowledged was found after 45 s; later the count fell below zero and idle links were probed for good. waiting_link_is_probed had failed once in this way by chance. Ruled out: load of the machine; 12 runs alone passed, but the count explains the failure. Change: only the reader counts. Before -> after: with a pause before the silence waiting_link_is_probed fails each time and finished_run_leaves_link_idle (new) counts 8 and 7 datagrams in a second of idleness; both pass now, with none. 36 tests. Conclusion: a waiting run keeps the watch on, an idle link costs nothing.

--- a/crates/jackdaw-link/src/run.rs
+++ b/crates/jackdaw-link/src/run.rs
@@ -209,7 +209,6 @@
 
 impl Drop for RunWriter {
     fn drop(&mut self) {
-        self.link.counters().close_run();
         if !self.finished {
             // An error means that the stream has ended already.
             let _ = self.stream.reset(ABANDONED);
--- a/crates/jackdaw-link/tests/link/common.rs
+++ b/crates/jackdaw-link/tests/link/common.rs
@@ -9,6 +9,9 @@
     MESSAGE_VERSION, PeerLink, ProcessRole, RunRequest,
 };
 
+/// The interval of the watch in endpoints that find silence by their probes alone.
+pub(crate) const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Returns a loopback address with a port from the system.
 pub(crate) fn loopback() -> SocketAddr {
     "127.0.0.1:0".parse().expect("valid address")
@@ -52,8 +55,10 @@
     role: ProcessRole,
 ) -> LinkEndpoint {
     let settings = LinkSettings {
-        watch_interval: Duration::from_millis(100),
+        watch_interval: WATCH_INTERVAL,
         probe_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_secs(15),
+        keep_alive: Duration::from_secs(15),
         ..LinkSettings::default()
     };
     bind_settings(authority, greeting(vm_name, role), vm_name, settings)
--- a/crates/jackdaw-link/tests/link/silent_link.rs
+++ b/crates/jackdaw-link/tests/link/silent_link.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use jackdaw_base::{ErrorKind, VmId};
-use jackdaw_link::{ControlMessage, FleetAuthority, ProcessRole};
+use jackdaw_base::{ErrorKind, VmId, WorkUnits};
+use jackdaw_link::{ControlMessage, FleetAuthority, ProcessRole, RunReply};
 use tokio::net::UdpSocket;
 
-use crate::common;
+use crate::common::{self, WATCH_INTERVAL};
 
 const DATAGRAM_BYTES: usize = 65_536;
 
@@ -109,6 +109,8 @@
     let mut reader = silent.open_run(&common::run_request(1)).await.expect("opened");
     let _run = other_end.accept_run().await.expect("run");
 
+    // The watch must still be on when everything that was sent has long been acknowledged.
+    tokio::time::sleep(5 * WATCH_INTERVAL).await;
     relay.forget_flows();
     assert_eq!(common::kind_of(reader.next().await), ErrorKind::Interrupted);
     assert!(silent.closed().await.reason.contains("closed"));
@@ -116,6 +118,27 @@
     fresh.probe().await.expect("answered");
 }
 
+/// Once its runs have ended, a link is idle again and sends nothing for the watch.
+#[tokio::test]
+async fn finished_run_leaves_link_idle() {
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let router = common::bind_watched(&fleet, "router-1", ProcessRole::Router);
+    let agent = common::bind_watched(&fleet, "agent-1", ProcessRole::Agent);
+    let (to_agent, to_router) = common::link(&router, &agent, "agent-1").await;
+    for _ in 0..3 {
+        let mut reader = to_agent.open_run(&common::run_request(1)).await.expect("opened");
+        let mut run = to_router.accept_run().await.expect("run");
+        let end = RunReply::End { length: 0, units: WorkUnits(1) };
+        run.writer.send(&end).await.expect("sent");
+        assert_eq!(reader.next().await.expect("reply"), Some(end));
+    }
+    to_router.drained().await;
+    tokio::time::sleep(10 * WATCH_INTERVAL).await;
+    let before = (to_agent.datagrams_sent(), to_router.datagrams_sent());
+    tokio::time::sleep(10 * WATCH_INTERVAL).await;
+    assert_eq!((to_agent.datagrams_sent(), to_router.datagrams_sent()), before);
+}
+
 /// An idle link stays open by keep-alives alone.
 #[tokio::test]
 async fn idle_link_stays_open() {
