--- a/crates/jackdaw-policy/src/agent.rs
+++ b/crates/jackdaw-policy/src/agent.rs
@@ -28,6 +28,7 @@
 
 plain_data! {
     /// Parameters of an agent's decisions.
+    #[serde(default)]
     pub struct AgentPolicy {
         /// The rule by which waiting offers are chosen.
         pub share_policy: SharePolicy,
@@ -59,7 +60,7 @@
             places: 8,
             reservation_max: WorkUnits(1_000),
             report_interval: Duration::from_millis(250),
-            heartbeat_interval: Duration::from_secs(1),
+            heartbeat_interval: Duration::from_secs(5),
             grant_timeout: Duration::from_secs(2),
             room_interval: Duration::from_millis(20),
             room_interval_max: Duration::from_secs(1),
@@ -244,8 +245,8 @@
             next = Some(next.map_or(time, |next| next.min(time)));
         };
         if !self.routers.is_empty() {
-            if !self.queue.accounts().is_empty() {
-                consider(self.next_report);
+            if let Some(check) = self.queue.next_check() {
+                consider(check.max(self.next_report));
             }
             if self.has_room() {
                 consider(self.next_room);
@@ -357,8 +358,8 @@
             OfferStage::Granted => {
                 self.granted -= 1;
                 self.grants.remove(&(entry.granted.after(self.policy.grant_timeout), offer));
-                self.queue.recharge(now, entry.customer, entry.charged, WorkUnits::default());
                 self.queue.leave(entry.customer);
+                self.queue.recharge(now, entry.customer, entry.charged, WorkUnits::default());
             }
             OfferStage::Running => {}
         }
@@ -413,8 +414,8 @@
             return;
         };
         self.running -= 1;
-        self.queue.recharge(now, entry.customer, entry.charged, units);
         self.queue.leave(entry.customer);
+        self.queue.recharge(now, entry.customer, entry.charged, units);
         self.estimator.learn(entry.customer, entry.class, entry.hint, units);
     }
 
@@ -492,37 +493,29 @@
             return;
         }
         self.next_report = now.after(self.policy.report_interval);
-        let memory = self.policy.customer_memory.as_micros() as u64;
-        self.queue.forget_before(MonotonicTime(now.0.saturating_sub(memory)));
-        if self.policy.share_policy != SharePolicy::Fleet {
+        let heartbeat = self.policy.heartbeat_interval;
+        let due = self.queue.take_due(now, heartbeat, self.policy.customer_memory);
+        if due.is_empty() || self.policy.share_policy != SharePolicy::Fleet {
             return;
         }
         let Some(router) = rendezvous_first(self.vm.0, &self.routers) else {
             return;
         };
-        let mut reports = Vec::new();
-        for (customer, account) in self.queue.accounts() {
-            let is_due = account.waiting > 0
-                && now.since(account.reported) >= self.policy.heartbeat_interval;
-            if account.unreported == 0 && !is_due {
+        let mut reports = Vec::with_capacity(due.len());
+        for customer in due {
+            let Some(account) = self.queue.accounts().get(&customer) else {
                 continue;
-            }
+            };
             reports.push(ServiceReport {
                 agent: self.incarnation,
                 vm: self.vm,
-                customer: *customer,
+                customer,
                 given: account.given,
-                known_total: self.queue.known_total(*customer),
-                virtual_time: self.queue.lowest_other(*customer),
+                known_total: self.queue.known_total(customer),
+                virtual_time: self.queue.lowest_other(customer),
                 waiting: account.waiting > 0,
             });
         }
-        if reports.is_empty() {
-            return;
-        }
-        for report in &reports {
-            self.queue.mark_reported(now, report.customer);
-        }
         commands.push(AgentCommand::SendReports { router, reports });
     }
 
--- a/crates/jackdaw-policy/src/agent/fair_queue.rs
+++ b/crates/jackdaw-policy/src/agent/fair_queue.rs
@@ -16,6 +16,9 @@
 /// Short requests of a customer that may pass its long ones in a row.
 const MAX_SHORTS_IN_ROW: u8 = 4;
 
+/// Shortest time between two reports of a customer.
+const MIN_CHECK: Duration = Duration::from_millis(1);
+
 /// Place of an offer in a customer's lane.
 #[derive(Debug, Clone, Copy)]
 struct QueueSlot {
@@ -45,8 +48,8 @@
     pub changed: MonotonicTime,
     /// The number of reports that are still to be sent for the last change.
     pub unreported: u8,
-    /// The time of the last report.
-    pub reported: MonotonicTime,
+    /// The time at which the account is looked at next, to be reported or forgotten.
+    check: MonotonicTime,
     /// The time at which a total of the fleet was last heard.
     pub heard: Option<MonotonicTime>,
     base: CounterBase,
@@ -63,6 +66,7 @@
     accounts: BTreeMap<CustomerId, CustomerAccount>,
     /// The service given to customers that have been forgotten: reports stay cumulative.
     archive: BTreeMap<CustomerId, NormalService>,
+    checks: BTreeSet<(MonotonicTime, CustomerId)>,
     order: BTreeSet<(u64, CustomerId)>,
     live: BTreeMap<OfferId, u64>,
     next_sequence: u64,
@@ -78,6 +82,7 @@
             stale_after,
             accounts: BTreeMap::new(),
             archive: BTreeMap::new(),
+            checks: BTreeSet::new(),
             order: BTreeSet::new(),
             live: BTreeMap::new(),
             next_sequence: 0,
@@ -165,7 +170,7 @@
             if account.active == 0 && now.since(account.renewed()) >= self.stale_after {
                 account.lift(floor);
             }
-            account.touch(now);
+            account.touch(now, &mut self.checks, customer);
         }
         self.rekey(customer);
     }
@@ -215,7 +220,7 @@
             return charged;
         }
         account.given = account.given.saturating_sub(charged) + due;
-        account.touch(now);
+        account.touch(now, &mut self.checks, customer);
         self.rekey(customer);
         due
     }
@@ -244,25 +249,47 @@
         self.rekey(fleet.customer);
     }
 
-    /// Forgets customers that neither wait nor run and have not changed since `limit`.
-    pub fn forget_before(&mut self, limit: MonotonicTime) {
-        let archive = &mut self.archive;
-        self.accounts.retain(|customer, account| {
-            let is_idle = account.waiting == 0 && account.active == 0 && account.unreported == 0;
-            if is_idle && account.changed <= limit {
-                archive.insert(*customer, account.given);
-                return false;
-            }
-            true
-        });
+    /// Returns when [`FairQueue::take_due`] next has something to do.
+    pub fn next_check(&self) -> Option<MonotonicTime> {
+        self.checks.first().map(|(time, _)| *time)
     }
 
-    /// Marks one report of a customer as sent.
-    pub fn mark_reported(&mut self, now: MonotonicTime, customer: CustomerId) {
-        if let Some(account) = self.accounts.get_mut(&customer) {
-            account.reported = now;
-            account.unreported = account.unreported.saturating_sub(1);
+    /// Returns the customers that are to be reported: those that changed, and those that still
+    /// wait `heartbeat` after their last report. Forgets those that were idle for `memory`.
+    pub fn take_due(
+        &mut self,
+        now: MonotonicTime,
+        heartbeat: Duration,
+        memory: Duration,
+    ) -> Vec<CustomerId> {
+        let mut due = Vec::new();
+        let later = now.after(MIN_CHECK);
+        while let Some((time, customer)) = self.checks.first().copied() {
+            if time > now {
+                break;
+            }
+            self.checks.pop_first();
+            let Some(account) = self.accounts.get_mut(&customer) else {
+                continue;
+            };
+            let is_idle = account.waiting == 0 && account.active == 0;
+            if is_idle && account.unreported == 0 && now.since(account.changed) >= memory {
+                self.archive.insert(customer, account.given);
+                self.accounts.remove(&customer);
+                continue;
+            }
+            if account.unreported > 0 || account.waiting > 0 {
+                due.push(customer);
+                account.unreported = account.unreported.saturating_sub(1);
+            }
+            account.check = match account.unreported {
+                0 if account.waiting > 0 => now.after(heartbeat),
+                0 => now.after(memory),
+                _ => later,
+            };
+            self.checks.insert((account.check, customer));
         }
+        due
     }
 
     /// Describes the first inconsistency between the two levels, if there is one.
@@ -287,7 +314,7 @@
             account.waiting = account.waiting.saturating_sub(1);
             account.drop_dead(live);
             if account.waiting == 0 {
-                account.touch(now);
+                account.touch(now, &mut self.checks, customer);
             }
         }
         self.rekey(customer);
@@ -321,7 +348,7 @@
             active: 0,
             changed: MonotonicTime::default(),
             unreported: 0,
-            reported: MonotonicTime::default(),
+            check: MonotonicTime::default(),
             heard: None,
             base: CounterBase { total: NormalService::default(), own: given },
             lanes: [VecDeque::new(), VecDeque::new()],
@@ -344,8 +371,16 @@
         self.base.total += missing;
     }
 
-    fn touch(&mut self, now: MonotonicTime) {
+    fn touch(
+        &mut self,
+        now: MonotonicTime,
+        checks: &mut BTreeSet<(MonotonicTime, CustomerId)>,
+        customer: CustomerId,
+    ) {
         self.changed = now;
+        checks.remove(&(self.check, customer));
+        self.check = now;
+        checks.insert((now, customer));
         // The last change is reported twice: an older report that overtakes it does no harm.
         let is_last = self.waiting == 0 && self.active == 0;
         self.unreported = if is_last { 2 } else { 1 };
--- a/crates/jackdaw-policy/src/router.rs
+++ b/crates/jackdaw-policy/src/router.rs
@@ -30,13 +30,16 @@
 
 plain_data! {
     /// Parameters of a router's decisions.
+    #[serde(default)]
     pub struct RouterPolicy {
         /// The agents that a request is offered to at first.
         pub offers_per_request: u32,
+        /// The agents that hold offers of one request at most, unless they ask for work.
+        pub offers_max: u32,
         /// The offers of one customer and kind that one agent may hold from this router.
         pub offers_per_agent: u32,
-        /// The time after which a waiting request is offered to a further agent; it doubles
-        /// with each.
+        /// The time after which a waiting request is offered to a further agent, or once more
+        /// to one that holds it; it doubles with each.
         pub widen_after: Duration,
         /// The longest time between two such offers.
         pub widen_after_max: Duration,
@@ -70,9 +73,10 @@
     fn default() -> RouterPolicy {
         RouterPolicy {
             offers_per_request: 3,
+            offers_max: 6,
             offers_per_agent: 4,
             widen_after: Duration::from_millis(100),
-            widen_after_max: Duration::from_secs(2),
+            widen_after_max: Duration::from_secs(30),
             affinity_wait: Duration::from_millis(20),
             affinity_slack_percent: 25,
             no_agent_timeout: Duration::from_secs(2),
@@ -85,6 +89,7 @@
             home_routers: 200,
             home_spans: HomeSpans {
                 idle_after: Duration::from_secs(4),
+                silent_after: Duration::from_secs(20),
                 gather: Duration::from_secs(1),
                 forget_after: Duration::from_secs(600),
             },
--- a/crates/jackdaw-policy/src/router/account_home.rs
+++ b/crates/jackdaw-policy/src/router/account_home.rs
@@ -16,8 +16,10 @@
     copy
     /// Time spans of account homes.
     pub struct HomeSpans {
-        /// The time after which a customer that no agent reports as waiting counts as idle.
+        /// The time after which a customer that waits at no agent counts as idle.
         pub idle_after: Duration,
+        /// The time after which an agent that sends no reports counts as one where nobody waits.
+        pub silent_after: Duration,
         /// The time in which a customer that comes back, or an account that is rebuilt, gathers
         /// reports before its total is fixed.
         pub gather: Duration,
@@ -105,12 +107,11 @@
         let mut batches: BTreeMap<(VmId, Option<VmId>), Vec<FleetTotal>> = BTreeMap::new();
         for (customer, account) in &mut self.accounts {
             account.settle(now);
-            account.entries.retain(|_, entry| now.since(entry.heard) < spans.forget_after);
+            account.prune(now, &spans);
             let total = account.present_total();
             for entry in account.entries.values_mut() {
                 // An agent that has never heard a total needs one for a later home to go on from.
-                let is_quiet = !entry.waiting || now.since(entry.heard) > spans.idle_after;
-                if is_quiet && entry.sent.is_some() {
+                if !entry.waiting && entry.sent.is_some() {
                     continue;
                 }
                 let fleet = FleetTotal { customer: *customer, total, own: entry.given };
@@ -172,23 +173,30 @@
         }
         if report.waiting {
             self.meet(now, spans, report.virtual_time);
+        } else if self.entries.get(&report.agent).is_some_and(|entry| entry.waiting) {
+            self.last_waiting = now;
         }
-        let sent = self.entries.get(&report.agent).and_then(|entry| entry.sent);
+        // The report is answered even if the total is as before: the last answer may be lost.
         let entry = AgentEntry {
             vm: report.vm,
             via,
             given: report.given,
             waiting: report.waiting,
             heard: now,
-            sent,
+            sent: None,
         };
         self.entries.insert(report.agent, entry);
     }
 
     /// Notes that the customer waits where others have received `virtual_time`.
     fn meet(&mut self, now: MonotonicTime, spans: &HomeSpans, virtual_time: NormalService) {
-        let was_idle = self.last_waiting == MonotonicTime::default()
-            || now.since(self.last_waiting) > spans.idle_after;
+        let is_new = self.last_waiting == MonotonicTime::default();
+        let is_waiting = self
+            .entries
+            .values()
+            .any(|entry| entry.waiting && now.since(entry.heard) <= spans.silent_after);
+        let is_late = !is_waiting && now.since(self.last_waiting) > spans.idle_after;
+        let was_idle = is_new || is_late;
         if was_idle {
             self.gather_until = now.after(spans.gather);
             self.floor = None;
@@ -199,6 +207,17 @@
         }
     }
 
+    /// Forgets agents that send no reports any more.
+    fn prune(&mut self, now: MonotonicTime, spans: &HomeSpans) {
+        for entry in self.entries.values_mut() {
+            if entry.waiting && now.since(entry.heard) > spans.silent_after {
+                entry.waiting = false;
+                self.last_waiting = entry.heard;
+            }
+        }
+        self.entries.retain(|_, entry| now.since(entry.heard) < spans.forget_after);
+    }
+
     /// Fixes the lift once the customer has met the fleet for long enough.
     fn settle(&mut self, now: MonotonicTime) {
         if now > self.gather_until
--- a/crates/jackdaw-policy/src/router/dispatch.rs
+++ b/crates/jackdaw-policy/src/router/dispatch.rs
@@ -22,6 +22,8 @@
 const OFFERS_PER_PLACE: u32 = 2;
 /// Most offers that answer one announcement of room.
 const MAX_ROOM_OFFERS: u32 = 32;
+/// Customers that are looked at for each such offer.
+const MAX_ROOM_SCAN: usize = 64;
 /// Load up to which an agent counts as free in spite of a low mean.
 const FREE_LOAD: u32 = 2;
 
@@ -160,7 +162,13 @@
         let usual = self.policy.offers_per_request as usize;
         let missing = usual.saturating_sub(entry.holders.len()).max(1);
         let pause = (entry.pause * 2).clamp(self.policy.widen_after, self.policy.widen_after_max);
-        self.offer_more(now, request, missing, commands);
+        let holders = entry.holders.len();
+        if holders < self.policy.offers_max as usize {
+            self.offer_more(now, request, missing, commands);
+        } else {
+            let agent = entry.holders[self.rng.random_range(0..holders)];
+            self.repeat_offer(now, request, agent, commands);
+        }
         if let Some(entry) = self.requests.get_mut(&request) {
             entry.pause = pause;
         }
@@ -251,20 +259,11 @@
         agent: VmId,
         commands: &mut Vec<RouterCommand>,
     ) {
+        self.repeat_offer(now, request, agent, commands);
         let Some(entry) = self.requests.get_mut(&request) else {
             return;
         };
         let arrived = &entry.request;
-        let offer = WorkOffer {
-            id: OfferId { request, attempt: entry.attempt },
-            customer: arrived.customer,
-            share: arrived.share,
-            service: arrived.service,
-            class: arrived.class,
-            estimate: entry.estimate,
-            prefix: arrived.prefix,
-            patience_micros: entry.deadline.since(now).as_micros() as u64,
-        };
         entry.holders.push(agent);
         if let Some(link) = self.agents.get_mut(&agent) {
             link.offers += 1;
@@ -277,6 +276,30 @@
             lane.unoffered.remove(&request);
             lane.offered.insert(request);
         }
+    }
+
+    /// Sends an offer without a change of the books; an agent passes over one that it has.
+    fn repeat_offer(
+        &self,
+        now: MonotonicTime,
+        request: RequestId,
+        agent: VmId,
+        commands: &mut Vec<RouterCommand>,
+    ) {
+        let Some(entry) = self.requests.get(&request) else {
+            return;
+        };
+        let arrived = &entry.request;
+        let offer = WorkOffer {
+            id: OfferId { request, attempt: entry.attempt },
+            customer: arrived.customer,
+            share: arrived.share,
+            service: arrived.service,
+            class: arrived.class,
+            estimate: entry.estimate,
+            prefix: arrived.prefix,
+            patience_micros: entry.deadline.since(now).as_micros() as u64,
+        };
         commands.push(RouterCommand::SendOffer { agent, offer });
     }
 
@@ -357,6 +380,7 @@
         let after = (Bound::Excluded(cursor), Bound::Unbounded);
         let upto = (Bound::Unbounded, Bound::Included(cursor));
         let customers = pool.queues.range(after).chain(pool.queues.range(upto));
+        let customers = customers.take(MAX_ROOM_SCAN);
         let mut found = None;
         for (customer, queue) in customers {
             for lane in &queue.lanes {
--- a/crates/jackdaw-policy/src/router/outcome.rs
+++ b/crates/jackdaw-policy/src/router/outcome.rs
@@ -14,6 +14,8 @@
 
 /// Factor by which the expected wait must exceed the patience before a request is refused.
 const REFUSAL_MARGIN: u32 = 2;
+/// Longest pause of a request that waits for the retry budget.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
 /// Shortest time after which a caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest time after which a caller is asked to come back.
@@ -276,7 +278,7 @@
             return;
         };
         if !self.budget.spend() {
-            let pause = (entry.pause * 2).min(self.policy.widen_after_max);
+            let pause = (entry.pause * 2).min(MAX_RETRY_PAUSE);
             self.pause(now, request, pause);
             return;
         }
