Let agents that know no counter state none

Cause: an agent that has just started reported a virtual time near zero, and a returning customer was lifted to that, which is no lift. Ruled out: no virtual time until a total is heard (idle_earns_nothing fails: an agent without a home would then grant credit). Change: the reported time comes from confirmed counters only; zero means none.

--- a/crates/jackdaw-policy/src/agent/fair_queue.rs
+++ b/crates/jackdaw-policy/src/agent/fair_queue.rs
@@ -19,6 +19,9 @@
 /// Shortest time between two reports of a customer.
 const MIN_CHECK: Duration = Duration::from_millis(1);
 
+/// Customers that are looked at in search of a known counter.
+const MAX_LOOK: usize = 8;
+
 /// Place of an offer in a customer's lane.
 #[derive(Debug, Clone, Copy)]
 struct QueueSlot {
@@ -71,6 +74,8 @@
     live: BTreeMap<OfferId, u64>,
     next_sequence: u64,
     virtual_time: NormalService,
+    /// The virtual time, but for counters that no account home has confirmed.
+    known_time: NormalService,
 }
 
 impl FairQueue {
@@ -87,6 +92,7 @@
             live: BTreeMap::new(),
             next_sequence: 0,
             virtual_time: NormalService::default(),
+            known_time: NormalService::default(),
         }
     }
 
@@ -115,15 +121,28 @@
         self.virtual_time
     }
 
-    /// Returns the lowest counter among the waiting customers other than `customer`.
+    /// Returns the lowest counter among the first few waiting customers other than `customer`
+    /// whose counters are known; that which was last served where there are none, zero if there
+    /// never was one.
     pub fn lowest_other(&self, customer: CustomerId) -> NormalService {
         if self.policy == SharePolicy::FirstCome {
-            return self.virtual_time;
+            return self.known_time;
         }
-        let mut others = self.order.iter().filter(|(_, other)| *other != customer);
-        match others.next() {
-            Some((key, _)) => NormalService(*key),
-            None => self.virtual_time,
+        for (key, other) in self.order.iter().take(MAX_LOOK) {
+            if *other != customer && self.is_known(*other) {
+                return NormalService(*key);
+            }
+        }
+        self.known_time
+    }
+
+    /// Returns whether a customer's counter says something about the whole order.
+    fn is_known(&self, customer: CustomerId) -> bool {
+        match self.policy {
+            SharePolicy::Fleet => {
+                self.accounts.get(&customer).is_some_and(|account| account.heard.is_some())
+            }
+            SharePolicy::Local | SharePolicy::FirstCome => true,
         }
     }
 
@@ -195,6 +214,10 @@
         if self.policy != SharePolicy::FirstCome {
             self.virtual_time = NormalService(key);
         }
+        // An agent that has just started knows no counter of the fleet and must not state one.
+        if self.is_known(customer) {
+            self.known_time = self.virtual_time;
+        }
         let policy = self.policy;
         let account = self.accounts.get_mut(&customer)?;
         let lane = account.next_lane(policy)?;
--- a/crates/jackdaw-policy/src/router/account_home.rs
+++ b/crates/jackdaw-policy/src/router/account_home.rs
@@ -202,7 +202,8 @@
             self.floor = None;
         }
         self.last_waiting = now;
-        if now <= self.gather_until {
+        // Zero stands for an agent that knows no counter yet.
+        if now <= self.gather_until && virtual_time != NormalService::default() {
             self.floor = Some(self.floor.map_or(virtual_time, |floor| floor.min(virtual_time)));
         }
     }
