--- a/crates/jackdaw-demo/src/fleet.rs
+++ b/crates/jackdaw-demo/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of the demo, all inside this one.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,7 @@
 };
 
 use crate::client::{CallEnd, CallerClient, CompletionCall, ServiceCall};
+use crate::cpu::{all_threads, thread_time};
 use crate::node::{FleetNode, NodeOptions};
 use crate::population::CustomerPlan;
 
@@ -90,6 +92,8 @@
     agents: Vec<FleetNode>,
     /// The routers.
     routers: Vec<FleetNode>,
+    /// The threads of the routers.
+    router_threads: BTreeSet<u64>,
 }
 
 /// A fleet that is being started.
@@ -131,14 +135,24 @@
             agents.push(builder.spawn_agent(ServiceKind::Plain, service.address()).await?);
             services.push(service);
         }
+        let other_threads = all_threads();
         let mut routers = Vec::with_capacity(builder.plan.routers);
         for _ in 0..builder.plan.routers {
             routers.push(builder.spawn_router().await?);
         }
         let FleetBuilder { platform, vms, .. } = builder;
         platform.set_vms(vms);
-        let fleet = DemoFleet { platform, engines, services, agents, routers };
+        let mut fleet = DemoFleet {
+            platform,
+            engines,
+            services,
+            agents,
+            routers,
+            router_threads: BTreeSet::new(),
+        };
         fleet.wait_ready(&customers[customers.len() - 1]).await?;
+        // Routers are started last: every thread since then is theirs.
+        fleet.router_threads = &all_threads() - &other_threads;
         Ok(fleet)
     }
 
@@ -181,6 +195,17 @@
         total
     }
 
+    /// Returns the processor time of all routers.
+    pub fn router_time(&self) -> Duration {
+        thread_time(&self.router_threads)
+    }
+
+    /// Returns the processor time of all agents.
+    pub fn agent_time(&self) -> Duration {
+        let threads: BTreeSet<u64> = self.agents.iter().filter_map(FleetNode::thread).collect();
+        thread_time(&threads)
+    }
+
     /// Returns the number of routers and agents.
     pub fn node_count(&self) -> usize {
         self.agents.len() + self.routers.len()
--- a/crates/jackdaw-demo/src/lib.rs
+++ b/crates/jackdaw-demo/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod args;
 pub mod client;
+pub mod cpu;
 pub mod fleet;
 pub mod latency;
 pub mod ledger;
--- a/crates/jackdaw-demo/src/node.rs
+++ b/crates/jackdaw-demo/src/node.rs
@@ -10,6 +10,8 @@
 use jackdaw_router::{RouterDaemon, RouterOptions};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::cpu::this_thread;
+
 /// The longest time that a node may take to close.
 const CLOSE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -23,21 +25,23 @@
 
 /// Handle of a node.
 pub(crate) struct FleetNode {
-    /// The addresses.
-    addresses: NodeAddresses,
+    /// Where it is.
+    place: NodePlace,
     /// The way to the node's thread.
     commands: mpsc::UnboundedSender<NodeCommand>,
     /// The thread.
     arbiter: Arbiter,
 }
 
-/// Addresses of a node.
+/// Where a node is.
 #[derive(Debug, Clone, Copy)]
-struct NodeAddresses {
+struct NodePlace {
     /// The address for callers; `None` for an agent.
     caller: Option<SocketAddr>,
     /// The address for links.
     link: SocketAddr,
+    /// The node's main thread, where the system tells it.
+    thread: Option<u64>,
 }
 
 /// What a node is asked.
@@ -67,18 +71,23 @@
         arbiter.spawn_fn(move || {
             actix_rt::spawn(run_node(options, ready, receiver));
         });
-        let addresses = started.await.change_context(ErrorKind::LocalResource)??;
-        Ok(FleetNode { addresses, commands, arbiter })
+        let place = started.await.change_context(ErrorKind::LocalResource)??;
+        Ok(FleetNode { place, commands, arbiter })
     }
 
     /// Returns the address for callers, where the node is a router.
     pub(crate) fn caller_address(&self) -> Option<SocketAddr> {
-        self.addresses.caller
+        self.place.caller
     }
 
     /// Returns the address for links.
     pub(crate) fn link_address(&self) -> SocketAddr {
-        self.addresses.link
+        self.place.link
+    }
+
+    /// Returns the node's main thread, where the system tells it.
+    pub(crate) fn thread(&self) -> Option<u64> {
+        self.place.thread
     }
 
     /// Returns the bytes of control traffic since the start, sent and received.
@@ -95,11 +104,11 @@
         // A node that is gone is closed.
         let _ = self.commands.send(NodeCommand::Close(sender));
         if tokio::time::timeout(CLOSE_LIMIT, answer).await.is_err() {
-            log::warn!("node {} did not close in time", self.addresses.link);
+            log::warn!("node {} did not close in time", self.place.link);
         }
         self.arbiter.stop();
         if self.arbiter.join().is_err() {
-            log::error!("the thread of node {} has panicked", self.addresses.link);
+            log::error!("the thread of node {} has panicked", self.place.link);
         }
     }
 }
@@ -113,13 +122,17 @@
         }
     }
 
-    /// Returns the addresses.
-    fn addresses(&self) -> NodeAddresses {
+    /// Returns where the process is.
+    fn place(&self) -> NodePlace {
         match self {
-            NodeDaemon::Router(router) => {
-                NodeAddresses { caller: Some(router.caller_address()), link: router.link_address() }
+            NodeDaemon::Router(router) => NodePlace {
+                caller: Some(router.caller_address()),
+                link: router.link_address(),
+                thread: this_thread(),
+            },
+            NodeDaemon::Agent(agent) => {
+                NodePlace { caller: None, link: agent.link_address(), thread: this_thread() }
             }
-            NodeDaemon::Agent(agent) => NodeAddresses { caller: None, link: agent.link_address() },
         }
     }
 
@@ -144,7 +157,7 @@
 /// Runs a node until it is told to close.
 async fn run_node(
     options: NodeOptions,
-    ready: oneshot::Sender<Result<NodeAddresses, Report<ErrorKind>>>,
+    ready: oneshot::Sender<Result<NodePlace, Report<ErrorKind>>>,
     mut commands: mpsc::UnboundedReceiver<NodeCommand>,
 ) {
     let daemon = match NodeDaemon::spawn(options) {
@@ -156,7 +169,7 @@
         }
     };
     // As above.
-    let _ = ready.send(Ok(daemon.addresses()));
+    let _ = ready.send(Ok(daemon.place()));
     while let Some(command) = commands.recv().await {
         match command {
             NodeCommand::ReadControlBytes(answer) => {
--- a/crates/jackdaw-standin/src/args.rs
+++ b/crates/jackdaw-standin/src/args.rs
@@ -26,6 +26,7 @@
   --places N                requests that run at a time (default 8)
   --step-micros N           time of a step (default 10000)
   --request-micros N        time that each running request adds to a step (default 100)
+  --slots N                 parts of a step over which its tokens are spread (default 1)
   --prefill-micros N        time to read a prompt token that is not cached (default 50)
   --cache-prefixes N        prefixes that fit the cache (default 64)
   --load-lag-millis N       age of the load that is reported (default 500)
@@ -99,6 +100,7 @@
         batch_places: optional(arguments, "--places")?.unwrap_or(standard.batch_places),
         step_base: micros(arguments, "--step-micros", standard.step_base)?,
         step_per_request: micros(arguments, "--request-micros", standard.step_per_request)?,
+        step_slots: optional(arguments, "--slots")?.unwrap_or(standard.step_slots),
         prefill_per_token: micros(arguments, "--prefill-micros", standard.prefill_per_token)?,
         cache_prefixes: optional(arguments, "--cache-prefixes")?.unwrap_or(standard.cache_prefixes),
         load_lag: millis(arguments, "--load-lag-millis", standard.load_lag)?,
--- a/crates/jackdaw-standin/src/engine.rs
+++ b/crates/jackdaw-standin/src/engine.rs
@@ -45,6 +45,9 @@
         pub step_base: Duration,
         /// The time that each running request adds to a step.
         pub step_per_request: Duration,
+        /// The parts of a step over which its tokens are spread by the time of admission; one
+        /// sends all at the step's end.
+        pub step_slots: u32,
         /// The time to read one prompt token that is not cached.
         pub prefill_per_token: Duration,
         /// The prefixes that fit the cache.
@@ -72,6 +75,7 @@
             batch_places: 8,
             step_base: Duration::from_millis(10),
             step_per_request: Duration::from_micros(100),
+            step_slots: 1,
             prefill_per_token: Duration::from_micros(50),
             cache_prefixes: 64,
             load_lag: Duration::from_millis(500),
--- a/crates/jackdaw-standin/src/engine/batch.rs
+++ b/crates/jackdaw-standin/src/engine/batch.rs
@@ -109,6 +109,8 @@
     pub(super) tokens: mpsc::UnboundedSender<()>,
     /// The time at which the prompt has been read.
     pub(super) ready: Instant,
+    /// The part of the step in which it gets its token.
+    pub(super) slot: u32,
 }
 
 /// The batch of an engine with the queue before it.
@@ -135,6 +137,10 @@
     step_base: Duration,
     /// The time that each running request adds to a step.
     step_per_request: Duration,
+    /// The parts of a step.
+    slots: u32,
+    /// The present part.
+    slot: u32,
     /// The time to read one prompt token.
     prefill_per_token: Duration,
     /// The age of the load that is reported.
@@ -162,6 +168,8 @@
             places: settings.batch_places,
             step_base: settings.step_base,
             step_per_request: settings.step_per_request,
+            slots: settings.step_slots.max(1),
+            slot: 0,
             prefill_per_token: settings.prefill_per_token,
             load_lag: settings.load_lag,
             checks_fencing: settings.checks_fencing,
@@ -188,7 +196,8 @@
         self.note_load(now);
     }
 
-    /// Fills the batch from the queue and returns the time of the step, or `None` without work.
+    /// Fills the batch from the queue and returns the time of the next part of the step, or
+    /// `None` without work.
     pub(super) fn begin_step(&mut self, now: Instant) -> Option<Duration> {
         self.sum_places(now);
         self.remove_cancelled();
@@ -199,25 +208,29 @@
             let is_cached = self.cache.touch(run.prefix, now);
             let cached_tokens = if is_cached { run.prefix_tokens } else { 0 };
             run.ready = now + self.prefill_per_token * (run.prompt_tokens - cached_tokens);
+            run.slot = self.slot;
             self.running.push(run);
         }
         self.note_load(now);
         if self.running.is_empty() {
             return None;
         }
-        Some(self.step_base + self.step_per_request * self.running.len() as u32)
+        let step = self.step_base + self.step_per_request * self.running.len() as u32;
+        Some(step / self.slots)
     }
 
-    /// Gives each running request one token and returns whether the engine crashed.
+    /// Gives each running request of the present part of the step one token and returns
+    /// whether the engine crashed.
     pub(super) fn end_step(&mut self, now: Instant) -> bool {
         self.sum_places(now);
         if self.running.iter().any(|run| run.is_marked && run.ready <= now) {
             self.crash(now);
             return true;
         }
+        self.slot = (self.slot + 1) % self.slots;
         let mut index = 0;
         while index < self.running.len() {
-            if self.running[index].ready > now {
+            if self.running[index].ready > now || self.running[index].slot != self.slot {
                 index += 1;
                 continue;
             }
--- a/crates/jackdaw-standin/src/engine/http.rs
+++ b/crates/jackdaw-standin/src/engine/http.rs
@@ -130,6 +130,7 @@
         is_marked: request.prompt.contains(CRASH_MARKER),
         tokens: sender,
         ready: now,
+        slot: 0,
     };
     shared.lock().receive(run, now);
     shared.work.notify_one();
--- a/crates/jackdaw-standin/tests/engine_batch.rs
+++ b/crates/jackdaw-standin/tests/engine_batch.rs
@@ -113,6 +113,34 @@
     engine.close().await;
 }
 
+#[actix_web::test]
+async fn spread_tokens() {
+    let settings = EngineSettings {
+        step_base: Duration::from_millis(8),
+        step_slots: 4,
+        ..EngineSettings::default()
+    };
+    let engine = EngineStandin::bind(settings).unwrap();
+    let mut tasks = Vec::new();
+    for number in 0..6 {
+        let address = url(&engine, "/v1/completions");
+        tasks.push(actix_web::rt::spawn(async move {
+            let prompt = format!("[[draft]] {number}");
+            let body = json!({"prompt": prompt, "max_tokens": 12, "stream": true});
+            let mut response = client().post(address).send_json(&body).await.unwrap();
+            let bytes = response.body().await.unwrap();
+            let text = stream_text(std::str::from_utf8(&bytes).unwrap());
+            assert_eq!(text, expected_answer(&prompt, 12).concat());
+        }));
+        actix_web::rt::time::sleep(Duration::from_millis(3)).await;
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    assert_eq!(engine.tally().usage.completed, 6);
+    engine.close().await;
+}
+
 #[actix_web::test]
 async fn cancelled_place() {
     let engine = bind_engine(1);
