Refuse half an answer of a target

Cause: awc ends the body of a connection that is lost like one that is whole, so the agent passed half a body on as a whole one, with status 200. Ruled out: the service's own framing; its head announces the length that is not reached. Change: the agent compares the body with the announced length; JSON of no announced length must end. An event stream was proved whole by its last event before. Conclusion: a body that is neither JSON nor of announced length can still not be told from a cut one; the library gives no sign of it.

--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -14,6 +14,7 @@
 use jackdaw_link::{IncomingRun, RunReply, RunRequest, RunWriter};
 use jackdaw_policy::AgentEvent;
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, BeginRun, DecisionActor};
@@ -164,8 +165,9 @@
         let Some(part) = part else { break };
         whole.extend_from_slice(&part.map_err(|error| broken_body(&error))?);
     }
-    meter.count_body(&whole);
     let length = whole.len() as u64;
+    check_whole(&whole, answer.length, answer.is_json)?;
+    meter.count_body(&whole);
     writer.send(&RunReply::Chunk { events: 0, bytes: whole.freeze() }).await?;
     Ok(length)
 }
@@ -200,6 +202,26 @@
     Ok(length)
 }
 
+/// Checks that a body is whole, since the HTTP client ends a cut one without an error.
+///
+/// Fails with [`ErrorKind::Interrupted`] where the announced length was not reached or, with
+/// none announced, JSON breaks off.
+fn check_whole(
+    body: &[u8],
+    announced: Option<u64>,
+    is_json: bool,
+) -> Result<(), Report<ErrorKind>> {
+    let length = body.len() as u64;
+    match announced {
+        Some(announced) if announced != length => Err(Report::new(ErrorKind::Interrupted)
+            .attach(format!("{length} of {announced} bytes came"))),
+        None if is_json && serde_json::from_slice::<IgnoredAny>(body).is_err() => {
+            Err(Report::new(ErrorKind::Interrupted).attach("the JSON body breaks off"))
+        }
+        _ => Ok(()),
+    }
+}
+
 fn broken_body(error: &impl std::fmt::Display) -> Report<ErrorKind> {
     Report::new(ErrorKind::Interrupted).attach(error.to_string())
 }
--- a/crates/jackdaw-agent/src/target_client.rs
+++ b/crates/jackdaw-agent/src/target_client.rs
@@ -43,6 +43,10 @@
     pub headers: Vec<(String, String)>,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
+    /// Whether the body is JSON.
+    pub is_json: bool,
+    /// The bytes of the body, where the target has announced them.
+    pub length: Option<u64>,
     /// The body.
     pub body: S,
 }
@@ -88,7 +92,13 @@
             request = request.insert_header((name.as_str(), value.as_str()));
         }
         match request.send_body(body_for(run)).await {
-            Ok(response) => Ok(read_head(response)),
+            Ok(response) => {
+                let mut answer = read_head(response);
+                if run.method == "HEAD" {
+                    answer.length = None;
+                }
+                Ok(answer)
+            }
             Err(error) => Err(classify_failure(&error)),
         }
     }
@@ -114,16 +124,23 @@
 fn read_head<S>(response: ClientResponse<S>) -> TargetAnswer<ClientResponse<S>> {
     let mut headers = Vec::new();
     let mut is_event_stream = false;
+    let mut is_json = false;
+    let mut length = None;
     for (name, value) in response.headers() {
         let Ok(value) = value.to_str() else { continue };
-        if name == "content-type" && value.starts_with("text/event-stream") {
-            is_event_stream = true;
+        if name == "content-type" {
+            is_event_stream = value.starts_with("text/event-stream");
+            is_json = value.starts_with("application/json");
+        }
+        if name == "content-length" {
+            length = value.parse().ok();
         }
         if is_forwarded(name.as_str()) {
             headers.push((name.as_str().to_owned(), value.to_owned()));
         }
     }
-    TargetAnswer { status: response.status().as_u16(), headers, is_event_stream, body: response }
+    let status = response.status().as_u16();
+    TargetAnswer { status, headers, is_event_stream, is_json, length, body: response }
 }
 
 fn classify_failure(error: &SendRequestError) -> TargetFailure {
