--- a/crates/jackdaw-proofs/src/lib.rs
+++ b/crates/jackdaw-proofs/src/lib.rs
@@ -6,12 +6,16 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod flow_relay;
 pub mod load;
 pub mod operator;
 pub mod process;
+pub mod seed;
 
 pub use caller::{CallerAnswer, CallerClient};
 pub use fleet::ProcessFleet;
+pub use flow_relay::FlowRelay;
 pub use load::{StreamEnd, StreamLoad};
 pub use operator::OperatorClient;
 pub use process::{FleetProcess, ProcessSignal};
+pub use seed::{SeededPauses, seed};
--- /dev/null
+++ b/crates/jackdaw-proofs/tests/not_run.rs
@@ -0,0 +1,120 @@
+//! Who is told "not run" has not been run, neither before nor after.
+
+use std::time::Duration;
+
+use jackdaw_base::ServiceKind;
+use jackdaw_proofs::caller::CallerAnswer;
+use jackdaw_proofs::fleet::{ENGINE_SERVICE, customer_key, wait_agents, wait_until};
+use jackdaw_proofs::load::count_runs;
+use jackdaw_proofs::{CallerClient, FleetProcess, ProcessFleet, ProcessSignal};
+use jackdaw_standin::{EngineSettings, EngineStandin, expected_answer};
+
+const CUSTOMER: &str = "delegados";
+
+/// The milliseconds within which the callers want a start.
+const DEADLINE_MILLIS: &str = "400";
+
+/// The tokens of one answer at the most.
+const TOKENS: u32 = 20;
+
+/// Sends prompts with a short deadline at once and returns what came of each.
+async fn send_all(
+    router: &FleetProcess,
+    label: &str,
+    count: u32,
+) -> Vec<(String, Option<CallerAnswer>)> {
+    let mut callers = Vec::new();
+    for number in 0..count {
+        let prompt = format!("{label} {number}");
+        let caller = CallerClient::open(router.address("callers"), CUSTOMER);
+        let body = serde_json::json!({
+            "model": ENGINE_SERVICE,
+            "prompt": prompt,
+            "max_tokens": TOKENS,
+            "stream": true,
+            "user": customer_key(CUSTOMER),
+        });
+        let headers = [("x-request-deadline-ms", DEADLINE_MILLIS)];
+        let call = async move {
+            caller.call(hyper::Method::POST, "/v1/completions", &headers, body.to_string()).await
+        };
+        callers.push((prompt, actix_rt::spawn(call)));
+    }
+    let mut ends = Vec::new();
+    for (prompt, caller) in callers {
+        ends.push((prompt, caller.await.expect("caller does not panic")));
+    }
+    ends
+}
+
+/// Waits until a request sent now has run, after which nothing older is on its way.
+async fn wait_fence(router: &FleetProcess, label: &str) {
+    let caller = CallerClient::open(router.address("callers"), CUSTOMER);
+    wait_until("a later request runs", || async {
+        let answer = caller.complete(label, TOKENS).await;
+        answer.is_some_and(|answer| answer.tokens() == Some(expected_answer(label, TOKENS)))
+    })
+    .await;
+}
+
+/// Frozen before the offer, woken while the router still holds the link.
+#[actix_rt::test]
+async fn agent_frozen() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    wait_fence(&router, "before").await;
+    agent.signal(ProcessSignal::Stop);
+    let ends = send_all(&router, "frozen", 12).await;
+    agent.signal(ProcessSignal::Continue);
+    wait_fence(&router, "after").await;
+    let tally = engine.tally();
+    for (prompt, answer) in ends {
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.outcome().as_deref(), Some("not-run"), "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+        assert_eq!(count_runs(&tally, &prompt), 0, "{prompt:?} was run: {answer:?}");
+    }
+}
+
+/// Frozen again and again, so that sleep falls between offer, grant and run.
+#[actix_rt::test]
+async fn frozen_anywhere() {
+    let seed = jackdaw_proofs::seed("JACKDAW_SEED");
+    let mut pauses = jackdaw_proofs::SeededPauses::new(seed);
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let settings = EngineSettings { step_base: Duration::from_millis(2), ..Default::default() };
+    let engine = EngineStandin::bind(settings).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    wait_fence(&router, "before").await;
+    let mut ends = Vec::new();
+    for round in 0..6 {
+        let label = format!("round {round}");
+        let sent = send_all(&router, &label, 16);
+        let faults = async {
+            pauses.sleep(0..30).await;
+            agent.signal(ProcessSignal::Stop);
+            pauses.sleep(300..600).await;
+            agent.signal(ProcessSignal::Continue);
+        };
+        let (mut sent, ()) = futures_util::future::join(sent, faults).await;
+        ends.append(&mut sent);
+    }
+    wait_fence(&router, "after").await;
+    let tally = engine.tally();
+    let mut not_run = 0;
+    for (prompt, answer) in ends {
+        let answer = answer.expect("an answer");
+        if answer.status == 200 && answer.is_whole {
+            assert_eq!(answer.tokens(), Some(expected_answer(&prompt, TOKENS)), "{prompt:?}");
+        } else if answer.outcome().as_deref() == Some("not-run") {
+            not_run += 1;
+            assert_eq!(count_runs(&tally, &prompt), 0, "{prompt:?} was run: {answer:?}");
+        }
+    }
+    println!("seed {seed}: {not_run} of 96 were told that they did not run");
+}
--- /dev/null
+++ b/crates/jackdaw-proofs/tests/restarted_router.rs
@@ -0,0 +1,39 @@
+//! A router that is replaced by one at the same addresses.
+
+use jackdaw_base::ServiceKind;
+use jackdaw_proofs::fleet::{ENGINE_SERVICE, wait_agents, wait_until};
+use jackdaw_proofs::load::assert_byte_equal;
+use jackdaw_proofs::{ProcessFleet, ProcessSignal, StreamLoad};
+use jackdaw_standin::{EngineSettings, EngineStandin};
+
+const CUSTOMER: &str = "delegados";
+
+/// The agent sleeps over the restart, so that the first router's answers are late.
+#[actix_rt::test]
+async fn late_answers() {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let engine = EngineStandin::bind(EngineSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let agent = fleet.spawn_agent("a-1", ENGINE_SERVICE, ServiceKind::Engine, engine.address());
+    wait_agents(&router, 1).await;
+    let (callers, link) = (router.address("callers"), router.address("link"));
+    let old = StreamLoad::spawn(callers, CUSTOMER, "first incarnation", 6);
+    wait_until("the engine streams", || async {
+        engine.usage().users.values().any(|user| user.tokens > 60)
+    })
+    .await;
+    agent.signal(ProcessSignal::Stop);
+    router.signal(ProcessSignal::Kill);
+    for end in old.finish().await {
+        let is_whole = end.answer.is_some_and(|answer| answer.is_whole);
+        assert!(!is_whole, "{:?} was taken for whole", end.prompt);
+    }
+    drop(router);
+    let router = fleet.spawn_router_at("router-1", callers, link);
+    agent.signal(ProcessSignal::Continue);
+    wait_agents(&router, 1).await;
+    // The same sequence numbers as before, now for other prompts.
+    let load = StreamLoad::spawn(callers, CUSTOMER, "second incarnation", 6);
+    let ends = load.finish().await;
+    assert_byte_equal(&ends).await;
+}
