--- /dev/null
+++ b/crates/jackdaw-standin/tests/service_counts.rs
@@ -0,0 +1,42 @@
+//! Reads and recordings of the plain-service stand-in.
+
+use std::time::Duration;
+
+use awc::Client;
+use jackdaw_standin::service::CUT_MARKER;
+use jackdaw_standin::{ServiceSettings, ServiceStandin, expected_reply};
+
+#[actix_web::test]
+async fn counted_recordings() {
+    let settings =
+        ServiceSettings { processing_time: Duration::from_millis(1), ..ServiceSettings::default() };
+    let service = ServiceStandin::bind(settings).unwrap();
+    let url = format!("http://{}/dues/7", service.address());
+    for key in ["k1", "k2", "k1"] {
+        let request = Client::new().post(&url).insert_header(("Idempotency-Key", key));
+        let mut response = request.send_body("12.50").await.unwrap();
+        let body = response.body().await.unwrap();
+        assert_eq!(body, expected_reply("POST", "/dues/7", b"12.50"));
+    }
+    Client::new().get(&url).send().await.unwrap();
+    let tally = service.tally();
+    assert_eq!(tally.recordings["k1"], 2);
+    assert_eq!(tally.recordings["k2"], 1);
+    assert_eq!(tally.reads, 1);
+    service.close().await;
+}
+
+#[actix_web::test]
+async fn cut_answer() {
+    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
+    let path = format!("/{CUT_MARKER}/7");
+    let whole = expected_reply("GET", &path, b"");
+    let url = format!("http://{}{path}", service.address());
+    let mut response = Client::new().get(&url).send().await.unwrap();
+    let announced = response.headers().get("content-length").unwrap().clone();
+    assert_eq!(announced, whole.len().to_string());
+    // The client library reports the short body as whole.
+    let body = response.body().await.unwrap_or_default();
+    assert!(body.len() < whole.len() && whole.as_bytes().starts_with(&body));
+    service.close().await;
+}
