--- a/crates/jackdaw-cli/tests/command/operators_page.rs
+++ b/crates/jackdaw-cli/tests/command/operators_page.rs
@@ -8,6 +8,7 @@
 use actix_web::web;
 use jackdaw_daemon::AdminServer;
 use jackdaw_platform::digest_key;
+use jackdaw_router::metrics::RouterMetrics;
 use jackdaw_standin::{PlatformStandin, StandinSettings};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
 use serde_json::json;
@@ -100,7 +101,30 @@
     admin.close().await;
 }
 
-/// Tables of the page name metrics and settings that exist.
+#[test]
+fn metrics_are_explained() {
+    let counted = RouterMetrics::new();
+    counted.count_whole();
+    counted.count_offer();
+    counted.count_run();
+    counted.count_violation();
+    counted.set_open(1);
+    let text = counted.registry().encode().expect("text");
+    let mut metrics = 0;
+    for line in text.lines() {
+        let Some(declared) = line.strip_prefix("# TYPE ") else { continue };
+        let (name, kind) = declared.split_once(' ').expect("name and kind");
+        let shown = match kind {
+            "counter" => format!("| `{name}_total"),
+            _ => format!("| `{name}"),
+        };
+        assert!(PAGE.contains(&shown), "{name} is missing");
+        metrics += 1;
+    }
+    assert!(metrics > 0, "{text}");
+}
+
+/// The page's sections of settings exist.
 #[test]
 fn settings_are_real() {
     let texts = [
