Log until when a certificate is valid

Cause: certificates are read at the start only, and nothing said that one is about to end. Ruled out: refusing to start with an ended one; peers refuse it with a reason already. Before -> after: expired_agent_is_refused finds the warning; without the line it does not end. Conclusion: operators see the date in the log.

--- a/crates/jackdaw-link/src/endpoint.rs
+++ b/crates/jackdaw-link/src/endpoint.rs
@@ -8,6 +8,7 @@
 use jackdaw_base::{ErrorKind, VmId, describe_report};
 use quinn::{Connection, Endpoint, Incoming, SendStream};
 use rustls_pki_types::CertificateDer;
+use time::OffsetDateTime;
 use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::timeout;
 
@@ -20,6 +21,8 @@
 
 /// The links that may wait for [`LinkEndpoint::accept`].
 const ACCEPT_QUEUE: usize = 64;
+/// The rest of a certificate's validity below which its end is a warning.
+const EXPIRY_NOTICE: time::Duration = time::Duration::days(7);
 
 /// A bound endpoint.
 pub struct LinkEndpoint {
@@ -51,6 +54,7 @@
                 identity.vm_name()
             )));
         }
+        note_expiry(identity);
         let server = identity.server_config(&settings)?;
         let client = identity.client_config(&settings)?;
         let endpoint = Endpoint::server(server, address)
@@ -154,6 +158,16 @@
     }
 }
 
+/// Logs until when peers take the certificate; a warning where that is soon.
+fn note_expiry(identity: &FleetIdentity) {
+    let (name, expires) = (identity.vm_name(), identity.expires());
+    let level = match expires - OffsetDateTime::now_utc() < EXPIRY_NOTICE {
+        true => log::Level::Warn,
+        false => log::Level::Info,
+    };
+    log::log!(level, "certificate of {name} is valid until {expires}");
+}
+
 async fn take_links(
     endpoint: Endpoint,
     greeting: LinkGreeting,
--- a/crates/jackdaw-link/src/identity.rs
+++ b/crates/jackdaw-link/src/identity.rs
@@ -13,6 +13,7 @@
 use rustls::server::{NoServerSessionStorage, WebPkiClientVerifier};
 use rustls_pki_types::pem::PemObject;
 use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use time::OffsetDateTime;
 use x509_parser::extensions::GeneralName;
 use x509_parser::parse_x509_certificate;
 
@@ -36,6 +37,8 @@
     pub(crate) vm_name: String,
     /// The role of the process on it.
     pub(crate) role: ProcessRole,
+    /// The end of the certificate's validity.
+    pub(crate) expires: OffsetDateTime,
 }
 
 impl FleetIdentity {
@@ -81,6 +84,11 @@
         self.subject.role
     }
 
+    /// Returns the end of the certificate's validity.
+    pub fn expires(&self) -> OffsetDateTime {
+        self.subject.expires
+    }
+
     /// Returns the configuration for links that peers open.
     ///
     /// Sessions are never resumed, so that each link checks the certificate's dates.
@@ -150,7 +158,8 @@
         if let GeneralName::URI(uri) = name
             && let Some((role, vm_name)) = parse_identity_uri(uri)
         {
-            return Ok(CertificateSubject { vm_name: vm_name.to_owned(), role });
+            let expires = parsed.validity().not_after.to_datetime();
+            return Ok(CertificateSubject { vm_name: vm_name.to_owned(), role, expires });
         }
     }
     Err(Report::new(ErrorKind::SettingsInvalid)
--- a/crates/jackdaw-link/tests/link/fleet_keys.rs
+++ b/crates/jackdaw-link/tests/link/fleet_keys.rs
@@ -5,6 +5,7 @@
 use jackdaw_base::{ErrorKind, VmId};
 use jackdaw_link::keys::{AUTHORITY_FILE, AUTHORITY_KEY_FILE};
 use jackdaw_link::{FleetAuthority, FleetIdentity, LinkEndpoint, ProcessRole};
+use time::{Duration, OffsetDateTime};
 
 use crate::common;
 
@@ -25,6 +26,8 @@
         FleetIdentity::open(&path.join(AUTHORITY_FILE), &certificate, &key).expect("opened");
     assert_eq!(identity.vm(), VmId::from_name("guj-surat-router-1"));
     assert_eq!(identity.role(), ProcessRole::Router);
+    let rest = identity.expires() - OffsetDateTime::now_utc();
+    assert_eq!((rest + Duration::hours(12)).whole_days(), 5);
 }
 
 #[test]
--- a/crates/jackdaw-link/tests/link/peer_refusal.rs
+++ b/crates/jackdaw-link/tests/link/peer_refusal.rs
@@ -89,6 +89,7 @@
 
 #[tokio::test]
 async fn expired_agent_is_refused() {
+    start_log();
     let fleet = FleetAuthority::generate(1).expect("authority");
     let now = OffsetDateTime::now_utc();
     let (start, end) = (now - Duration::days(2), now - Duration::days(1));
@@ -98,6 +99,8 @@
     let agent =
         LinkEndpoint::bind(common::loopback(), &identity, greeting, common::quick_settings())
             .expect("bound");
+    let ended = format!("certificate of agent-1 is valid until {}", end.date());
+    warning(&[&ended]).await;
     let router = common::bind(&fleet, "router-1", ProcessRole::Router);
     let dialled = router.dial(agent.local_address(), VmId::from_name("agent-1")).await;
     assert_eq!(common::kind_of(dialled), ErrorKind::LinkFailed);
