--- a/crates/jackdaw-agent/src/decision_actor.rs
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -167,7 +167,9 @@
             ControlMessage::ProbeReply(_)
             | ControlMessage::Leaving
             | ControlMessage::DocumentDigest(_)
-            | ControlMessage::DocumentRequest => {}
+            | ControlMessage::DocumentRequest
+            | ControlMessage::BucketDigests(_)
+            | ControlMessage::BucketRequest(_) => {}
             ControlMessage::Grant(_)
             | ControlMessage::Room(_)
             | ControlMessage::Reports(_)
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -79,6 +79,10 @@
         Probe(u64),
         /// Answers a [`ControlMessage::Probe`].
         ProbeReply(u64),
+        /// Digests of the buckets of the sender's configuration, after two digests differed.
+        BucketDigests(Vec<u64>),
+        /// Asks for the documents of some buckets.
+        BucketRequest(Vec<u16>),
     }
 }
 
@@ -99,7 +103,9 @@
             | ControlMessage::DocumentDigest(_)
             | ControlMessage::DocumentRequest
             | ControlMessage::Probe(_)
-            | ControlMessage::ProbeReply(_) => 1,
+            | ControlMessage::ProbeReply(_)
+            | ControlMessage::BucketDigests(_)
+            | ControlMessage::BucketRequest(_) => 1,
         }
     }
 }
--- a/crates/jackdaw-platform/src/catalog.rs
+++ b/crates/jackdaw-platform/src/catalog.rs
@@ -10,6 +10,9 @@
 
 use crate::store::VmListing;
 
+/// The buckets into which documents are divided for comparison.
+pub const DIGEST_BUCKETS: usize = 256;
+
 /// The newest document of each key, with the lookups that serving needs.
 ///
 /// A document replaces another only if its number is higher, so the state depends on the set
@@ -23,7 +26,8 @@
     models: HashMap<String, Vec<ServiceId>>,
     /// Services that answer for a path prefix; the lowest identifier answers for it.
     prefixes: BTreeMap<String, Vec<ServiceId>>,
-    digest: u64,
+    /// The sum of the hashes of the documents of each bucket; empty until there is one.
+    buckets: Vec<u64>,
     vm_version: u64,
     violations: u64,
 }
@@ -73,9 +77,31 @@
         self.merge(documents)
     }
 
-    /// Returns a hash of all keys and numbers; equal for equal catalogs.
+    /// Returns a hash of all documents; equal for equal catalogs.
     pub fn digest(&self) -> u64 {
-        self.digest
+        let mut digest: u64 = 0;
+        for bucket in &self.buckets {
+            digest = digest.wrapping_add(*bucket);
+        }
+        digest
+    }
+
+    /// Returns a hash of the documents of each of [`DIGEST_BUCKETS`] buckets.
+    pub fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = self.buckets.clone();
+        digests.resize(DIGEST_BUCKETS, 0);
+        digests
+    }
+
+    /// Returns the documents of the given buckets.
+    pub fn bucket_documents(&self, buckets: &[u16]) -> Vec<VersionedDocument> {
+        let mut documents = Vec::new();
+        for document in self.documents.values() {
+            if buckets.contains(&(bucket_of(document.key) as u16)) {
+                documents.push(document.clone());
+            }
+        }
+        documents
     }
 
     /// Returns the number of documents, removals included.
@@ -188,17 +214,32 @@
         if number >= Some(document.number) {
             return false;
         }
+        if let Some(known) = self.documents.get_mut(&document.key)
+            && matches!(document.key, DocumentKey::Vm(_))
+            && known.body == document.body
+        {
+            // Each reader of the list numbers its unchanged entries anew; that is no news.
+            known.number = document.number;
+            return false;
+        }
         let before = self.documents.insert(document.key, document.clone());
         if let Some(before) = before {
             assert!(before.number < document.number, "a document went back to an older number");
-            self.digest = self.digest.wrapping_sub(hash_version(&before));
+            let bucket = self.bucket_mut(before.key);
+            *bucket = bucket.wrapping_sub(hash_version(&before));
             self.unlink(&before);
         }
-        self.digest = self.digest.wrapping_add(hash_version(document));
+        let bucket = self.bucket_mut(document.key);
+        *bucket = bucket.wrapping_add(hash_version(document));
         self.link(document);
         true
     }
 
+    fn bucket_mut(&mut self, key: DocumentKey) -> &mut u64 {
+        self.buckets.resize(DIGEST_BUCKETS, 0);
+        &mut self.buckets[bucket_of(key)]
+    }
+
     /// Adds a document to the lookups.
     fn link(&mut self, document: &VersionedDocument) {
         match (document.key, &document.body) {
@@ -261,15 +302,34 @@
     holders.is_empty()
 }
 
-/// Hashes a document's key and number.
+/// Returns the bucket of a key.
+fn bucket_of(key: DocumentKey) -> usize {
+    let (kind, id) = key_parts(key);
+    (xxh3_64(&id.to_le_bytes()).wrapping_add(kind) % DIGEST_BUCKETS as u64) as usize
+}
+
+/// Hashes a document's key with what tells its versions apart: the number, or for VMs, which
+/// each reader of the list numbers for itself, the body.
 fn hash_version(document: &VersionedDocument) -> u64 {
-    let (kind, id) = match document.key {
+    let (kind, id) = key_parts(document.key);
+    let version = match document.key {
+        DocumentKey::Customer(_) | DocumentKey::Service(_) => document.number,
+        DocumentKey::Vm(_) => {
+            let body = postcard::to_allocvec(&document.body).expect("records are encodable");
+            xxh3_64(&body)
+        }
+    };
+    let mut bytes = [0; 24];
+    bytes[..8].copy_from_slice(&kind.to_le_bytes());
+    bytes[8..16].copy_from_slice(&id.to_le_bytes());
+    bytes[16..].copy_from_slice(&version.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+fn key_parts(key: DocumentKey) -> (u64, u64) {
+    match key {
         DocumentKey::Customer(id) => (1, id.0),
         DocumentKey::Service(id) => (2, id.0),
         DocumentKey::Vm(id) => (3, id.0),
-    };
-    let mut bytes = [kind; 17];
-    bytes[1..9].copy_from_slice(&id.to_le_bytes());
-    bytes[9..].copy_from_slice(&document.number.to_le_bytes());
-    xxh3_64(&bytes)
+    }
 }
--- a/crates/jackdaw-platform/tests/catalog_merge.rs
+++ b/crates/jackdaw-platform/tests/catalog_merge.rs
@@ -105,3 +105,40 @@
     assert_eq!(catalog.vms().count(), 2);
     assert_eq!(catalog.vm(VmId::from_name("a")).unwrap().state, VmState::Leaving);
 }
+
+/// A router that starts late numbers the whole list anew; to the others that is no news.
+#[test]
+fn late_reader() {
+    let vms = vec![vm("a", VmState::Live), vm("b", VmState::Live)];
+    let mut early = ConfigCatalog::new();
+    early.merge_vms(&VmListing { version: 3, vms: vms.clone() });
+    let mut late = ConfigCatalog::new();
+    late.merge_vms(&VmListing { version: 9, vms });
+    assert_eq!(early.digest(), late.digest());
+    let documents: Vec<_> = late.documents().cloned().collect();
+    assert!(early.merge(documents).is_empty(), "an unchanged list was passed on");
+}
+
+/// Exchanging only the buckets that differ makes two catalogs equal.
+#[test]
+fn differing_buckets() {
+    let mut first = ConfigCatalog::new();
+    let mut second = ConfigCatalog::new();
+    let documents: Vec<_> = (0..8).map(|key| document(key, 3)).collect();
+    first.merge(documents.clone());
+    second.merge(documents);
+    first.merge(vec![document(1, 7)]);
+    second.merge(vec![document(2, 9)]);
+    let mut buckets = Vec::new();
+    for (index, digest) in first.bucket_digests().iter().enumerate() {
+        if second.bucket_digests()[index] != *digest {
+            buckets.push(index as u16);
+        }
+    }
+    assert!((1..=2).contains(&buckets.len()), "{buckets:?}");
+    let sent = first.bucket_documents(&buckets);
+    first.merge(second.bucket_documents(&buckets));
+    second.merge(sent);
+    assert_eq!(first.digest(), second.digest());
+    assert_eq!(first.document(document(2, 0).key), second.document(document(2, 0).key));
+}
--- /dev/null
+++ b/crates/jackdaw-policy/examples/spread.rs
@@ -0,0 +1,96 @@
+//! Prints how far news of the configuration gets at the target size, hop by hop.
+//!
+//! Arguments: `--routers N`, `--domains N`, `--homes N`, `--seed N`. The links are those that
+//! routers really choose; a hop is one message between linked routers.
+
+use std::collections::BTreeSet;
+
+use jackdaw_base::{DomainId, VmId};
+use jackdaw_policy::subset::{SubsetNode, home_routers};
+use jackdaw_policy::{DIGEST_FANOUT, SPREAD_FANOUT, pick_peers, relay_routers};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// The rounds of digests after the news has stopped by itself.
+const DIGEST_ROUNDS: usize = 5;
+
+fn main() {
+    let count = read_option("--routers", 1800);
+    let domains = read_option("--domains", 8);
+    let homes = read_option("--homes", 200);
+    let seed = read_option("--seed", 1) as u64;
+    let mut nodes = Vec::new();
+    for index in 0..count {
+        let vm = VmId::from_name(&format!("router-{index}"));
+        nodes.push(SubsetNode { vm, domain: DomainId((index % domains) as u64) });
+    }
+    let links = link_routers(&nodes, homes);
+    let relays: Vec<usize> = relay_routers(&nodes).iter().map(|vm| position(&nodes, *vm)).collect();
+    println!("{count} routers, {} relays, fan-out {SPREAD_FANOUT}, seed {seed}", relays.len());
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // One relay alone has heard: the worst that the others being cut off can do.
+    let mut informed = BTreeSet::from([relays[0]]);
+    let mut fresh = vec![relays[0]];
+    let mut hop = 0;
+    let mut copies = 0;
+    while !fresh.is_empty() {
+        hop += 1;
+        let mut next = Vec::new();
+        for router in fresh {
+            for peer in pick(&mut rng, &links[router], SPREAD_FANOUT) {
+                copies += 1;
+                if informed.insert(peer) {
+                    next.push(peer);
+                }
+            }
+        }
+        println!("hop {hop}: {} informed, {copies} copies", informed.len());
+        fresh = next;
+    }
+    for round in 1..=DIGEST_ROUNDS {
+        let before = informed.clone();
+        for router in 0..count {
+            for peer in pick(&mut rng, &links[router], DIGEST_FANOUT) {
+                if before.contains(&router) || before.contains(&peer) {
+                    informed.insert(router);
+                    informed.insert(peer);
+                }
+            }
+        }
+        println!("digest round {round}: {} informed", informed.len());
+    }
+}
+
+/// Links every router to each home, as routers do.
+fn link_routers(nodes: &[SubsetNode], homes: usize) -> Vec<Vec<usize>> {
+    let ids: Vec<VmId> = nodes.iter().map(|node| node.vm).collect();
+    let homes: BTreeSet<VmId> = home_routers(&ids, homes).into_iter().collect();
+    let mut links = vec![Vec::new(); nodes.len()];
+    for (index, router) in ids.iter().enumerate() {
+        for (other, peer) in ids.iter().enumerate() {
+            if index != other && (homes.contains(router) || homes.contains(peer)) {
+                links[index].push(other);
+            }
+        }
+    }
+    links
+}
+
+fn pick(rng: &mut ChaCha8Rng, links: &[usize], count: usize) -> Vec<usize> {
+    let peers: Vec<VmId> = links.iter().map(|index| VmId(*index as u64)).collect();
+    pick_peers(rng, &peers, None, count).iter().map(|peer| peer.0 as usize).collect()
+}
+
+fn position(nodes: &[SubsetNode], vm: VmId) -> usize {
+    nodes.iter().position(|node| node.vm == vm).expect("relay is a router")
+}
+
+fn read_option(name: &str, default: usize) -> usize {
+    let mut arguments = std::env::args();
+    while let Some(argument) = arguments.next() {
+        if argument == name {
+            return arguments.next().and_then(|value| value.parse().ok()).expect("a number");
+        }
+    }
+    default
+}
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod rendezvous;
 pub mod replay;
 pub mod router;
+pub mod spread;
 pub mod subset;
 
 pub use agent::{AgentCore, AgentCustomer, AgentPolicy, AgentSnapshot};
@@ -24,4 +25,5 @@
 pub use fairness::{GapMonitor, GapTerms, gap_bound};
 pub use replay::{ReplayMismatch, ReplayReport, TraceLine, replay};
 pub use router::{RouterCore, RouterPolicy, RouterSnapshot};
+pub use spread::{DIGEST_FANOUT, SPREAD_FANOUT, pick_peers, relay_routers};
 pub use subset::{SubsetNode, SubsetPolicy, choose_subset, linked_agents};
--- a/crates/jackdaw-router/src/daemon.rs
+++ b/crates/jackdaw-router/src/daemon.rs
@@ -9,16 +9,15 @@
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_daemon::AdminServer;
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, ProcessRole};
-use jackdaw_platform::{CatalogFeed, FeedSettings, PlatformClient};
-use jackdaw_policy::{RouterCore, RouterSnapshot};
+use jackdaw_platform::PlatformClient;
+use jackdaw_policy::{RouterCore, RouterSnapshot, SubsetNode};
 use jackdaw_telemetry::ReadyFlag;
 use tokio::sync::oneshot;
 
 use crate::admin_server::bind_admin;
 use crate::caller_server::CallerServer;
-use crate::decision_actor::{
-    ActorParts, DecisionActor, DrainRouter, DumpRouter, LearnUpdate, ReadTraffic,
-};
+use crate::catalog_watch::CatalogWatch;
+use crate::decision_actor::{ActorParts, DecisionActor, DrainRouter, DumpRouter, ReadTraffic};
 use crate::membership::{LinkBook, receive_control};
 use crate::metrics::RouterMetrics;
 use crate::options::RouterOptions;
@@ -31,7 +30,7 @@
     endpoint: Rc<LinkEndpoint>,
     /// The decisions.
     actor: Addr<DecisionActor>,
-    /// The tasks that accept links and follow the configuration.
+    /// The tasks that accept links.
     tasks: Vec<JoinHandle<()>>,
     /// The operators' interface.
     admin: Option<AdminServer>,
@@ -54,8 +53,10 @@
         let endpoint =
             LinkEndpoint::bind(options.link_address, &options.identity, greeting, options.link)?;
         let endpoint = Rc::new(endpoint);
+        let own = SubsetNode { vm, domain: options.domain };
+        let homes = options.policy.home_routers as usize;
         let core = RouterCore::new(options.policy, vm, incarnation, options.seed);
-        let book = LinkBook::new(vm, endpoint.clone());
+        let book = LinkBook::new(own, endpoint.clone(), homes);
         let ready = ReadyFlag::default();
         let metrics = RouterMetrics::new();
         let registry = metrics.registry();
@@ -66,15 +67,12 @@
             default_patience: options.default_patience,
             ready: ready.clone(),
             metrics,
+            watch: CatalogWatch::new(PlatformClient::open(options.platform)),
+            seed: options.seed,
         };
         let actor = DecisionActor::new(parts).start();
-        let store = PlatformClient::open(options.platform);
-        let feed = CatalogFeed::spawn(store, FeedSettings::default());
         let server = CallerServer::bind(options.caller, actor.clone())?;
-        let tasks = vec![
-            actix_rt::spawn(accept_links(endpoint.clone(), actor.clone())),
-            actix_rt::spawn(follow_catalog(feed, actor.clone())),
-        ];
+        let tasks = vec![actix_rt::spawn(accept_links(endpoint.clone(), actor.clone()))];
         let admin = match &options.admin {
             Some(admin) => Some(bind_admin(admin, ready, registry, &actor)?),
             None => None,
@@ -144,10 +142,3 @@
         actix_rt::spawn(receive_control(link, actor.clone()));
     }
 }
-
-/// Passes configuration from the platform to the actor.
-async fn follow_catalog(mut feed: CatalogFeed, actor: Addr<DecisionActor>) {
-    while let Some(update) = feed.next().await {
-        actor.do_send(LearnUpdate(update));
-    }
-}
--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -11,15 +11,19 @@
 use jackdaw_link::{ControlMessage, PeerLink, ProcessRole, RunRequest};
 use jackdaw_platform::{CatalogUpdate, ConfigCatalog};
 use jackdaw_policy::{
-    ArrivedRequest, RouterCommand, RouterCore, RouterEvent, RouterSnapshot, RunFault,
+    ArrivedRequest, DIGEST_FANOUT, RouterCommand, RouterCore, RouterEvent, RouterSnapshot,
+    RunFault, SPREAD_FANOUT, pick_peers,
 };
 use jackdaw_telemetry::{Readiness, ReadyFlag};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call_reader::{CallTarget, IncomingCall};
 use crate::caller_server::AnswerPart;
+use crate::catalog_watch::CatalogWatch;
 use crate::membership::LinkBook;
 use crate::metrics::RouterMetrics;
 use crate::run::{RunEnd, RunTask, carry_run};
@@ -59,6 +63,10 @@
     ready: ReadyFlag,
     /// The metrics.
     metrics: RouterMetrics,
+    /// The watch on the platform's configuration.
+    watch: CatalogWatch,
+    /// The randomness of the choice of peers.
+    rng: ChaCha8Rng,
 }
 
 /// What the actor is made of.
@@ -75,6 +83,10 @@
     pub ready: ReadyFlag,
     /// The metrics.
     pub metrics: RouterMetrics,
+    /// The watch on the platform's configuration.
+    pub watch: CatalogWatch,
+    /// The seed of the choice of peers.
+    pub seed: u64,
 }
 
 /// A request that has no final answer yet.
@@ -172,6 +184,8 @@
     pub agents: usize,
     /// The open links to routers.
     pub routers: usize,
+    /// Whether this router watches the platform.
+    pub watches_platform: bool,
 }
 
 /// Asks for the control traffic of all links, in bytes sent and received.
@@ -203,6 +217,8 @@
             drained: None,
             ready: parts.ready,
             metrics: parts.metrics,
+            watch: parts.watch,
+            rng: ChaCha8Rng::seed_from_u64(parts.seed),
         }
     }
 
@@ -460,10 +476,18 @@
             }
             ControlMessage::DocumentDigest(digest) => {
                 if digest != self.catalog.digest() {
-                    self.links.send(router, ControlMessage::DocumentRequest);
+                    let digests = ControlMessage::BucketDigests(self.catalog.bucket_digests());
+                    self.links.send(router, digests);
                 }
             }
-            ControlMessage::DocumentRequest => self.send_catalog(router),
+            ControlMessage::BucketDigests(digests) => self.compare_buckets(router, &digests),
+            ControlMessage::BucketRequest(buckets) => {
+                self.send_documents(router, &self.catalog.bucket_documents(&buckets));
+            }
+            ControlMessage::DocumentRequest => {
+                let documents: Vec<VersionedDocument> = self.catalog.documents().cloned().collect();
+                self.send_documents(router, &documents);
+            }
             ControlMessage::Probe(nonce) => {
                 self.links.send(router, ControlMessage::ProbeReply(nonce));
             }
@@ -472,8 +496,19 @@
         }
     }
 
-    fn send_catalog(&self, router: VmId) {
-        let documents: Vec<VersionedDocument> = self.catalog.documents().cloned().collect();
+    /// Exchanges the documents of those buckets that differ.
+    fn compare_buckets(&self, router: VmId, digests: &[u64]) {
+        let mut buckets = Vec::new();
+        for (index, own) in self.catalog.bucket_digests().iter().enumerate() {
+            if digests.get(index) != Some(own) {
+                buckets.push(index as u16);
+            }
+        }
+        self.send_documents(router, &self.catalog.bucket_documents(&buckets));
+        self.links.send(router, ControlMessage::BucketRequest(buckets));
+    }
+
+    fn send_documents(&self, router: VmId, documents: &[VersionedDocument]) {
         for batch in documents.chunks(DOCUMENT_BATCH) {
             self.links.send(router, ControlMessage::Documents(batch.to_vec()));
         }
@@ -489,10 +524,8 @@
         if self.ready.get() == Readiness::Starting && !self.catalog.is_empty() {
             self.ready.set(Readiness::Ready);
         }
-        for router in self.links.routers() {
-            if Some(router) == source {
-                continue;
-            }
+        let routers = self.links.routers();
+        for router in pick_peers(&mut self.rng, &routers, source, SPREAD_FANOUT) {
             for batch in changed.chunks(DOCUMENT_BATCH) {
                 self.links.send(router, ControlMessage::Documents(batch.to_vec()));
             }
@@ -509,10 +542,21 @@
         }
     }
 
-    fn compare_digests(&self) {
+    /// Keeps the watch on the platform where this router is a relay or knows no other router.
+    fn update_watch(&mut self, context: &Context<DecisionActor>) {
+        let is_alone = self.links.routers().is_empty();
+        if is_alone || self.links.is_relay() || self.ready.get() == Readiness::Starting {
+            self.watch.start(context.address());
+        } else {
+            self.watch.stop();
+        }
+    }
+
+    fn compare_digests(&mut self) {
         self.metrics.set_open(self.requests.len());
         let digest = self.catalog.digest();
-        for router in self.links.routers() {
+        let routers = self.links.routers();
+        for router in pick_peers(&mut self.rng, &routers, None, DIGEST_FANOUT) {
             self.links.send(router, ControlMessage::DocumentDigest(digest));
         }
     }
@@ -566,7 +610,11 @@
         context.run_interval(TIMER_PERIOD, |actor, context| {
             actor.decide(RouterEvent::TimerFired, context);
         });
-        context.run_interval(DIGEST_PERIOD, |actor, _| actor.compare_digests());
+        self.update_watch(context);
+        context.run_interval(DIGEST_PERIOD, |actor, context| {
+            actor.compare_digests();
+            actor.update_watch(context);
+        });
     }
 }
 
@@ -665,6 +713,7 @@
             open_requests: self.requests.len(),
             agents: self.links.len() - routers,
             routers,
+            watches_platform: self.watch.is_running(),
         })
     }
 }
--- a/crates/jackdaw-router/src/lib.rs
+++ b/crates/jackdaw-router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admin_server;
 pub mod call_reader;
 pub mod caller_server;
+pub mod catalog_watch;
 pub mod daemon;
 pub mod decision_actor;
 pub mod membership;
--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -1,6 +1,6 @@
 //! Links to agents and other routers, as the platform's list of VMs has them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,9 +8,11 @@
 use actix::Addr;
 use actix_rt::task::JoinHandle;
 use jackdaw_base::{
-    DocumentBody, DocumentKey, DomainId, VersionedDocument, VmId, VmRecord, VmState,
+    DocumentBody, DocumentKey, DomainId, ServiceId, VersionedDocument, VmId, VmRecord, VmState,
 };
 use jackdaw_link::{ControlMessage, LinkEndpoint, PeerLink, ProcessRole};
+use jackdaw_policy::relay_routers;
+use jackdaw_policy::subset::{SubsetNode, SubsetPolicy, home_routers, linked_agents};
 use rand::Rng;
 
 use crate::decision_actor::{DecisionActor, LinkInput};
@@ -23,36 +25,35 @@
 
 /// The links of a router, and the tasks that keep them open.
 pub struct LinkBook {
-    /// The router's own VM.
-    vm: VmId,
+    /// The router itself.
+    own: SubsetNode,
     /// The endpoint that opens links.
     endpoint: Rc<LinkEndpoint>,
+    /// The size of subsets.
+    policy: SubsetPolicy,
+    /// The number of routers that keep account homes.
+    home_routers: usize,
     /// The open links by the VM of the peer.
     links: HashMap<VmId, PeerLink>,
-    /// The VMs of the list, and the tasks that dial them.
-    members: HashMap<VmId, FleetMember>,
+    /// The VMs of the list, without this one.
+    members: BTreeMap<VmId, VmRecord>,
+    /// The tasks that dial, with the address that they dial.
+    dialers: HashMap<VmId, (SocketAddr, JoinHandle<()>)>,
     /// The control traffic of links that are closed, in bytes sent and received.
     closed_bytes: (u64, u64),
 }
 
-/// A VM of the list.
-struct FleetMember {
-    /// The failure domain.
-    domain: DomainId,
-    /// The address of its process.
-    address: SocketAddr,
-    /// The task that keeps the link open; `None` where the peer dials.
-    dialer: Option<JoinHandle<()>>,
-}
-
 impl LinkBook {
     /// Creates an empty book.
-    pub fn new(vm: VmId, endpoint: Rc<LinkEndpoint>) -> LinkBook {
+    pub fn new(own: SubsetNode, endpoint: Rc<LinkEndpoint>, home_routers: usize) -> LinkBook {
         LinkBook {
-            vm,
+            own,
             endpoint,
+            policy: SubsetPolicy::default(),
+            home_routers,
             links: HashMap::new(),
-            members: HashMap::new(),
+            members: BTreeMap::new(),
+            dialers: HashMap::new(),
             closed_bytes: (0, 0),
         }
     }
@@ -150,52 +151,105 @@
         actor: &Addr<DecisionActor>,
     ) -> Vec<(VmId, ProcessRole)> {
         let mut leaving = Vec::new();
+        let mut is_changed = false;
         for document in documents {
             let DocumentKey::Vm(vm) = document.key else { continue };
-            if vm == self.vm {
+            if vm == self.own.vm {
                 continue;
             }
             match &document.body {
                 Some(DocumentBody::Vm(record)) => {
-                    self.keep(vm, record, actor);
+                    self.members.insert(vm, record.clone());
                     if record.state == VmState::Leaving {
                         leaving.extend(self.role(vm));
                     }
                 }
                 _ => {
                     leaving.extend(self.role(vm));
-                    self.forget(vm);
+                    self.members.remove(&vm);
                 }
             }
+            is_changed = true;
+        }
+        if is_changed {
+            self.update_dialers(actor);
         }
         leaving
     }
 
+    /// Returns whether this router watches the platform for others.
+    pub fn is_relay(&self) -> bool {
+        relay_routers(&self.router_nodes()).contains(&self.own.vm)
+    }
+
     fn role(&self, vm: VmId) -> Option<(VmId, ProcessRole)> {
         self.links.get(&vm).map(|link| (vm, link.greeting().role))
     }
 
-    fn keep(&mut self, vm: VmId, record: &VmRecord, actor: &Addr<DecisionActor>) {
-        if self.members.get(&vm).is_some_and(|member| member.address == record.link_address) {
-            return;
-        }
-        self.forget(vm);
-        // Of two routers, the one with the lower identifier dials.
-        let dials = record.service.is_some() || self.vm < vm;
-        let dialer = dials.then(|| {
-            let task = keep_dialing(self.endpoint.clone(), vm, record.link_address, actor.clone());
-            actix_rt::spawn(task)
+    /// Dials the VMs that this router is to be linked to, and no others.
+    ///
+    /// A link that is open stays until it closes by itself, since work may run on it.
+    fn update_dialers(&mut self, actor: &Addr<DecisionActor>) {
+        let wanted = self.wanted_links();
+        self.dialers.retain(|vm, (address, task)| {
+            let keeps = wanted.get(vm) == Some(address);
+            if !keeps {
+                task.abort();
+            }
+            keeps
         });
-        let member = FleetMember { domain: record.domain, address: record.link_address, dialer };
-        self.members.insert(vm, member);
+        for (vm, address) in wanted {
+            if self.dialers.contains_key(&vm) {
+                continue;
+            }
+            let task = keep_dialing(self.endpoint.clone(), vm, address, actor.clone());
+            self.dialers.insert(vm, (address, actix_rt::spawn(task)));
+        }
     }
 
-    /// Stops dialling a VM; a link that is open stays until it closes by itself.
-    fn forget(&mut self, vm: VmId) {
-        let Some(member) = self.members.remove(&vm) else { return };
-        if let Some(dialer) = member.dialer {
-            dialer.abort();
+    /// Returns the VMs that this router dials, with their addresses.
+    fn wanted_links(&self) -> HashMap<VmId, SocketAddr> {
+        let routers = self.router_nodes();
+        let mut wanted = HashMap::new();
+        for agents in self.agent_nodes().values() {
+            for agent in linked_agents(self.own, &routers, agents, &self.policy) {
+                wanted.insert(agent, self.members[&agent].link_address);
+            }
+        }
+        let mut ids: Vec<VmId> = routers.iter().map(|node| node.vm).collect();
+        ids.sort_unstable();
+        let homes = home_routers(&ids, self.home_routers);
+        let is_home = homes.contains(&self.own.vm);
+        for router in ids {
+            // Of two routers, the one with the lower identifier dials.
+            if router > self.own.vm && (is_home || homes.contains(&router)) {
+                wanted.insert(router, self.members[&router].link_address);
+            }
+        }
+        wanted
+    }
+
+    /// Returns the routers of the list, this one included.
+    fn router_nodes(&self) -> Vec<SubsetNode> {
+        let mut nodes = vec![self.own];
+        for (vm, record) in &self.members {
+            if record.service.is_none() {
+                nodes.push(SubsetNode { vm: *vm, domain: record.domain });
+            }
+        }
+        nodes
+    }
+
+    /// Returns the agents of the list by service.
+    fn agent_nodes(&self) -> BTreeMap<ServiceId, Vec<SubsetNode>> {
+        let mut nodes: BTreeMap<ServiceId, Vec<SubsetNode>> = BTreeMap::new();
+        for (vm, record) in &self.members {
+            if let Some(service) = record.service {
+                let node = SubsetNode { vm: *vm, domain: record.domain };
+                nodes.entry(service).or_default().push(node);
+            }
         }
+        nodes
     }
 
     fn retire(&mut self, link: &PeerLink) {
