Send random frames to a link

Cause: five chosen frames are few. Change: 60 random frames (seed 2026), each on a link of its own, which answers a probe or ends with a protocol violation; another link stays.

--- a/crates/jackdaw-link/tests/link/protocol_violation.rs
+++ b/crates/jackdaw-link/tests/link/protocol_violation.rs
@@ -3,9 +3,15 @@
 use jackdaw_base::ErrorKind;
 use jackdaw_link::{ControlMessage, FleetAuthority, LinkEndpoint, PeerLink, ProcessRole};
 
+use quickcheck::{Arbitrary, Gen};
+
 use crate::common;
 use crate::raw_peer::{RawPeer, frame};
 
+const SEED: u64 = 2026;
+const FRAME_BYTES: usize = 40;
+const RANDOM_FRAMES: usize = 60;
+
 /// Connects a raw router and finishes its greeting.
 async fn raw_router(fleet: &FleetAuthority, agent: &LinkEndpoint) -> (RawPeer, PeerLink) {
     let greeting = common::greeting("router-9", ProcessRole::Router);
@@ -42,6 +48,48 @@
     }
 }
 
+/// Any bytes are either a message, after which a probe is answered, or end their own link.
+#[tokio::test]
+async fn random_frames_end_one_link() {
+    println!("seed {SEED}");
+    let mut source = Gen::from_size_and_seed(FRAME_BYTES, SEED);
+    let fleet = FleetAuthority::generate(1).expect("authority");
+    let agent = common::bind(&fleet, "agent-1", ProcessRole::Agent);
+    let good_router = common::bind(&fleet, "router-1", ProcessRole::Router);
+    let (good, _good_end) = common::link(&good_router, &agent, "agent-1").await;
+    let probe = postcard::to_stdvec(&ControlMessage::Probe(1)).expect("encoded");
+    let mut ended = 0;
+    for _ in 0..RANDOM_FRAMES {
+        let bytes = Vec::<u8>::arbitrary(&mut source);
+        let (mut peer, link) = raw_router(&fleet, &agent).await;
+        peer.send_frame(&bytes).await;
+        // The write may come too late, which the closed link shows.
+        let _ = peer.sender.write_all(&frame(&probe)).await;
+        tokio::select! {
+            closure = link.closed() => {
+                assert_eq!(closure.kind, ErrorKind::ProtocolViolation, "{bytes:?}");
+                ended += 1;
+            }
+            () = probe_reply(&mut peer) => {}
+        }
+    }
+    assert!(ended > 0, "some frames are no messages");
+    good.probe().await.expect("other link is intact");
+}
+
+/// Waits for the frame that answers a probe; never returns where the link ends first.
+async fn probe_reply(peer: &mut RawPeer) {
+    let reply = postcard::to_stdvec(&ControlMessage::ProbeReply(1)).expect("encoded");
+    let mut received = Vec::new();
+    let mut buffer = [0; 64];
+    while !received.ends_with(&frame(&reply)) {
+        match peer.receiver.read(&mut buffer).await {
+            Ok(Some(count)) => received.extend_from_slice(&buffer[..count]),
+            Ok(None) | Err(_) => std::future::pending().await,
+        }
+    }
+}
+
 #[tokio::test]
 async fn malformed_run_ends_one_link() {
     let fleet = FleetAuthority::generate(1).expect("authority");
