Count the work past a reservation in the bound on the gap

Cause: the bound left out what running requests may cost beyond what was reserved, so that its derivation had a hole; the fake's identifiers were shorter on the wire than hashed names. Ruled out: larger reservations (three times in the bound, the overrun once). Change: GapTerms has cost_max; reservation_max is 400; the fake's identifiers have full length.

--- a/crates/jackdaw-policy/examples/slopes.rs
+++ b/crates/jackdaw-policy/examples/slopes.rs
@@ -12,8 +12,9 @@
 use fleet::Fleet;
 use fleet::plan::FleetPlan;
 use jackdaw_base::{
-    CustomerId, CustomerShare, DomainId, MonotonicTime, NormalService, OfferId, ProcessIncarnation,
-    RequestClass, RequestId, ServiceId, ServiceReport, VmId, WorkOffer, WorkUnits,
+    CustomerId, CustomerShare, DomainId, FleetTotal, MonotonicTime, NormalService, OfferId,
+    ProcessIncarnation, RequestClass, RequestId, ServiceId, ServiceReport, VmId, WorkOffer,
+    WorkUnits,
 };
 use jackdaw_policy::router::account_home::AccountHome;
 use jackdaw_policy::{
@@ -51,12 +52,42 @@
     for (customers, agents) in [(16, 16), (16, 64), (64, 64), (256, 64)] {
         measure_home(customers, agents);
     }
+    measure_messages();
     println!("control: customers | agents | bytes/s a node | of it fairness");
     for (customers, agents) in [(16, 16), (64, 16), (256, 16), (16, 64)] {
         measure_control(seed, customers, agents);
     }
 }
 
+/// Prints the bytes of each control message, with identifiers as long as hashed names.
+fn measure_messages() {
+    let long = 1 << 63;
+    let request = RequestId { router: ProcessIncarnation(long), sequence: 1_000_000 };
+    let id = OfferId { request, attempt: 0 };
+    let (customer, service) = (CustomerId(long), ServiceId(long));
+    let sample = WorkOffer { id, customer, service, prefix: long, ..offer(0, 0) };
+    let report = ServiceReport {
+        agent: ProcessIncarnation(long),
+        vm: VmId(long),
+        customer,
+        given: NormalService(1_000_000_000),
+        known_total: NormalService(100_000_000_000),
+        virtual_time: NormalService(100_000_000_000),
+        waiting: true,
+    };
+    let (total, own) = (report.known_total, report.given);
+    let total = FleetTotal { customer, total, own };
+    let length = |bytes: Result<Vec<u8>, postcard::Error>| bytes.map_or(0, |bytes| bytes.len());
+    println!("bytes: offer | grant, withdrawal or decline | report | total");
+    println!(
+        "{} | {} | {} | {}",
+        length(postcard::to_stdvec(&sample)),
+        length(postcard::to_stdvec(&id)),
+        length(postcard::to_stdvec(&report)),
+        length(postcard::to_stdvec(&total)),
+    );
+}
+
 fn offer(sequence: u64, customer: u64) -> WorkOffer {
     WorkOffer {
         id: OfferId { request: RequestId { router: INCARNATION, sequence }, attempt: 0 },
--- a/crates/jackdaw-policy/src/agent.rs
+++ b/crates/jackdaw-policy/src/agent.rs
@@ -58,7 +58,7 @@
         AgentPolicy {
             share_policy: SharePolicy::Fleet,
             places: 8,
-            reservation_max: WorkUnits(1_000),
+            reservation_max: WorkUnits(400),
             report_interval: Duration::from_millis(250),
             heartbeat_interval: Duration::from_secs(5),
             grant_timeout: Duration::from_secs(2),
--- a/crates/jackdaw-policy/src/fairness.rs
+++ b/crates/jackdaw-policy/src/fairness.rs
@@ -18,6 +18,8 @@
         pub place_rate: WorkUnits,
         /// The most that is reserved for a request before it has done the work.
         pub reservation_max: WorkUnits,
+        /// The most work that one request costs.
+        pub cost_max: WorkUnits,
         /// The mean work that a request costs.
         pub cost_mean: WorkUnits,
         /// The time between two reports of an agent.
@@ -60,7 +62,9 @@
     let unseen = places * terms.place_rate.0 * age / 1_000_000;
     let fair = places * u64::from(terms.largest_share) / u64::from(terms.share_sum.max(1)) + 1;
     let held = (fair + unseen / terms.cost_mean.0.max(1)).min(places);
-    let work = unseen + (HELD_TERMS * held + 1) * terms.reservation_max.0;
+    let reserved = (HELD_TERMS * held + 1) * terms.reservation_max.0;
+    let overrun = held * terms.cost_max.saturating_sub(terms.reservation_max).0;
+    let work = unseen + reserved + overrun;
     NormalService(work * NormalService::SCALE / u64::from(terms.least_share.max(1)))
 }
 
--- a/crates/jackdaw-policy/tests/support/plan.rs
+++ b/crates/jackdaw-policy/tests/support/plan.rs
@@ -7,6 +7,8 @@
 
 /// Tokens that a place generates in a second.
 pub(crate) const PLACE_RATE: u64 = 40;
+/// Most tokens of a request.
+pub(crate) const COST_MAX: u64 = 4_000;
 /// Mean tokens of a request.
 const COST_MEAN: u64 = 356;
 
@@ -132,6 +134,7 @@
             places: self.agent_policy.places,
             place_rate: WorkUnits(PLACE_RATE),
             reservation_max: self.agent_policy.reservation_max,
+            cost_max: WorkUnits(COST_MAX),
             cost_mean: WorkUnits(COST_MEAN),
             report_interval: self.agent_policy.report_interval,
             totals_interval: self.router_policy.totals_interval,
