Measure starvation, and a fleet that falls into two halves

Cause: the bound says nothing of the time without service, and nothing brought about a split of routers and agents together. Change: the fake counts the longest time without service; the limit is the longest run. The split shape halves the fleet for a quarter of the run.

--- a/crates/jackdaw-policy/tests/fleet_fairness.rs
+++ b/crates/jackdaw-policy/tests/fleet_fairness.rs
@@ -3,13 +3,17 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
-use fleet::plan::FleetPlan;
+use fleet::plan::{COST_MAX, FleetPlan, PLACE_RATE};
 use fleet::{Fleet, FleetResult};
 use jackdaw_policy::SharePolicy;
 
 /// Seed of every run unless `JACKDAW_SEED` is set.
 const DEFAULT_SEED: u64 = 11;
 
+/// Longest time without service for a backlogged customer, in seconds: the longest run, after
+/// which each place has been granted anew.
+const STARVED_MAX: u64 = COST_MAX / PLACE_RATE;
+
 fn seed() -> u64 {
     let seed = std::env::var("JACKDAW_SEED").ok().and_then(|text| text.parse().ok());
     seed.unwrap_or(DEFAULT_SEED)
@@ -34,6 +38,7 @@
     assert_eq!(result.violations, Vec::<String>::new());
     assert!(result.gap <= result.bound);
     assert!(result.utilisation >= 97.0);
+    assert!(result.starved <= STARVED_MAX);
 }
 
 #[test]
@@ -43,9 +48,11 @@
 
 #[test]
 fn flooding_customer() {
-    assert_fair(&run(plan(SharePolicy::Fleet), "flood"));
+    let fleet = run(plan(SharePolicy::Fleet), "flood");
+    assert_fair(&fleet);
     let first_come = run(plan(SharePolicy::FirstCome), "flood");
     assert!(first_come.gap > first_come.bound);
+    assert!(first_come.starved > fleet.starved);
 }
 
 #[test]
@@ -70,6 +77,13 @@
     assert_fair(&run(plan(SharePolicy::Fleet), "cut"));
 }
 
+#[test]
+fn split_and_mend() {
+    let result = run(plan(SharePolicy::Fleet), "split");
+    assert_eq!(result.violations, Vec::<String>::new());
+    assert!(result.starved <= STARVED_MAX);
+}
+
 #[test]
 fn restarts_and_losses() {
     let result = run(plan(SharePolicy::Fleet), "restarts");
--- a/crates/jackdaw-policy/tests/support/fleet.rs
+++ b/crates/jackdaw-policy/tests/support/fleet.rs
@@ -35,6 +35,8 @@
     pub(crate) bound: u64,
     pub(crate) mean_service: u64,
     pub(crate) utilisation: f64,
+    /// The longest time for which a backlogged customer had no service, in seconds.
+    pub(crate) starved: u64,
     pub(crate) messages: u64,
     pub(crate) bytes: u64,
     pub(crate) fairness_bytes: u64,
@@ -91,6 +93,8 @@
     requests: BTreeMap<RequestId, (usize, u64)>,
     ran: BTreeSet<RequestId>,
     monitor: GapMonitor,
+    /// When each backlogged customer last had service.
+    served: BTreeMap<usize, u64>,
     busy: u64,
     running: u64,
     cut: bool,
@@ -124,6 +128,7 @@
             requests: BTreeMap::new(),
             ran: BTreeSet::new(),
             monitor: GapMonitor::new(),
+            served: BTreeMap::new(),
             busy: 0,
             running: 0,
             cut: false,
@@ -144,6 +149,7 @@
         }
         for customer in 0..fleet.plan.customers.len() {
             fleet.monitor.enter(customer_id(customer));
+            fleet.served.insert(customer, 0);
         }
         for index in 0..fleet.plan.routers {
             fleet.join(index);
@@ -166,6 +172,8 @@
             if time >= next_sample {
                 next_sample += SECOND;
                 self.monitor.sample();
+                let since = self.served.values().min().copied().unwrap_or(self.now);
+                self.result.starved = self.result.starved.max((self.now - since) / SECOND);
             }
             let known = |(vm, incarnation): &(VmId, u64)| {
                 *incarnation == 0 || self.incarnations.get(vm) == Some(incarnation)
@@ -309,16 +317,20 @@
             Happening::Fault(FleetFault::RestartRouter(index)) => self.restart_router(index),
             Happening::Fault(FleetFault::CutRouters) => self.set_cut(true),
             Happening::Fault(FleetFault::JoinRouters) => self.set_cut(false),
+            Happening::Fault(FleetFault::SplitFleet) => self.split(),
+            Happening::Fault(FleetFault::MendFleet) => self.mend(),
             Happening::Fault(FleetFault::SetShare(customer, share)) => {
                 self.plan.customers[customer].share = share;
             }
             Happening::Fault(FleetFault::PauseCustomer(customer)) => {
                 self.paused.insert(customer);
                 self.monitor.leave(customer_id(customer));
+                self.served.remove(&customer);
             }
             Happening::Fault(FleetFault::ResumeCustomer(customer)) => {
                 self.paused.remove(&customer);
                 self.monitor.enter(customer_id(customer));
+                self.served.insert(customer, self.now);
                 for router in self.plan.customers[customer].routers.clone() {
                     self.fill(customer, router);
                 }
@@ -483,6 +495,11 @@
         let share = CustomerShare(self.plan.customers[run.customer].share);
         let service = NormalService::from_units(WorkUnits(done - run.done), share);
         self.monitor.serve(customer_id(run.customer), service);
+        if done > run.done
+            && let Some(served) = self.served.get_mut(&run.customer)
+        {
+            *served = now;
+        }
         run.done = done;
         let units = WorkUnits(done);
         if done < run.cost {
@@ -522,6 +539,44 @@
         self.cut = cut;
     }
 
+    fn across(&self) -> Vec<(usize, usize)> {
+        let pairs = self.links.iter().enumerate();
+        let pairs =
+            pairs.flat_map(|(router, agents)| agents.iter().map(move |agent| (router, *agent)));
+        pairs.filter(|(router, agent)| router % 2 != agent % 2).collect()
+    }
+
+    fn split(&mut self) {
+        self.set_cut(true);
+        for (index, agent) in self.across() {
+            let router = router_vm(index);
+            let runs = std::mem::take(&mut self.agents[agent].runs);
+            let (gone, kept): (Vec<_>, Vec<_>) =
+                runs.into_iter().partition(|(_, run)| run.router == router);
+            self.agents[agent].runs = kept.into_iter().collect();
+            self.running -= gone.len() as u64;
+            self.tell_router(index, RouterEvent::AgentLost { agent: agent_vm(agent) });
+            for (offer, run) in gone {
+                let units = WorkUnits(run.done);
+                self.tell_agent(agent, AgentEvent::RunEnded { offer, units });
+                let fault = RunFault::Interrupted;
+                let request = offer.request;
+                self.tell_router(
+                    index,
+                    RouterEvent::RunFailed { request, fault, repeatable: true },
+                );
+            }
+            self.tell_agent(agent, AgentEvent::RouterLost { router });
+        }
+    }
+
+    fn mend(&mut self) {
+        self.set_cut(false);
+        for (router, agent) in self.across() {
+            self.link(router, agent);
+        }
+    }
+
     fn restart_agent(&mut self, index: usize) {
         let node = self.agent_node(index);
         let old = std::mem::replace(&mut self.agents[index], node);
--- a/crates/jackdaw-policy/tests/support/plan.rs
+++ b/crates/jackdaw-policy/tests/support/plan.rs
@@ -35,6 +35,9 @@
     RestartRouter(usize),
     CutRouters,
     JoinRouters,
+    /// Routers and agents fall into two halves.
+    SplitFleet,
+    MendFleet,
     SetShare(usize, u32),
     PauseCustomer(usize),
     ResumeCustomer(usize),
@@ -112,6 +115,14 @@
                 self.faults.push((seconds / 2, FleetFault::JoinRouters));
                 return self.uneven();
             }
+            "split" => {
+                for (index, load) in self.customers.iter_mut().enumerate() {
+                    // Some customers are on both sides, some on one.
+                    load.routers.retain(|router| index % 4 == 0 || router % 2 == 0);
+                }
+                self.faults.push((seconds / 4, FleetFault::SplitFleet));
+                self.faults.push((seconds / 2, FleetFault::MendFleet));
+            }
             "restarts" => {
                 self.loss = 10;
                 for second in (10..seconds).step_by(10) {
