--- a/crates/jackdaw-policy/tests/support/plan.rs
+++ b/crates/jackdaw-policy/tests/support/plan.rs
@@ -7,6 +7,8 @@
 
 /// Tokens that a place generates in a second.
 pub(crate) const PLACE_RATE: u64 = 40;
+/// Most tokens of a request.
+pub(crate) const COST_MAX: u64 = 4_000;
 /// Mean tokens of a request.
 const COST_MEAN: u64 = 356;
 
@@ -33,6 +35,9 @@
     RestartRouter(usize),
     CutRouters,
     JoinRouters,
+    /// Routers and agents fall into two halves.
+    SplitFleet,
+    MendFleet,
     SetShare(usize, u32),
     PauseCustomer(usize),
     ResumeCustomer(usize),
@@ -110,6 +115,14 @@
                 self.faults.push((seconds / 2, FleetFault::JoinRouters));
                 return self.uneven();
             }
+            "split" => {
+                for (index, load) in self.customers.iter_mut().enumerate() {
+                    // Some customers are on both sides, some on one.
+                    load.routers.retain(|router| index % 4 == 0 || router % 2 == 0);
+                }
+                self.faults.push((seconds / 4, FleetFault::SplitFleet));
+                self.faults.push((seconds / 2, FleetFault::MendFleet));
+            }
             "restarts" => {
                 self.loss = 10;
                 for second in (10..seconds).step_by(10) {
@@ -132,6 +145,7 @@
             places: self.agent_policy.places,
             place_rate: WorkUnits(PLACE_RATE),
             reservation_max: self.agent_policy.reservation_max,
+            cost_max: WorkUnits(COST_MAX),
             cost_mean: WorkUnits(COST_MEAN),
             report_interval: self.agent_policy.report_interval,
             totals_interval: self.router_policy.totals_interval,
