--- a/crates/jackdaw-standin/src/platform/handlers.rs
+++ b/crates/jackdaw-standin/src/platform/handlers.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use jackdaw_base::plain_data;
 
-use super::state::{CallKind, ObjectWrite, PlatformState, WriteGuard};
+use super::state::{CallKind, ObjectWrite, PlatformState, WriteEffect, WriteGuard};
 use super::{AnswerFault, PlatformFaults};
 
 type StateData = web::Data<PlatformState>;
@@ -65,12 +65,9 @@
     if state.hold(&write) {
         return fail(AnswerFault::Silent).await;
     }
-    let version = state.write(&write);
-    if version.is_some() && state.take_lost_answer() {
-        return fail(state.faults().lost_as.unwrap_or(AnswerFault::Gateway)).await;
-    }
-    match version {
-        Some(version) => {
+    match state.write(&write) {
+        Some(WriteEffect { lost: Some(fault), .. }) => fail(fault).await,
+        Some(WriteEffect { version, lost: None }) => {
             HttpResponse::Ok().insert_header((header::ETAG, entity_tag(version))).finish()
         }
         None => HttpResponse::PreconditionFailed().finish(),
--- a/crates/jackdaw-standin/src/platform/state.rs
+++ b/crates/jackdaw-standin/src/platform/state.rs
@@ -8,7 +8,7 @@
 use jackdaw_base::{VmRecord, plain_data};
 use tokio::sync::watch;
 
-use super::{PlatformCounts, PlatformFaults, StandinSettings};
+use super::{AnswerFault, PlatformCounts, PlatformFaults, StandinSettings};
 
 plain_data! {
     /// An object's key with its newest version.
@@ -51,6 +51,14 @@
     pub(super) value: Bytes,
 }
 
+/// What a write did.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WriteEffect {
+    pub(super) version: u64,
+    /// The way in which the answer is to be lost.
+    pub(super) lost: Option<AnswerFault>,
+}
+
 /// Kind of a call, for counters and limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CallKind {
@@ -148,11 +156,6 @@
         self.lock().faults = faults;
     }
 
-    /// Takes one of the answers that are to be lost; returns whether there was one.
-    pub(super) fn take_lost_answer(&self) -> bool {
-        take_one(&mut self.lock().faults.lost_answers)
-    }
-
     /// Holds a write back if one is to be held; returns whether it was.
     pub(super) fn hold(&self, write: &ObjectWrite) -> bool {
         let mut inner = self.lock();
@@ -188,8 +191,8 @@
         self.lock().objects.get(key).map(|entry| entry.value.to_vec())
     }
 
-    /// Writes if the condition holds, and returns the new version.
-    pub(super) fn write(&self, write: &ObjectWrite) -> Option<u64> {
+    /// Writes if the condition holds.
+    pub(super) fn write(&self, write: &ObjectWrite) -> Option<WriteEffect> {
         let mut inner = self.lock();
         inner.counts.written_bytes += write.value.len() as u64;
         let current = inner.objects.get(&write.key).map(|entry| entry.version);
@@ -205,9 +208,11 @@
         let version = inner.revision;
         let entry = ObjectEntry { version, value: write.value.clone() };
         inner.objects.insert(write.key.clone(), entry);
+        let lost_as = inner.faults.lost_as.unwrap_or(AnswerFault::Gateway);
+        let lost = take_one(&mut inner.faults.lost_answers).then_some(lost_as);
         drop(inner);
         self.changed.send_replace(version);
-        Some(version)
+        Some(WriteEffect { version, lost })
     }
 
     /// Lists the objects under a prefix that changed after a revision.
