--- /dev/null
+++ b/crates/jackdaw-platform/examples/claim_rate.rs
@@ -0,0 +1,154 @@
+//! Measures platform writes and bytes per recording at several rates and ways of writing.
+//!
+//! `claim_rate [SEED] [SECONDS]` prints one line a way and rate, as a Markdown table.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use jackdaw_base::{ErrorKind, ProcessIncarnation};
+use jackdaw_platform::{
+    ClaimLayout, ClaimSettings, ClaimWriter, ObjectStore, PlatformClient, PlatformSettings,
+    WriteCondition,
+};
+use jackdaw_standin::{PlatformStandin, StandinSettings};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+/// Recordings a second over all writers.
+const RATES: [u32; 3] = [50, 200, 800];
+/// The processes that claim.
+const WRITERS: usize = 3;
+
+/// Way of keeping claims.
+#[derive(Debug, Clone, Copy)]
+enum ClaimWay {
+    /// One object and one write a recording.
+    Single,
+    /// Grouped writes.
+    Grouped { slots: u64, bucket_millis: u64, interval_millis: u64 },
+}
+
+const WAYS: [ClaimWay; 6] = [
+    ClaimWay::Single,
+    ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 0 },
+    ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 20 },
+    ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 100 },
+    ClaimWay::Grouped { slots: 1, bucket_millis: 10_000, interval_millis: 20 },
+    ClaimWay::Grouped { slots: 4, bucket_millis: 1000, interval_millis: 20 },
+];
+
+/// One process that claims.
+#[derive(Clone)]
+enum Claimer {
+    Single(PlatformClient),
+    Grouped(ClaimWriter<PlatformClient>),
+}
+
+impl Claimer {
+    fn open(standin: &PlatformStandin, way: ClaimWay) -> Claimer {
+        let mut settings = PlatformSettings::new(standin.address());
+        settings.governor.calls_per_second = 100_000;
+        settings.governor.burst = 100_000;
+        let client = PlatformClient::open(settings);
+        let ClaimWay::Grouped { slots, bucket_millis, interval_millis } = way else {
+            return Claimer::Single(client);
+        };
+        let settings = ClaimSettings {
+            layout: ClaimLayout { slots, bucket_millis, ring: 1024 },
+            write_interval: Duration::from_millis(interval_millis),
+            ..ClaimSettings::default()
+        };
+        Claimer::Grouped(ClaimWriter::spawn(client, ProcessIncarnation::random(), settings))
+    }
+
+    async fn claim(&self, key: &str) -> Result<(), Report<ErrorKind>> {
+        match self {
+            Claimer::Single(client) => {
+                let owner = Bytes::copy_from_slice(&rand::random::<[u8; 16]>());
+                let object_key = format!("claims/{key}");
+                client.write(&object_key, WriteCondition::Absent, owner).await.map(|_| ())
+            }
+            Claimer::Grouped(writer) => writer.claim(key).await,
+        }
+    }
+}
+
+fn main() -> Result<(), Report<ErrorKind>> {
+    let mut arguments = std::env::args().skip(1);
+    let seed = read_number(arguments.next(), 1)?;
+    let seconds = read_number(arguments.next(), 10)?;
+    println!("seed {seed}, {seconds} s a line, {WRITERS} writers\n");
+    println!(
+        "| way | recordings/s | granted | failed | writes per recording | reads per recording \
+              | bytes written per recording | p50 ms | p99 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    actix_rt::System::new().block_on(async {
+        for way in WAYS {
+            for rate in RATES {
+                measure(way, rate, seed, Duration::from_secs(seconds)).await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+fn read_number(argument: Option<String>, default: u64) -> Result<u64, Report<ErrorKind>> {
+    match argument {
+        Some(text) => text.parse().change_context(ErrorKind::Malformed),
+        None => Ok(default),
+    }
+}
+
+/// Runs one way at one rate and prints its line.
+async fn measure(
+    way: ClaimWay,
+    rate: u32,
+    seed: u64,
+    span: Duration,
+) -> Result<(), Report<ErrorKind>> {
+    let standin = PlatformStandin::bind(StandinSettings::default())?;
+    let claimers: Vec<Claimer> = (0..WRITERS).map(|_| Claimer::open(&standin, way)).collect();
+    let latencies: Rc<RefCell<Vec<f64>>> = Rc::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut tasks = Vec::new();
+    while due < span {
+        due += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / f64::from(rate));
+        actix_rt::time::sleep(due.saturating_sub(start.elapsed())).await;
+        let claimer = claimers[rng.random_range(0..WRITERS)].clone();
+        let latencies = Rc::clone(&latencies);
+        tasks.push(actix_rt::spawn(async move {
+            let key = Uuid::now_v7().to_string();
+            let sent = Instant::now();
+            if claimer.claim(&key).await.is_ok() {
+                latencies.borrow_mut().push(sent.elapsed().as_secs_f64() * 1000.0);
+            }
+        }));
+    }
+    let sent = tasks.len();
+    for task in tasks {
+        task.await.change_context(ErrorKind::InvariantViolated)?;
+    }
+    let counts = standin.counts();
+    let mut latencies = latencies.take();
+    latencies.sort_by(f64::total_cmp);
+    let granted = latencies.len();
+    let per_recording = |count: u64| count as f64 / granted.max(1) as f64;
+    println!(
+        "| {way:?} | {rate} | {granted} | {} | {:.3} | {:.3} | {:.0} | {:.1} | {:.1} |",
+        sent - granted,
+        per_recording(counts.writes),
+        per_recording(counts.reads),
+        per_recording(counts.written_bytes),
+        latencies.get(granted / 2).copied().unwrap_or_default(),
+        latencies.get(granted * 99 / 100).copied().unwrap_or_default(),
+    );
+    standin.close().await;
+    Ok(())
+}
--- a/crates/jackdaw-platform/src/governor.rs
+++ b/crates/jackdaw-platform/src/governor.rs
@@ -33,7 +33,7 @@
             burst: 100,
             breaker_failures: 5,
             breaker_first: Duration::from_millis(200),
-            breaker_limit: Duration::from_secs(5),
+            breaker_limit: Duration::from_secs(2),
             attempt_timeout: Duration::from_millis(1000),
         }
     }
