--- a/crates/jackdaw-platform/src/desk.rs
+++ b/crates/jackdaw-platform/src/desk.rs
@@ -1,6 +1,7 @@
 //! Takes change tickets: checks them, accepts them durably and tells their state.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use error_stack::Report;
@@ -12,7 +13,7 @@
 use crate::catalog::ConfigCatalog;
 use crate::layout::{CatalogShard, HEAD_KEY, TicketHead, encode, group_by_shard, shard_key};
 use crate::rollforward::{apply_tickets, read_ticket, succeeded};
-use crate::store::{OBJECT_LIMIT_BYTES, ObjectStore};
+use crate::store::ObjectStore;
 use crate::ticket::{ChangeTicket, TicketEntry, TicketProblem};
 
 plain_data! {
@@ -278,18 +279,22 @@
 
 /// Checks that each shard that the ticket touches still fits an object.
 fn size_problems(after: &ConfigCatalog, ticket: &ChangeTicket) -> Vec<TicketProblem> {
+    let mut shards: BTreeMap<String, CatalogShard> = group_by_shard(ticket.documents())
+        .into_keys()
+        .map(|key| (key, CatalogShard::default()))
+        .collect();
+    for document in after.documents() {
+        let key = shard_key(document.key);
+        if let Some(shard) = shards.get_mut(&key)
+            && !matches!(document.key, DocumentKey::Vm(_))
+        {
+            shard.documents.push(document.clone());
+        }
+    }
     let mut problems = Vec::new();
-    let touched = group_by_shard(ticket.documents());
-    for key in touched.keys() {
-        let of_shard = |key_of: DocumentKey| {
-            !matches!(key_of, DocumentKey::Vm(_)) && shard_key(key_of) == *key
-        };
-        let documents =
-            after.documents().filter(|document| of_shard(document.key)).cloned().collect();
-        let shard = CatalogShard { documents };
-        let size = serde_json::to_vec(&shard).map_or(usize::MAX, |bytes| bytes.len());
-        if size > OBJECT_LIMIT_BYTES {
-            let reason = format!("the object {key} would take {size} bytes");
+    for (key, shard) in shards {
+        if let Err(report) = encode(&key, &shard) {
+            let reason = format!("the object {key} would be over the limit ({report})");
             problems.push(TicketProblem::invalid("ticket", reason));
         }
     }
