Pace claims by writes that took effect

Change: only a write that took effect starts the interval; conflicts wait for their own backoff. The interval is 50 ms by default.

--- a/crates/jackdaw-platform/examples/claim_rate.rs
+++ b/crates/jackdaw-platform/examples/claim_rate.rs
@@ -32,13 +32,14 @@
     Grouped { slots: u64, bucket_millis: u64, interval_millis: u64 },
 }
 
-const WAYS: [ClaimWay; 6] = [
+const WAYS: [ClaimWay; 7] = [
     ClaimWay::Single,
     ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 0 },
     ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 20 },
+    ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 50 },
     ClaimWay::Grouped { slots: 1, bucket_millis: 1000, interval_millis: 100 },
-    ClaimWay::Grouped { slots: 1, bucket_millis: 10_000, interval_millis: 20 },
-    ClaimWay::Grouped { slots: 4, bucket_millis: 1000, interval_millis: 20 },
+    ClaimWay::Grouped { slots: 1, bucket_millis: 10_000, interval_millis: 50 },
+    ClaimWay::Grouped { slots: 4, bucket_millis: 1000, interval_millis: 50 },
 ];
 
 /// One process that claims.
--- a/crates/jackdaw-platform/src/claim/writer.rs
+++ b/crates/jackdaw-platform/src/claim/writer.rs
@@ -47,7 +47,7 @@
             layout: ClaimLayout::default(),
             accepted_age: Duration::from_secs(600),
             accepted_ahead: Duration::from_secs(60),
-            write_interval: Duration::from_millis(20),
+            write_interval: Duration::from_millis(50),
             claim_timeout: Duration::from_secs(5),
         }
     }
@@ -375,7 +375,10 @@
                 }
                 Err(report) if *report.current_context() == ErrorKind::VersionConflict => {
                     self.counts.borrow_mut().conflicts += 1;
-                    line.state.borrow_mut().known = None;
+                    let mut state = line.state.borrow_mut();
+                    state.known = None;
+                    // The backoff paces the next write; the claims have gathered already.
+                    state.written = None;
                     return Ok(RoundEnd::Conflict);
                 }
                 Err(report) => return Err(report),
