--- /dev/null
+++ b/crates/jackdaw-demo/src/session.rs
@@ -0,0 +1,209 @@
+//! One run of the demo from start to report.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use error_stack::Report;
+use jackdaw_base::{CustomerShare, ErrorKind};
+use jackdaw_standin::EngineSettings;
+
+use crate::args::DemoSettings;
+use crate::client::{CallEnd, CallerClient, CompletionCall};
+use crate::fleet::{DemoFleet, FleetPlan, MODEL_NAME};
+use crate::latency::PathHistograms;
+use crate::load::{LoadState, spawn_load};
+use crate::meter::{FleetMeter, WindowFigures};
+use crate::population::{CustomerPlan, plan_customers};
+use crate::report::DemoReport;
+
+/// Places of an engine.
+const ENGINE_PLACES: usize = 8;
+
+/// The time of an engine's step before any request is counted.
+const STEP_BASE: Duration = Duration::from_millis(4);
+
+/// The part of the load time before the measured window.
+const WARM_UP_PART: f64 = 0.2;
+
+/// The time between samples of the meter.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time between progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pairs of requests that measure the added latency.
+const LATENCY_PAIRS: usize = 120;
+
+/// Pairs before them that open connections.
+const LATENCY_WARM_UP: usize = 12;
+
+/// Tokens of such a request.
+const LATENCY_TOKENS: u32 = 2;
+
+/// The time that such a request may take.
+const LATENCY_DEADLINE: Duration = Duration::from_secs(5);
+
+/// What the path adds on an idle fleet.
+struct LatencyFigures {
+    /// The times to the first byte.
+    first_byte: PathHistograms,
+    /// The times of whole requests.
+    request: PathHistograms,
+}
+
+/// Control traffic of the window.
+struct TrafficFigures {
+    /// The calls that the platform stand-in counted, by second.
+    platform_calls_per_second: f64,
+    /// The bytes of control traffic, sent and received, by second and node.
+    control_bytes_per_second_per_node: f64,
+}
+
+/// Runs the demo in an actix system of its own and returns its report.
+pub fn run(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
+    actix_rt::System::new().block_on(run_session(settings))
+}
+
+/// Runs the demo.
+async fn run_session(settings: DemoSettings) -> Result<DemoReport, Report<ErrorKind>> {
+    let places = settings.targets * ENGINE_PLACES;
+    let plans = plan_customers(&settings, places);
+    let fleet = DemoFleet::spawn(plan_fleet(&settings), &plans).await?;
+    let latency = measure_latency(&fleet, &plans).await;
+    let state = Rc::new(LoadState::new(
+        plans.clone(),
+        fleet.router_addresses(),
+        settings.targets,
+        settings.seed,
+    ));
+    let tasks = spawn_load(&state);
+    let (figures, traffic) = measure_window(&settings, &fleet, &state, &plans, places).await;
+    state.stop();
+    eprintln!("load stopped, waiting for open requests");
+    for task in tasks {
+        if let Err(error) = task.await {
+            log::error!("a task of the load ended early: {error}");
+        }
+    }
+    let ledger = state.ledger();
+    let report = DemoReport {
+        seed: settings.seed,
+        policy: settings.policy,
+        window_seconds: figures.seconds,
+        requests: ledger.requests(&fleet.engine_tallies()),
+        recordings: ledger.recordings(&fleet.service_tallies()),
+        fairness_gap_tokens: figures.fairness_gap_tokens,
+        mean_normal_tokens: figures.mean_normal_tokens,
+        utilisation_percent: figures.utilisation_percent,
+        waiting_percent: figures.waiting_percent,
+        platform_calls_per_second: traffic.platform_calls_per_second,
+        control_bytes_per_second_per_node: traffic.control_bytes_per_second_per_node,
+        added_latency_ms: latency.request.added(),
+        added_first_byte_ms: latency.first_byte.added(),
+        customers: figures.customers,
+    };
+    fleet.close().await;
+    Ok(report)
+}
+
+/// Returns the fleet that the settings ask for.
+fn plan_fleet(settings: &DemoSettings) -> FleetPlan {
+    FleetPlan {
+        routers: settings.routers,
+        engines: settings.targets,
+        engine: EngineSettings {
+            models: vec![MODEL_NAME.to_owned()],
+            batch_places: ENGINE_PLACES,
+            step_base: STEP_BASE,
+            ..EngineSettings::default()
+        },
+        policy: settings.policy,
+        seed: settings.seed,
+    }
+}
+
+/// Sends the same requests direct and through the idle fleet, in turn.
+async fn measure_latency(fleet: &DemoFleet, plans: &[CustomerPlan]) -> LatencyFigures {
+    let client = CallerClient::new();
+    let entries = fleet.router_addresses();
+    let engines = fleet.engine_addresses();
+    let mut figures =
+        LatencyFigures { first_byte: PathHistograms::new(), request: PathHistograms::new() };
+    let plan = &plans[plans.len() - 1];
+    for pair in 0..LATENCY_WARM_UP + LATENCY_PAIRS {
+        let call = CompletionCall {
+            model: MODEL_NAME.to_owned(),
+            prompt: format!("latency probe {pair}"),
+            max_tokens: LATENCY_TOKENS,
+            user: plan.name.clone(),
+            deadline: LATENCY_DEADLINE,
+        };
+        let engine = engines[pair % engines.len()];
+        let entry = entries[pair % entries.len()];
+        // The order alternates, since the second of a pair finds the prompt's prefix cached.
+        let (direct, path) = if pair % 2 == 0 {
+            let direct = client.complete(engine, &plan.key, &call).await;
+            (direct, client.complete(entry, &plan.key, &call).await)
+        } else {
+            let path = client.complete(entry, &plan.key, &call).await;
+            (client.complete(engine, &plan.key, &call).await, path)
+        };
+        if pair < LATENCY_WARM_UP {
+            continue;
+        }
+        if direct.end != CallEnd::Answered || path.end != CallEnd::Answered {
+            log::warn!("latency probe {pair} ended {:?} and {:?}", direct.end, path.end);
+            continue;
+        }
+        figures.first_byte.add_direct(direct.first_byte);
+        figures.first_byte.add_path(path.first_byte);
+        figures.request.add_direct(direct.total);
+        figures.request.add_path(path.total);
+    }
+    figures
+}
+
+/// Warms up, then samples the fleet until the load time is over.
+async fn measure_window(
+    settings: &DemoSettings,
+    fleet: &DemoFleet,
+    state: &LoadState,
+    plans: &[CustomerPlan],
+    places: usize,
+) -> (WindowFigures, TrafficFigures) {
+    let mut customers: Vec<(String, CustomerShare)> = Vec::with_capacity(plans.len());
+    for plan in plans {
+        customers.push((plan.name.clone(), plan.share));
+    }
+    let warm_up = settings.load_time.mul_f64(WARM_UP_PART);
+    eprintln!("warming up for {:.1} s", warm_up.as_secs_f64());
+    sleep(warm_up).await;
+    let calls_before = fleet.platform_calls();
+    let bytes_before = fleet.control_bytes().await;
+    let mut meter = FleetMeter::open(&customers, places, &fleet.engine_usages());
+    let start = Instant::now();
+    let window = settings.load_time - warm_up;
+    let mut next_progress = PROGRESS_INTERVAL;
+    while start.elapsed() < window {
+        sleep(SAMPLE_INTERVAL).await;
+        let open_requests = state.open_requests();
+        let usages = fleet.engine_usages();
+        meter.sample(start.elapsed(), &open_requests, &usages);
+        if start.elapsed() >= next_progress {
+            next_progress += PROGRESS_INTERVAL;
+            let open: usize = open_requests.iter().sum();
+            let running: usize = usages.iter().map(|usage| usage.running).sum();
+            eprintln!("{:>4} s: {open} open, {running} running", start.elapsed().as_secs());
+        }
+    }
+    let figures = meter.close(&fleet.engine_usages());
+    let seconds = start.elapsed().as_secs_f64();
+    let calls = fleet.platform_calls() - calls_before;
+    let bytes = fleet.control_bytes().await.saturating_sub(bytes_before);
+    let traffic = TrafficFigures {
+        platform_calls_per_second: calls as f64 / seconds,
+        control_bytes_per_second_per_node: bytes as f64 / seconds / fleet.node_count() as f64,
+    };
+    (figures, traffic)
+}
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -79,6 +79,34 @@
         Probe(u64),
         /// Answers a [`ControlMessage::Probe`].
         ProbeReply(u64),
+        /// Digests of the buckets of the sender's configuration, after two digests differed.
+        BucketDigests(Vec<u64>),
+        /// Asks for the documents of some buckets.
+        BucketRequest(Vec<u16>),
+    }
+}
+
+impl ControlMessage {
+    /// Returns the first message version that knows the variant.
+    pub fn since(&self) -> u16 {
+        match self {
+            ControlMessage::Offer(_)
+            | ControlMessage::Withdraw(_)
+            | ControlMessage::Decline(_)
+            | ControlMessage::Grant(_)
+            | ControlMessage::Room(_)
+            | ControlMessage::Leaving
+            | ControlMessage::Reports(_)
+            | ControlMessage::Totals(_)
+            | ControlMessage::RelayedTotals { .. }
+            | ControlMessage::Documents(_)
+            | ControlMessage::DocumentDigest(_)
+            | ControlMessage::DocumentRequest
+            | ControlMessage::Probe(_)
+            | ControlMessage::ProbeReply(_)
+            | ControlMessage::BucketDigests(_)
+            | ControlMessage::BucketRequest(_) => 1,
+        }
     }
 }
 
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -8,8 +8,22 @@
 //! grants the offer of the customer with the least service; the router starts the run and
 //! withdraws the other offers; the agent charges the work while it runs.
 
+pub mod agent;
+pub mod estimate;
 pub mod event;
+pub mod fairness;
+pub mod rendezvous;
+pub mod replay;
+pub mod router;
+pub mod spread;
+pub mod subset;
 
+pub use agent::{AgentCore, AgentCustomer, AgentPolicy, AgentSnapshot};
 pub use event::{
     AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
 };
+pub use fairness::{GapMonitor, GapTerms, gap_bound};
+pub use replay::{ReplayMismatch, ReplayReport, TraceLine, replay};
+pub use router::{RouterCore, RouterPolicy, RouterSnapshot};
+pub use spread::{DIGEST_FANOUT, SPREAD_FANOUT, pick_peers, relay_routers};
+pub use subset::{SubsetNode, SubsetPolicy, choose_subset, linked_agents};
