--- a/crates/jackdaw-demo/src/session.rs
+++ b/crates/jackdaw-demo/src/session.rs
@@ -32,8 +32,11 @@
 /// The time between progress lines.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Pairs of requests that measure the added latency.
-const LATENCY_PAIRS: usize = 120;
+/// The most pairs of requests that measure the added latency.
+const LATENCY_PAIRS_MOST: usize = 120;
+
+/// Such pairs for each second under load.
+const LATENCY_PAIRS_PER_SECOND: usize = 24;
 
 /// Pairs before them that open connections.
 const LATENCY_WARM_UP: usize = 12;
@@ -70,7 +73,7 @@
     let places = settings.targets * ENGINE_PLACES;
     let plans = plan_customers(&settings, places);
     let fleet = DemoFleet::spawn(plan_fleet(&settings), &plans).await?;
-    let latency = measure_latency(&fleet, &plans).await;
+    let latency = measure_latency(&settings, &fleet, &plans).await;
     let state = Rc::new(LoadState::new(
         plans.clone(),
         fleet.router_addresses(),
@@ -124,14 +127,20 @@
 }
 
 /// Sends the same requests direct and through the idle fleet, in turn.
-async fn measure_latency(fleet: &DemoFleet, plans: &[CustomerPlan]) -> LatencyFigures {
+async fn measure_latency(
+    settings: &DemoSettings,
+    fleet: &DemoFleet,
+    plans: &[CustomerPlan],
+) -> LatencyFigures {
+    let pairs = LATENCY_PAIRS_PER_SECOND * settings.load_time.as_secs() as usize;
+    let pairs = pairs.min(LATENCY_PAIRS_MOST);
     let client = CallerClient::new();
     let entries = fleet.router_addresses();
     let engines = fleet.engine_addresses();
     let mut figures =
         LatencyFigures { first_byte: PathHistograms::new(), request: PathHistograms::new() };
     let plan = &plans[plans.len() - 1];
-    for pair in 0..LATENCY_WARM_UP + LATENCY_PAIRS {
+    for pair in 0..LATENCY_WARM_UP + pairs {
         let call = CompletionCall {
             model: MODEL_NAME.to_owned(),
             prompt: format!("latency probe {pair}"),
