Reach routers that start while the platform is down, and leaving agents never

Cause: of two routers only the one with the lower identifier dialled. Started anew during an outage of the platform it knew no address, so it never got the configuration. And a router that linked an agent after the list had it as leaving took it for live. Ruled out: the digests between routers; with a link open they bring the catalog over. Change: the other router dials after up to two seconds without a link; an agent that the list has as leaving is left out from the moment its link opens. Conclusion: one live router is enough for a restarted one to take up the configuration.

--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -140,6 +140,14 @@
 #[rtype(result = "()")]
 pub struct LearnUpdate(pub CatalogUpdate);
 
+/// Asks whether a link to a VM is open.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct HasLink {
+    /// The VM.
+    pub vm: VmId,
+}
+
 /// Asks whether the router takes callers.
 #[derive(Message)]
 #[rtype(result = "bool")]
@@ -370,6 +378,9 @@
                 self.send_service(link, service);
                 let event = RouterEvent::AgentJoined { agent: greeting.vm, service, domain };
                 self.decide(event, context);
+                if self.links.is_leaving(greeting.vm) {
+                    self.decide(RouterEvent::AgentLeaving { agent: greeting.vm }, context);
+                }
             }
             ProcessRole::Router => {
                 let digest = ControlMessage::DocumentDigest(self.catalog.digest());
@@ -622,6 +633,14 @@
     }
 }
 
+impl Handler<HasLink> for DecisionActor {
+    type Result = bool;
+
+    fn handle(&mut self, has: HasLink, _: &mut Context<DecisionActor>) -> bool {
+        self.links.get(has.vm).is_some()
+    }
+}
+
 impl Handler<ReadReadiness> for DecisionActor {
     type Result = bool;
 
--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -13,7 +13,7 @@
 use jackdaw_link::{ControlMessage, LinkEndpoint, PeerLink, ProcessRole};
 use rand::Rng;
 
-use crate::decision_actor::{DecisionActor, LinkInput};
+use crate::decision_actor::{DecisionActor, HasLink, LinkInput};
 
 /// The shortest wait before a lost link is opened again.
 const REDIAL_MIN: Duration = Duration::from_millis(50);
@@ -21,6 +21,9 @@
 /// The longest wait before a lost link is opened again.
 const REDIAL_MAX: Duration = Duration::from_secs(2);
 
+/// The longest wait before a link that the peer should open is opened from this end.
+const HELP_WAIT: Duration = Duration::from_secs(2);
+
 /// The links of a router, and the tasks that keep them open.
 pub struct LinkBook {
     /// The router's own VM.
@@ -41,8 +44,10 @@
     domain: DomainId,
     /// The address of its process.
     address: SocketAddr,
-    /// The task that keeps the link open; `None` where the peer dials.
-    dialer: Option<JoinHandle<()>>,
+    /// Whether the VM is live or leaving.
+    state: VmState,
+    /// The task that keeps the link open.
+    dialer: JoinHandle<()>,
 }
 
 impl LinkBook {
@@ -80,6 +85,11 @@
         }
     }
 
+    /// Returns whether the list has a VM as leaving.
+    pub fn is_leaving(&self, vm: VmId) -> bool {
+        self.members.get(&vm).is_some_and(|member| member.state == VmState::Leaving)
+    }
+
     /// Returns the routers to which links are open.
     pub fn routers(&self) -> Vec<VmId> {
         let mut routers = Vec::new();
@@ -176,26 +186,32 @@
     }
 
     fn keep(&mut self, vm: VmId, record: &VmRecord, actor: &Addr<DecisionActor>) {
-        if self.members.get(&vm).is_some_and(|member| member.address == record.link_address) {
+        if let Some(member) = self.members.get_mut(&vm)
+            && member.address == record.link_address
+        {
+            member.state = record.state;
             return;
         }
         self.forget(vm);
-        // Of two routers, the one with the lower identifier dials.
-        let dials = record.service.is_some() || self.vm < vm;
-        let dialer = dials.then(|| {
-            let task = keep_dialing(self.endpoint.clone(), vm, record.link_address, actor.clone());
-            actix_rt::spawn(task)
-        });
-        let member = FleetMember { domain: record.domain, address: record.link_address, dialer };
+        let address = record.link_address;
+        // Of two routers, the one with the lower identifier dials. The other one helps out, since
+        // a router that starts while the platform is down knows no address.
+        let dialer = match record.service.is_some() || self.vm < vm {
+            true => {
+                actix_rt::spawn(keep_dialing(self.endpoint.clone(), vm, address, actor.clone()))
+            }
+            false => {
+                actix_rt::spawn(help_dialing(self.endpoint.clone(), vm, address, actor.clone()))
+            }
+        };
+        let member = FleetMember { domain: record.domain, address, state: record.state, dialer };
         self.members.insert(vm, member);
     }
 
     /// Stops dialling a VM; a link that is open stays until it closes by itself.
     fn forget(&mut self, vm: VmId) {
         let Some(member) = self.members.remove(&vm) else { return };
-        if let Some(dialer) = member.dialer {
-            dialer.abort();
-        }
+        member.dialer.abort();
     }
 
     fn retire(&mut self, link: &PeerLink) {
@@ -214,6 +230,27 @@
     actor.do_send(LinkInput::Closed(link));
 }
 
+/// Opens the link to a router that is to dial itself and has not done so for a while.
+async fn help_dialing(
+    endpoint: Rc<LinkEndpoint>,
+    vm: VmId,
+    address: SocketAddr,
+    actor: Addr<DecisionActor>,
+) {
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        actix_rt::time::sleep(HELP_WAIT.mul_f64(jitter)).await;
+        // Without an actor there is nobody to hold a link.
+        if actor.send(HasLink { vm }).await.unwrap_or(true) {
+            continue;
+        }
+        match endpoint.dial(address, vm).await {
+            Ok(link) => drop(actix_rt::spawn(receive_control(link, actor.clone()))),
+            Err(report) => log::debug!("cannot open link to {vm}: {report}"),
+        }
+    }
+}
+
 /// Opens the link to a VM again each time it closes, with exponential backoff and full jitter.
 async fn keep_dialing(
     endpoint: Rc<LinkEndpoint>,
