--- a/crates/jackdaw-demo/src/lib.rs
+++ b/crates/jackdaw-demo/src/lib.rs
@@ -7,11 +7,13 @@
 
 pub mod args;
 pub mod client;
+pub mod cpu;
 pub mod fleet;
 pub mod latency;
 pub mod ledger;
 mod load;
 pub mod meter;
+mod node;
 pub mod population;
 pub mod report;
 mod session;
