--- a/crates/jackdaw-proofs/src/fleet.rs
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -73,6 +73,11 @@
         fleet
     }
 
+    /// Returns the certificate of the authority that all processes trust.
+    pub fn authority_pem(&self) -> &str {
+        self.authority.certificate_pem()
+    }
+
     /// Has a ticket accepted.
     pub async fn accept(&self, ticket: &ChangeTicket) {
         let desk = TicketDesk::open(self.platform_client());
