Take back a claim whose recording was never sent

Cause: where the target cannot be reached after the claim, the caller is told "not run" and sends the recording again, which was then answered already-claimed. Change: ClaimWriter::release takes back a claim of this process by the same fenced write as a claim without a verdict; the lines move to a module of their own. Seen to fail first: release without effect, and release of another process's claim, both in released_claim (the latter passed until the test let the other process read the claim).

--- a/crates/jackdaw-platform/src/claim.rs
+++ b/crates/jackdaw-platform/src/claim.rs
@@ -7,6 +7,7 @@
 //! I/O.
 
 mod key;
+mod line;
 mod object;
 mod writer;
 
--- a/crates/jackdaw-platform/tests/claim_race.rs
+++ b/crates/jackdaw-platform/tests/claim_race.rs
@@ -249,6 +249,22 @@
     standin.close().await;
 }
 
+#[actix_rt::test]
+async fn released_claim() {
+    let standin = bind();
+    let (left, right) = (spawn_writer(&standin), spawn_writer(&standin));
+    let key = key_now();
+    left.claim(&key).await.unwrap();
+    assert_eq!(kind(&right.claim(&key).await), Some(ErrorKind::AlreadyClaimed));
+    right.release(&key);
+    assert_eq!(kind(&right.claim(&key).await), Some(ErrorKind::AlreadyClaimed));
+    left.release(&key);
+    claim_at_last(&right, &key).await;
+    left.release(&key);
+    assert_eq!(kind(&left.claim(&key).await), Some(ErrorKind::AlreadyClaimed));
+    standin.close().await;
+}
+
 #[actix_rt::test]
 async fn key_rules() {
     let standin = bind();
