Measure the path's cost while the load is steady

Cause: the earlier figures averaged over the ramp and the end of each phase, so that the load at 36 requests/s of 388 tokens was really about 7,000 tokens/s, and the slope by request came out negative. Ruled out: slopes by request from the two lengths at one rate; the two phases with 3,492 tokens/s at rates four times apart give it directly. Change: processor time and tokens are taken over a span after the ramp; tokens by the engines.

--- a/crates/jackdaw-demo/examples/path_cost.rs
+++ b/crates/jackdaw-demo/examples/path_cost.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
+use actix_rt::task::JoinHandle;
 use actix_rt::time::{interval, sleep};
 use error_stack::{Report, ResultExt};
 use hdrhistogram::Histogram;
@@ -42,6 +43,9 @@
 /// The time that a call may take.
 const CALL_DEADLINE: Duration = Duration::from_secs(20);
 
+/// Steps beyond the length of an answer until the load counts as steady.
+const RAMP_STEPS: u32 = 50;
+
 /// The pause that lets a phase die away.
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -60,18 +64,31 @@
     rate: u32,
     /// The tokens of each answer.
     tokens: u32,
+    /// The time until the load is steady.
+    ramp: Duration,
+    /// The time for which it is measured then.
+    span: Duration,
     /// The prompts.
     prompts: &'a [String],
 }
 
-/// What one phase measured.
+/// What one phase measured; processor time and tokens while the load was steady.
 struct PhaseFigures {
     /// The calls.
     calls: Vec<CallResult>,
-    /// The time from the first call to the last answer.
-    elapsed: Duration,
-    /// The processor time.
-    time: RoleTime,
+    /// The tokens a second that the engines produced.
+    tokens_per_s: f64,
+    /// The processor time in milliseconds a second.
+    load: RoleLoad,
+}
+
+/// Processor time by role, in milliseconds a second.
+#[derive(Debug, Clone, Copy)]
+struct RoleLoad {
+    /// The router.
+    router: f64,
+    /// The agents.
+    agent: f64,
 }
 
 fn main() -> ExitCode {
@@ -102,24 +119,20 @@
     let customer = plan_customer();
     let fleet = DemoFleet::spawn(plan_fleet(seed), std::slice::from_ref(&customer)).await?;
     let idle = measure_idle(&fleet, span).await;
-    println!(
-        "{}",
-        json!({"phase": "idle", "seed": seed, "time_ms_per_s": idle_figures(idle, span)})
-    );
-    let mut added = Vec::new();
+    println!("{}", json!({"phase": "idle", "seed": seed, "core_ms_per_s": load_figures(idle)}));
+    let mut phases = Vec::new();
     for rate in RATES {
         for tokens in TOKENS {
-            let prompts = find_prompts(rate, tokens, span, seed);
-            let phase = LoadPhase { rate, tokens, prompts: &prompts };
+            let ramp = STEP_TIME * (tokens + RAMP_STEPS);
+            let prompts = find_prompts(rate, tokens, ramp + span, seed);
+            let phase = LoadPhase { rate, tokens, ramp, span, prompts: &prompts };
             let direct = run_phase(&fleet, &fleet.engine_addresses(), &customer, &phase).await;
             let path = run_phase(&fleet, &fleet.router_addresses(), &customer, &phase).await;
-            println!("{}", phase_line(rate, tokens, &direct, &path));
-            added.push(request_time(&path, idle, span));
+            println!("{}", phase_line(&phase, &direct, &path));
+            phases.push(path);
         }
     }
-    for (index, rate) in RATES.iter().enumerate() {
-        println!("{}", slope_line(*rate, added[2 * index], added[2 * index + 1]));
-    }
+    println!("{}", slope_line(&phases));
     fleet.close().await;
     Ok(())
 }
@@ -158,7 +171,7 @@
 
 /// Finds prompts whose answers are at least `tokens` long, so that all are cut to that length.
 fn find_prompts(rate: u32, tokens: u32, span: Duration, seed: u64) -> Vec<String> {
-    let wanted = rate as usize * span.as_secs() as usize;
+    let wanted = (f64::from(rate) * span.as_secs_f64()) as usize;
     let mut prompts = Vec::with_capacity(wanted);
     let mut number = 0;
     while prompts.len() < wanted {
@@ -172,11 +185,11 @@
 }
 
 /// Measures the processor time of the fleet without requests.
-async fn measure_idle(fleet: &DemoFleet, span: Duration) -> RoleTime {
+async fn measure_idle(fleet: &DemoFleet, span: Duration) -> RoleLoad {
     sleep(SETTLE_PAUSE).await;
     let before = read_time(fleet);
     sleep(span).await;
-    since(fleet, before)
+    load_since(fleet, before, span)
 }
 
 /// Sends the prompts at a rate, whether earlier ones have ended or not.
@@ -187,30 +200,55 @@
     phase: &LoadPhase<'_>,
 ) -> PhaseFigures {
     sleep(SETTLE_PAUSE).await;
+    let sender = send_calls(addresses.to_vec(), customer.clone(), phase);
+    sleep(phase.ramp).await;
+    let (before, tokens_before, start) = (read_time(fleet), count_tokens(fleet), Instant::now());
+    sleep(phase.span).await;
+    let elapsed = start.elapsed();
+    let load = load_since(fleet, before, elapsed);
+    let tokens = count_tokens(fleet) - tokens_before;
+    let calls = sender.await.expect("the sender does not panic");
+    PhaseFigures { calls, tokens_per_s: tokens as f64 / elapsed.as_secs_f64(), load }
+}
+
+/// Starts the task that sends all calls of a phase and collects how they ended.
+fn send_calls(
+    addresses: Vec<SocketAddr>,
+    customer: CustomerPlan,
+    phase: &LoadPhase<'_>,
+) -> JoinHandle<Vec<CallResult>> {
     let client = CallerClient::new();
-    let mut ticks = interval(Duration::from_secs(1) / phase.rate);
-    let mut tasks = Vec::with_capacity(phase.prompts.len());
-    let before = read_time(fleet);
-    let start = Instant::now();
-    for (index, prompt) in phase.prompts.iter().enumerate() {
-        ticks.tick().await;
-        let call = CompletionCall {
-            model: MODEL_NAME.to_owned(),
-            prompt: prompt.clone(),
-            max_tokens: phase.tokens,
-            user: customer.name.clone(),
-            deadline: CALL_DEADLINE,
-        };
-        let client = client.clone();
-        let key = customer.key.clone();
-        let address = addresses[index % addresses.len()];
-        tasks.push(actix_rt::spawn(async move { client.complete(address, &key, &call).await }));
-    }
-    let mut calls = Vec::with_capacity(tasks.len());
-    for task in tasks {
-        calls.push(task.await.expect("a call does not panic"));
-    }
-    PhaseFigures { calls, elapsed: start.elapsed(), time: since(fleet, before) }
+    let prompts = phase.prompts.to_vec();
+    let (rate, max_tokens) = (phase.rate, phase.tokens);
+    actix_rt::spawn(async move {
+        let mut ticks = interval(Duration::from_secs(1) / rate);
+        let mut tasks = Vec::with_capacity(prompts.len());
+        for (index, prompt) in prompts.into_iter().enumerate() {
+            ticks.tick().await;
+            let call = CompletionCall {
+                model: MODEL_NAME.to_owned(),
+                prompt,
+                max_tokens,
+                user: customer.name.clone(),
+                deadline: CALL_DEADLINE,
+            };
+            let client = client.clone();
+            let key = customer.key.clone();
+            let address = addresses[index % addresses.len()];
+            tasks.push(actix_rt::spawn(async move { client.complete(address, &key, &call).await }));
+        }
+        let mut calls = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            calls.push(task.await.expect("a call does not panic"));
+        }
+        calls
+    })
+}
+
+/// Returns the tokens that the engines have produced.
+fn count_tokens(fleet: &DemoFleet) -> u64 {
+    let usages = fleet.engine_usages();
+    usages.iter().flat_map(|usage| usage.users.values()).map(|user| user.tokens).sum()
 }
 
 /// Returns the processor time so far.
@@ -218,40 +256,28 @@
     RoleTime { router: fleet.router_time(), agent: fleet.agent_time() }
 }
 
-/// Returns the processor time since an earlier reading.
-fn since(fleet: &DemoFleet, before: RoleTime) -> RoleTime {
+/// Returns the load since an earlier reading.
+fn load_since(fleet: &DemoFleet, before: RoleTime, elapsed: Duration) -> RoleLoad {
     let now = read_time(fleet);
-    RoleTime { router: now.router - before.router, agent: now.agent - before.agent }
+    let load = |time: Duration| 1e3 * time.as_secs_f64() / elapsed.as_secs_f64();
+    RoleLoad { router: load(now.router - before.router), agent: load(now.agent - before.agent) }
 }
 
-/// Returns the processor time of one request in microseconds, idle time taken off.
-fn request_time(phase: &PhaseFigures, idle: RoleTime, span: Duration) -> (f64, f64) {
-    let share = phase.elapsed.as_secs_f64() / span.as_secs_f64();
-    let number = phase.calls.len() as f64;
-    let micros = |time: Duration, idle: Duration| {
-        (time.as_secs_f64() - idle.as_secs_f64() * share) * 1e6 / number
-    };
-    (micros(phase.time.router, idle.router), micros(phase.time.agent, idle.agent))
-}
-
-/// Returns the idle figures.
-fn idle_figures(idle: RoleTime, span: Duration) -> Value {
-    let millis = |time: Duration| 1e3 * time.as_secs_f64() / span.as_secs_f64();
-    json!({"router": millis(idle.router), "agents": millis(idle.agent)})
+/// Returns the figures of a load.
+fn load_figures(load: RoleLoad) -> Value {
+    json!({"router": load.router, "agents": load.agent})
 }
 
 /// Returns the line of one phase.
-fn phase_line(rate: u32, tokens: u32, direct: &PhaseFigures, path: &PhaseFigures) -> Value {
-    let sent = f64::from(tokens) * path.calls.len() as f64;
-    let core = |time: Duration| 100.0 * time.as_secs_f64() / path.elapsed.as_secs_f64();
+fn phase_line(phase: &LoadPhase<'_>, direct: &PhaseFigures, path: &PhaseFigures) -> Value {
     json!({
         "phase": "load",
-        "requests_per_s": rate,
-        "tokens_per_request": tokens,
-        "mean_tokens_per_s": sent / path.elapsed.as_secs_f64(),
+        "requests_per_s": phase.rate,
+        "tokens_per_request": phase.tokens,
+        "tokens_per_s": path.tokens_per_s,
         "direct_ms": latency_figures(direct),
         "path_ms": latency_figures(path),
-        "core_percent": {"router": core(path.time.router), "agent": core(path.time.agent)},
+        "core_ms_per_s": load_figures(path.load),
     })
 }
 
@@ -278,17 +304,26 @@
     })
 }
 
-/// Returns the line with the slopes at one rate, from the times of a request at both lengths.
-fn slope_line(rate: u32, short: (f64, f64), long: (f64, f64)) -> Value {
-    let [low, high] = TOKENS.map(f64::from);
-    let slope = |short: f64, long: f64| {
-        let token = (long - short) / (high - low);
-        json!({"us_per_token": token, "us_per_request": short - token * low})
+/// Returns the line with the slopes, in microseconds: by token between answers of both lengths
+/// at the same request rate, by request between both rates at the same token rate.
+fn slope_line(phases: &[PhaseFigures]) -> Value {
+    let by_token = |low: &PhaseFigures, high: &PhaseFigures, role: fn(&RoleLoad) -> f64| {
+        1e3 * (role(&high.load) - role(&low.load)) / (high.tokens_per_s - low.tokens_per_s)
+    };
+    let by_request = |role: fn(&RoleLoad) -> f64| {
+        let rates = f64::from(RATES[1] - RATES[0]);
+        1e3 * (role(&phases[2].load) - role(&phases[1].load)) / rates
+    };
+    let figures = |role: fn(&RoleLoad) -> f64| {
+        json!({
+            "us_per_token_low_rate": by_token(&phases[0], &phases[1], role),
+            "us_per_token_high_rate": by_token(&phases[2], &phases[3], role),
+            "us_per_request": by_request(role),
+        })
     };
     json!({
         "phase": "slopes",
-        "requests_per_s": rate,
-        "router": slope(short.0, long.0),
-        "agent": slope(short.1, long.1),
+        "router": figures(|load| load.router),
+        "agents": figures(|load| load.agent),
     })
 }
