--- a/crates/jackdaw-policy/examples/slopes.rs
+++ b/crates/jackdaw-policy/examples/slopes.rs
@@ -34,7 +34,7 @@
     let seed = std::env::args().nth(1).map_or(1, |text| text.parse().expect("a whole number"));
     println!("seed {seed}");
     println!(
-        "agent: customers | ns a request (offer, grant, run, charge) | allocations a request | bytes a customer"
+        "agent: customers | ns a request (offer, grant, run, charge) | ns a token | allocations a request | bytes a customer"
     );
     for customers in [1_000, 4_000, 16_000, 40_000] {
         measure_agent(seed, customers);
@@ -147,7 +147,18 @@
     }
     let nanos = start.elapsed().as_nanos() as u64 / ROUNDS;
     let allocations = region.change().allocations as f64 / ROUNDS as f64;
-    println!("{customers} | {nanos} | {allocations:.1} | {held}");
+    let offer = offer(running[0], 0).id;
+    let start = Instant::now();
+    for round in 0..ROUNDS {
+        let elapsed = Duration::from_millis(30);
+        now = now.after(Duration::from_micros(300));
+        commands.clear();
+        core.handle(now, AgentEvent::NextToken { elapsed }, &mut commands);
+        let units = WorkUnits(round);
+        core.handle(now, AgentEvent::RunProgressed { offer, units }, &mut commands);
+    }
+    let token = start.elapsed().as_nanos() as u64 / ROUNDS;
+    println!("{customers} | {nanos} | {token} | {allocations:.1} | {held}");
 }
 
 fn arrival(sequence: u64, customer: u64) -> ArrivedRequest {
--- a/crates/jackdaw-policy/src/agent.rs
+++ b/crates/jackdaw-policy/src/agent.rs
@@ -3,6 +3,9 @@
 pub mod fair_queue;
 pub mod place_limit;
 
+mod policy;
+mod snapshot;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -17,70 +20,15 @@
 use crate::event::{AgentCommand, AgentEvent, SharePolicy};
 use crate::rendezvous::rendezvous_first;
 use fair_queue::FairQueue;
-use place_limit::{LatencyGoal, PlaceLimit};
+use place_limit::PlaceLimit;
+pub use policy::AgentPolicy;
+pub use snapshot::{AgentCustomer, AgentSnapshot};
 
 /// Routers that are told of free places at a time.
 const ROOM_FANOUT: usize = 4;
-/// Report intervals after which an idle customer's counter is no longer trusted.
-const STALE_REPORTS: u32 = 8;
 /// Factor by which the pause between announcements of room grows.
 const ROOM_BACKOFF: u32 = 2;
 
-plain_data! {
-    /// Parameters of an agent's decisions.
-    #[serde(default)]
-    pub struct AgentPolicy {
-        /// The rule by which waiting offers are chosen.
-        pub share_policy: SharePolicy,
-        /// The most requests that the target may run at a time.
-        pub places: u32,
-        /// The most that is reserved for a request before it has done the work.
-        pub reservation_max: WorkUnits,
-        /// The time between two reports of service.
-        pub report_interval: Duration,
-        /// The time after which a waiting customer is reported again without a change.
-        pub heartbeat_interval: Duration,
-        /// The time after which a grant that did not become a run is void.
-        pub grant_timeout: Duration,
-        /// The shortest time between two announcements of room.
-        pub room_interval: Duration,
-        /// The longest time between two announcements of room.
-        pub room_interval_max: Duration,
-        /// The time after which an idle customer is forgotten.
-        pub customer_memory: Duration,
-        /// The latency that the target is kept within.
-        pub latency_goal: LatencyGoal,
-    }
-}
-
-impl Default for AgentPolicy {
-    fn default() -> AgentPolicy {
-        AgentPolicy {
-            share_policy: SharePolicy::Fleet,
-            places: 8,
-            reservation_max: WorkUnits(400),
-            report_interval: Duration::from_millis(250),
-            heartbeat_interval: Duration::from_secs(5),
-            grant_timeout: Duration::from_secs(2),
-            room_interval: Duration::from_millis(20),
-            room_interval_max: Duration::from_secs(1),
-            customer_memory: Duration::from_secs(60),
-            latency_goal: LatencyGoal {
-                first_token: Duration::from_millis(560),
-                next_token: Duration::from_millis(79),
-                window: Duration::from_millis(500),
-            },
-        }
-    }
-}
-
-impl AgentPolicy {
-    /// Returns the time after which an idle customer's counter is no longer trusted.
-    pub fn stale_after(&self) -> Duration {
-        self.report_interval * STALE_REPORTS
-    }
-}
-
 plain_data! {
     copy
     /// Stage of an offer at an agent.
@@ -94,50 +42,6 @@
     }
 }
 
-plain_data! {
-    /// What an agent shows of one customer.
-    pub struct AgentCustomer {
-        /// The customer.
-        pub customer: CustomerId,
-        /// The offers that wait.
-        pub waiting: u32,
-        /// The requests that are granted or running.
-        pub active: u32,
-        /// The service given here, reservations included.
-        pub given: NormalService,
-        /// The counter that decides its turn.
-        pub counter: NormalService,
-    }
-}
-
-plain_data! {
-    /// State of an agent's decisions.
-    pub struct AgentSnapshot {
-        /// The agent's VM.
-        pub vm: VmId,
-        /// The agent's incarnation.
-        pub incarnation: ProcessIncarnation,
-        /// The rule by which waiting offers are chosen.
-        pub share_policy: SharePolicy,
-        /// The present limit of places.
-        pub places: u32,
-        /// The requests that are granted and not yet running.
-        pub granted: u32,
-        /// The requests that run.
-        pub running: u32,
-        /// The offers that wait.
-        pub waiting: u32,
-        /// The routers with an open link.
-        pub routers: Vec<VmId>,
-        /// Whether the agent is leaving.
-        pub draining: bool,
-        /// The agent's virtual time.
-        pub virtual_time: NormalService,
-        /// The customers that are known.
-        pub customers: Vec<AgentCustomer>,
-    }
-}
-
 #[derive(Debug, Clone)]
 struct OfferEntry {
     router: VmId,
@@ -264,33 +168,6 @@
             .is_some_and(|entry| entry.router == router && entry.stage == OfferStage::Granted)
     }
 
-    /// Returns the state for a dump.
-    pub fn snapshot(&self) -> AgentSnapshot {
-        let mut customers = Vec::with_capacity(self.queue.accounts().len());
-        for (customer, account) in self.queue.accounts() {
-            customers.push(AgentCustomer {
-                customer: *customer,
-                waiting: account.waiting,
-                active: account.active,
-                given: account.given,
-                counter: self.queue.counter(*customer),
-            });
-        }
-        AgentSnapshot {
-            vm: self.vm,
-            incarnation: self.incarnation,
-            share_policy: self.policy.share_policy,
-            places: self.limit.places(),
-            granted: self.granted,
-            running: self.running,
-            waiting: self.queue.len() as u32,
-            routers: self.routers.clone(),
-            draining: self.draining,
-            virtual_time: self.queue.virtual_time(),
-            customers,
-        }
-    }
-
     fn join_router(&mut self, now: MonotonicTime, router: VmId, commands: &mut Vec<AgentCommand>) {
         if self.draining {
             commands.push(AgentCommand::AnnounceLeaving { router });
--- a/crates/jackdaw-policy/tests/support/fleet.rs
+++ b/crates/jackdaw-policy/tests/support/fleet.rs
@@ -1,5 +1,7 @@
 //! Small in-memory fleet: one seeded event queue between the cores.
 
+#[path = "faults.rs"]
+mod faults;
 #[path = "plan.rs"]
 pub(crate) mod plan;
 
@@ -313,28 +315,7 @@
             Happening::Start(agent, router, offer) => self.start(agent, router, offer),
             Happening::Step(agent, offer) => self.step(agent, offer),
             Happening::Arrive(customer, router) => self.arrive(customer, router),
-            Happening::Fault(FleetFault::RestartAgent(index)) => self.restart_agent(index),
-            Happening::Fault(FleetFault::RestartRouter(index)) => self.restart_router(index),
-            Happening::Fault(FleetFault::CutRouters) => self.set_cut(true),
-            Happening::Fault(FleetFault::JoinRouters) => self.set_cut(false),
-            Happening::Fault(FleetFault::SplitFleet) => self.split(),
-            Happening::Fault(FleetFault::MendFleet) => self.mend(),
-            Happening::Fault(FleetFault::SetShare(customer, share)) => {
-                self.plan.customers[customer].share = share;
-            }
-            Happening::Fault(FleetFault::PauseCustomer(customer)) => {
-                self.paused.insert(customer);
-                self.monitor.leave(customer_id(customer));
-                self.served.remove(&customer);
-            }
-            Happening::Fault(FleetFault::ResumeCustomer(customer)) => {
-                self.paused.remove(&customer);
-                self.monitor.enter(customer_id(customer));
-                self.served.insert(customer, self.now);
-                for router in self.plan.customers[customer].routers.clone() {
-                    self.fill(customer, router);
-                }
-            }
+            Happening::Fault(fault) => self.fault(fault),
         }
     }
 
@@ -522,100 +503,4 @@
         let index = (router.0 - ROUTER_BASE) as usize;
         self.enqueue(self.now + RUN_DELAY, ends, Happening::Router(index, event));
     }
-
-    fn set_cut(&mut self, cut: bool) {
-        for index in 0..self.plan.routers {
-            for other in (0..self.plan.routers).filter(|other| other % 2 != index % 2) {
-                let router = router_vm(other);
-                self.tell_router(
-                    index,
-                    match cut {
-                        true => RouterEvent::PeerLost { router },
-                        false => RouterEvent::PeerJoined { router },
-                    },
-                );
-            }
-        }
-        self.cut = cut;
-    }
-
-    fn across(&self) -> Vec<(usize, usize)> {
-        let pairs = self.links.iter().enumerate();
-        let pairs =
-            pairs.flat_map(|(router, agents)| agents.iter().map(move |agent| (router, *agent)));
-        pairs.filter(|(router, agent)| router % 2 != agent % 2).collect()
-    }
-
-    fn split(&mut self) {
-        self.set_cut(true);
-        for (index, agent) in self.across() {
-            let router = router_vm(index);
-            let runs = std::mem::take(&mut self.agents[agent].runs);
-            let (gone, kept): (Vec<_>, Vec<_>) =
-                runs.into_iter().partition(|(_, run)| run.router == router);
-            self.agents[agent].runs = kept.into_iter().collect();
-            self.running -= gone.len() as u64;
-            self.tell_router(index, RouterEvent::AgentLost { agent: agent_vm(agent) });
-            for (offer, run) in gone {
-                let units = WorkUnits(run.done);
-                self.tell_agent(agent, AgentEvent::RunEnded { offer, units });
-                let fault = RunFault::Interrupted;
-                let request = offer.request;
-                self.tell_router(
-                    index,
-                    RouterEvent::RunFailed { request, fault, repeatable: true },
-                );
-            }
-            self.tell_agent(agent, AgentEvent::RouterLost { router });
-        }
-    }
-
-    fn mend(&mut self) {
-        self.set_cut(false);
-        for (router, agent) in self.across() {
-            self.link(router, agent);
-        }
-    }
-
-    fn restart_agent(&mut self, index: usize) {
-        let node = self.agent_node(index);
-        let old = std::mem::replace(&mut self.agents[index], node);
-        self.running -= old.runs.len() as u64;
-        let agent = agent_vm(index);
-        for router in 0..self.plan.routers {
-            if !self.links[router].contains(&index) {
-                continue;
-            }
-            self.tell_router(router, RouterEvent::AgentLost { agent });
-            for (offer, _) in old.runs.iter().filter(|(_, run)| run.router == router_vm(router)) {
-                let fault = RunFault::Interrupted;
-                let request = offer.request;
-                self.tell_router(
-                    router,
-                    RouterEvent::RunFailed { request, fault, repeatable: true },
-                );
-            }
-            self.link(router, index);
-        }
-    }
-
-    fn restart_router(&mut self, index: usize) {
-        let vm = router_vm(index);
-        let old = ProcessIncarnation(self.incarnations[&vm]);
-        self.requests.retain(|request, _| request.router != old);
-        self.routers[index] = self.router_node(index);
-        for agent in 0..self.plan.agents {
-            let runs = std::mem::take(&mut self.agents[agent].runs);
-            let (gone, kept): (Vec<_>, Vec<_>) =
-                runs.into_iter().partition(|(_, run)| run.router == vm);
-            self.agents[agent].runs = kept.into_iter().collect();
-            self.running -= gone.len() as u64;
-            for (offer, run) in gone {
-                let units = WorkUnits(run.done);
-                self.tell_agent(agent, AgentEvent::RunEnded { offer, units });
-            }
-            self.tell_agent(agent, AgentEvent::RouterLost { router: vm });
-        }
-        self.join(index);
-    }
 }
