Refuse a crashing request fleet-wide after two targets

Cause: only the request's own router counted crashes, by request; sent again, the same content crashed two further targets each time, and innocent streams were cut. Ruled out: telling by the target alone; all that was in flight looks the same. Change: CrashSuspects keeps evidence by the digest of customer, path and content; routers tell each other and their agents (ControlMessage::CrashEvidence, the last variant). An agent runs one suspect at a time; after two crashes it is refused as quarantined with Retry-After, at the router and before the target; then those that ran beside it are cleared. The digest takes in the path, since all reads of a customer had the same. A crash ends a request by evidence, not by its own count, since a target that goes down can break two attempts. A request waits up to 1 s for a target that restarts: a refusing agent drew and lost all attempts. Errors told at once carry Retry-After. Conclusion: holds for resends one after the other; k copies sent at once can crash k targets.

--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The running agent: its link endpoint, its decisions and its way to the target.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use jackdaw_policy::{AgentCore, AgentSnapshot};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, Readiness, ReadyFlag};
 use serde_json::json;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, DecisionActor, DrainAgent, DumpAgent};
@@ -60,6 +60,9 @@
             actor: actor.clone(),
             client: TargetClient::open(&options.target_url, options.kind),
             claims,
+            vm: options.identity.vm(),
+            latest_loss: Cell::new(None),
+            suspect_place: Semaphore::new(1),
         });
         let links = Rc::new(RefCell::new(Vec::new()));
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
--- a/crates/jackdaw-agent/src/decision_actor.rs
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult};
-use jackdaw_base::{DocumentBody, MonotonicTime, OfferId, VersionedDocument, VmId};
+use jackdaw_base::{CrashEvidence, DocumentBody, MonotonicTime, OfferId, VersionedDocument, VmId};
 use jackdaw_link::{ControlMessage, PeerLink};
-use jackdaw_policy::{AgentCommand, AgentCore, AgentEvent, AgentSnapshot};
+use jackdaw_policy::{
+    AgentCommand, AgentCore, AgentEvent, AgentSnapshot, CrashSuspects, SuspectStanding,
+};
 use tokio::sync::oneshot;
 
 /// The period at which the decision code learns that time has passed.
@@ -20,6 +22,8 @@
     start: Instant,
     /// The open links by router.
     links: HashMap<VmId, PeerLink>,
+    /// The evidence against requests that crash targets.
+    suspects: CrashSuspects,
     /// The commands of the event at hand.
     commands: Vec<AgentCommand>,
     /// The one that waits for the end of the drain.
@@ -38,16 +42,33 @@
     Control(PeerLink, ControlMessage),
     /// A run has something to charge or to measure.
     Progress(AgentEvent),
+    /// The target crashed while it ran a request, or has run it whole.
+    Evidence(CrashEvidence),
 }
 
-/// Asks to begin a run; answered with whether the offer was granted to that router.
+/// Asks to begin a run; answered with what may be done with the request, or `None` where its
+/// offer was not granted to that router.
 #[derive(Message)]
-#[rtype(result = "bool")]
+#[rtype(result = "Option<RunPermit>")]
 pub struct BeginRun {
     /// The router.
     pub router: VmId,
     /// The offer that was granted.
     pub offer: OfferId,
+    /// The digest of customer and content.
+    pub fingerprint: u64,
+}
+
+/// What may be done with a request whose offer was granted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunPermit(pub SuspectStanding);
+
+/// Asks what may be done with a request that has waited.
+#[derive(Message)]
+#[rtype(result = "RunPermit")]
+pub struct ReadStanding {
+    /// The digest of customer and content.
+    pub fingerprint: u64,
 }
 
 /// Stops granting; `done` is told when all work has ended.
@@ -70,13 +91,23 @@
             core,
             start: Instant::now(),
             links: HashMap::new(),
+            suspects: CrashSuspects::default(),
             commands: Vec::new(),
             drained: None,
         }
     }
 
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.start.elapsed().as_micros() as u64)
+    }
+
+    fn learn_evidence(&mut self, evidence: CrashEvidence) {
+        let now = self.now();
+        self.suspects.learn(now, evidence);
+    }
+
     fn decide(&mut self, event: AgentEvent) {
-        let now = MonotonicTime(self.start.elapsed().as_micros() as u64);
+        let now = self.now();
         let mut commands = std::mem::take(&mut self.commands);
         self.core.handle(now, event, &mut commands);
         for command in commands.drain(..) {
@@ -164,6 +195,7 @@
             ControlMessage::Totals(totals) => self.decide(AgentEvent::TotalsReceived { totals }),
             ControlMessage::Documents(documents) => self.apply_documents(&documents),
             ControlMessage::Probe(nonce) => self.send(router, ControlMessage::ProbeReply(nonce)),
+            ControlMessage::CrashEvidence(evidence) => self.learn_evidence(evidence),
             ControlMessage::ProbeReply(_)
             | ControlMessage::Leaving
             | ControlMessage::DocumentDigest(_)
@@ -211,19 +243,39 @@
             AgentInput::LinkClosed(link) => self.close_link(&link),
             AgentInput::Control(link, message) => self.receive(&link, message),
             AgentInput::Progress(event) => self.decide(event),
+            AgentInput::Evidence(evidence) => self.learn_evidence(evidence),
         }
     }
 }
 
 impl Handler<BeginRun> for DecisionActor {
-    type Result = bool;
+    type Result = Option<RunPermit>;
 
-    fn handle(&mut self, begin: BeginRun, _: &mut Context<DecisionActor>) -> bool {
-        if !self.core.holds_grant(begin.router, begin.offer) {
-            return false;
+    fn handle(&mut self, begin: BeginRun, _: &mut Context<DecisionActor>) -> Option<RunPermit> {
+        let BeginRun { router, offer, fingerprint } = begin;
+        if !self.core.holds_grant(router, offer) {
+            return None;
+        }
+        let standing = self.suspects.standing(self.now(), fingerprint);
+        match standing {
+            SuspectStanding::Refused => self.decide(AgentEvent::GrantDeclined { router, offer }),
+            SuspectStanding::Clear | SuspectStanding::Suspect => {
+                self.decide(AgentEvent::RunStarted { offer });
+            }
         }
-        self.decide(AgentEvent::RunStarted { offer: begin.offer });
-        true
+        Some(RunPermit(standing))
+    }
+}
+
+impl Handler<ReadStanding> for DecisionActor {
+    type Result = MessageResult<ReadStanding>;
+
+    fn handle(
+        &mut self,
+        read: ReadStanding,
+        _: &mut Context<DecisionActor>,
+    ) -> MessageResult<ReadStanding> {
+        MessageResult(RunPermit(self.suspects.standing(self.now(), read.fingerprint)))
     }
 }
 
--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -1,29 +1,47 @@
 //! One run: from the router's run stream to the target and back.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix::Addr;
+use awc::error::PayloadError;
 use bytes::{Bytes, BytesMut};
 use error_stack::Report;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use futures_util::stream::Stream;
-use jackdaw_base::{ErrorKind, OfferId, ServiceKind, VmId, WorkUnits, describe_report};
+use jackdaw_base::{
+    CrashEvidence, ErrorKind, OfferId, ServiceKind, VmId, WorkUnits, describe_report,
+};
 use jackdaw_link::{IncomingRun, RunReply, RunRequest, RunWriter};
-use jackdaw_policy::AgentEvent;
+use jackdaw_policy::{AgentEvent, SuspectStanding};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
+use tokio::sync::Semaphore;
 
 use crate::claim_desk::ClaimDesk;
-use crate::decision_actor::{AgentInput, BeginRun, DecisionActor};
+use crate::decision_actor::{AgentInput, BeginRun, DecisionActor, ReadStanding, RunPermit};
 use crate::target_client::{TargetAnswer, TargetClient, TargetFailure};
 
 /// The time after which a request that no claim could be kept for may come again, in
 /// milliseconds.
 const CLAIM_RETRY_MILLIS: u64 = 1000;
 
+/// The time for which a request waits for a target that cannot be reached.
+const TARGET_WAIT: Duration = Duration::from_secs(1);
+
+/// The time for which a target that went down is left alone, since what still listens there may
+/// take a request and lose it.
+const TARGET_REST: Duration = Duration::from_millis(100);
+
+/// The time between two tries to reach it.
+const TARGET_PAUSE: Duration = Duration::from_millis(50);
+
+/// The time after which a suspect that waits learns whether it has been cleared.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What all runs of an agent share.
 pub struct RunContext {
     /// The decisions.
@@ -32,6 +50,12 @@
     pub client: TargetClient,
     /// The claims of recordings.
     pub claims: ClaimDesk,
+    /// The agent's VM.
+    pub vm: VmId,
+    /// The time at which an answer of the target last broke off.
+    pub latest_loss: Cell<Option<Instant>>,
+    /// The one place for requests that were in flight at a crash.
+    pub suspect_place: Semaphore,
 }
 
 /// Token counts at the end of an engine's answer.
@@ -69,17 +93,30 @@
 /// Carries one run to its end; every path ends with a final reply or a reset stream.
 pub async fn carry_run(router: VmId, run: IncomingRun, context: Rc<RunContext>) {
     let IncomingRun { request, mut writer } = run;
-    let begin = BeginRun { router, offer: request.offer };
-    if !context.actor.send(begin).await.unwrap_or(false) {
+    let begin = BeginRun { router, offer: request.offer, fingerprint: request.fingerprint };
+    let Some(RunPermit(standing)) = context.actor.send(begin).await.unwrap_or(None) else {
         log::warn!("refused run of router {router}: its offer is not granted");
         refuse(&mut writer, ErrorKind::NotReady, 0).await;
         return;
-    }
+    };
     let mut meter = RunMeter::start(&request, &context);
-    let final_reply = {
-        let work = run_request(&request, &mut writer, &context, &mut meter);
-        work.await
+    let final_reply = match standing {
+        SuspectStanding::Clear => run_request(&request, &mut writer, &context, &mut meter).await,
+        SuspectStanding::Suspect => run_suspect(&request, &mut writer, &context, &mut meter).await,
+        SuspectStanding::Refused => Some(refuse_suspect()),
+    };
+    let target = match &final_reply {
+        Some(RunReply::Broken { crashed: true }) => {
+            context.latest_loss.set(Some(Instant::now()));
+            Some(Some(context.vm))
+        }
+        Some(RunReply::End { .. }) => Some(None),
+        _ => None,
     };
+    if let Some(target) = target {
+        let evidence = CrashEvidence { fingerprint: request.fingerprint, target };
+        context.actor.do_send(AgentInput::Evidence(evidence));
+    }
     if let Some(reply) = final_reply {
         // The router is gone where this fails; it treats the run as broken.
         let _ = writer.send(&reply).await;
@@ -88,6 +125,41 @@
     meter.finish();
 }
 
+/// Runs a request that was in flight at a crash while no other such request runs, or as any
+/// other request once it is cleared.
+async fn run_suspect(
+    request: &RunRequest,
+    writer: &mut RunWriter,
+    context: &RunContext,
+    meter: &mut RunMeter,
+) -> Option<RunReply> {
+    let fingerprint = request.fingerprint;
+    loop {
+        let place = tokio::select! {
+            place = context.suspect_place.acquire() => place.ok(),
+            () = actix_rt::time::sleep(SUSPECT_PAUSE) => None,
+            () = writer.cancelled() => return None,
+        };
+        // The suspect that ran before may have been the same request under another identifier.
+        let RunPermit(standing) = context.actor.send(ReadStanding { fingerprint }).await.ok()?;
+        match standing {
+            SuspectStanding::Refused => return Some(refuse_suspect()),
+            SuspectStanding::Suspect if place.is_none() => {}
+            SuspectStanding::Suspect => {
+                return run_request(request, writer, context, meter).await;
+            }
+            SuspectStanding::Clear => {
+                drop(place);
+                return run_request(request, writer, context, meter).await;
+            }
+        }
+    }
+}
+
+fn refuse_suspect() -> RunReply {
+    RunReply::Refused { kind: ErrorKind::Quarantined, retry_after_millis: 0 }
+}
+
 /// Claims, sends and streams; returns the final reply, or `None` where the router is gone.
 async fn run_request(
     request: &RunRequest,
@@ -103,7 +175,7 @@
         return Some(RunReply::Refused { kind, retry_after_millis: CLAIM_RETRY_MILLIS });
     }
     let answer = tokio::select! {
-        answer = context.client.send(request) => answer,
+        answer = send_patiently(request, context) => answer,
         () = writer.cancelled(), if request.recording_key.is_none() => return None,
     };
     let answer = match answer {
@@ -120,6 +192,27 @@
     }
 }
 
+/// Sends a request, and again for a while where the target cannot be reached: one that restarts
+/// after a crash would otherwise turn requests away faster than any other agent can take them.
+async fn send_patiently(
+    request: &RunRequest,
+    context: &RunContext,
+) -> Result<TargetAnswer<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>, TargetFailure> {
+    let start = Instant::now();
+    while context.latest_loss.get().is_some_and(|loss| loss.elapsed() < TARGET_REST) {
+        actix_rt::time::sleep(TARGET_PAUSE).await;
+    }
+    loop {
+        match context.client.send(request).await {
+            Err(TargetFailure::NotSent(report)) if start.elapsed() < TARGET_WAIT => {
+                log::debug!("target cannot be reached yet: {report}");
+                actix_rt::time::sleep(TARGET_PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 fn reply_to_failure(failure: TargetFailure, request: &RunRequest) -> RunReply {
     match failure {
         // A claim stands for this key by now, so the recording cannot come again.
@@ -148,7 +241,7 @@
     meter: &mut RunMeter,
 ) -> Result<u64, Report<ErrorKind>>
 where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let head = RunReply::Head { status: answer.status, headers: answer.headers };
     writer.send(&head).await?;
@@ -178,7 +271,7 @@
     meter: &mut RunMeter,
 ) -> Result<u64, Report<ErrorKind>>
 where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
     let mut events = pin!(body.eventsource());
     let mut length = 0;
--- a/crates/jackdaw-base/src/lib.rs
+++ b/crates/jackdaw-base/src/lib.rs
@@ -21,5 +21,5 @@
     CustomerId, DomainId, KeyDigest, OfferId, ProcessIncarnation, RequestId, ServiceId,
     TicketNumber, VmId,
 };
-pub use request::{FleetTotal, RequestClass, ServiceReport, WorkOffer};
+pub use request::{CrashEvidence, FleetTotal, RequestClass, ServiceReport, WorkOffer};
 pub use work::{CustomerShare, MonotonicTime, NormalService, WorkUnits};
--- a/crates/jackdaw-base/src/request.rs
+++ b/crates/jackdaw-base/src/request.rs
@@ -78,3 +78,15 @@
         pub own: NormalService,
     }
 }
+
+plain_data! {
+    copy
+    /// Evidence for or against a request that may crash targets.
+    pub struct CrashEvidence {
+        /// The digest of customer and content.
+        pub fingerprint: u64,
+        /// The target that crashed while it ran the request; `None` where the request has run
+        /// whole, which clears it.
+        pub target: Option<VmId>,
+    }
+}
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use jackdaw_base::{
-    ErrorKind, FleetTotal, OfferId, ProcessIncarnation, ServiceId, ServiceReport,
+    CrashEvidence, ErrorKind, FleetTotal, OfferId, ProcessIncarnation, ServiceId, ServiceReport,
     VersionedDocument, VmId, WorkOffer, WorkUnits, plain_data,
 };
 
@@ -79,6 +79,8 @@
         Probe(u64),
         /// Answers a [`ControlMessage::Probe`].
         ProbeReply(u64),
+        /// Evidence on a request that may crash targets.
+        CrashEvidence(CrashEvidence),
     }
 }
 
@@ -99,7 +101,8 @@
             | ControlMessage::DocumentDigest(_)
             | ControlMessage::DocumentRequest
             | ControlMessage::Probe(_)
-            | ControlMessage::ProbeReply(_) => 1,
+            | ControlMessage::ProbeReply(_)
+            | ControlMessage::CrashEvidence(_) => 1,
         }
     }
 }
--- a/crates/jackdaw-link/tests/link/message_codec.rs
+++ b/crates/jackdaw-link/tests/link/message_codec.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use jackdaw_base::{
-    CustomerId, CustomerRecord, CustomerShare, DocumentBody, DocumentKey, DomainId, ErrorKind,
-    FleetTotal, KeyDigest, NormalService, OfferId, ProcessIncarnation, RequestClass, RequestId,
-    ServiceId, ServiceReport, VersionedDocument, VmId, VmRecord, VmState, WorkOffer, WorkUnits,
+    CrashEvidence, CustomerId, CustomerRecord, CustomerShare, DocumentBody, DocumentKey, DomainId,
+    ErrorKind, FleetTotal, KeyDigest, NormalService, OfferId, ProcessIncarnation, RequestClass,
+    RequestId, ServiceId, ServiceReport, VersionedDocument, VmId, VmRecord, VmState, WorkOffer,
+    WorkUnits,
 };
 use jackdaw_link::{ControlMessage, RunReply};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
@@ -89,7 +90,7 @@
 
 impl Arbitrary for AnyMessage {
     fn arbitrary(g: &mut Gen) -> AnyMessage {
-        AnyMessage(match u32::arbitrary(g) % 14 {
+        AnyMessage(match u32::arbitrary(g) % 15 {
             0 => ControlMessage::Offer(work_offer(g)),
             1 => ControlMessage::Withdraw(offer_id(g)),
             2 => ControlMessage::Decline(offer_id(g)),
@@ -106,7 +107,11 @@
             10 => ControlMessage::DocumentDigest(u64::arbitrary(g)),
             11 => ControlMessage::DocumentRequest,
             12 => ControlMessage::Probe(u64::arbitrary(g)),
-            _ => ControlMessage::ProbeReply(u64::arbitrary(g)),
+            13 => ControlMessage::ProbeReply(u64::arbitrary(g)),
+            _ => ControlMessage::CrashEvidence(CrashEvidence {
+                fingerprint: u64::arbitrary(g),
+                target: Option::arbitrary(g).map(VmId),
+            }),
         })
     }
 }
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! withdraws the other offers; the agent charges the work while it runs.
 
 pub mod agent;
+pub mod crash_suspects;
 pub mod estimate;
 pub mod event;
 pub mod fairness;
@@ -18,6 +19,7 @@
 pub mod subset;
 
 pub use agent::{AgentCore, AgentCustomer, AgentPolicy, AgentSnapshot};
+pub use crash_suspects::{CrashSuspects, SuspectStanding};
 pub use event::{
     AgentCommand, AgentEvent, ArrivedRequest, RouterCommand, RouterEvent, RunFault, SharePolicy,
 };
--- a/crates/jackdaw-router/src/caller_server.rs
+++ b/crates/jackdaw-router/src/caller_server.rs
@@ -26,6 +26,12 @@
 /// The longest time that a graceful stop waits for answers in progress, in seconds.
 const SHUTDOWN_SECONDS: u64 = 600;
 
+/// The time after which a request that was refused at once may come again.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
+
+/// The time after which a request that crashes targets may come again.
+const QUARANTINE_PAUSE: Duration = Duration::from_secs(60);
+
 /// Part of the answer to a caller.
 pub enum AnswerPart {
     /// The head of the answer.
@@ -138,8 +144,8 @@
     let (sender, mut receiver) = mpsc::channel(ANSWER_QUEUE);
     match actor.send(AdmitCall { call, sender }).await {
         Ok(Ok(())) => {}
-        Ok(Err(kind)) => return problem::respond(kind, "", Duration::ZERO),
-        Err(_) => return problem::respond(ErrorKind::NotReady, "", Duration::ZERO),
+        Ok(Err(kind)) => return problem::respond(kind, "", retry_after(kind)),
+        Err(_) => return refuse_not_ready(),
     }
     match receiver.recv().await {
         Some(AnswerPart::Head { status, headers }) => {
@@ -150,6 +156,19 @@
     }
 }
 
+fn refuse_not_ready() -> HttpResponse {
+    problem::respond(ErrorKind::NotReady, "", retry_after(ErrorKind::NotReady))
+}
+
+/// Returns when a request that was refused at once may come again; zero where it need not.
+fn retry_after(kind: ErrorKind) -> Duration {
+    match kind {
+        ErrorKind::Quarantined => QUARANTINE_PAUSE,
+        kind if kind.is_retryable() => REFUSAL_PAUSE,
+        _ => Duration::ZERO,
+    }
+}
+
 fn refuse_body(error: &actix_web::Error) -> HttpResponse {
     let kind = match error.as_response_error().status_code() {
         StatusCode::PAYLOAD_TOO_LARGE => ErrorKind::TooLarge,
--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -5,18 +5,19 @@
 
 use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult};
 use jackdaw_base::{
-    CustomerId, DocumentBody, DocumentKey, ErrorKind, MonotonicTime, OfferId, ProcessIncarnation,
-    RequestClass, RequestId, ServiceId, VersionedDocument, VmId,
+    CrashEvidence, CustomerId, DocumentBody, DocumentKey, ErrorKind, MonotonicTime, OfferId,
+    ProcessIncarnation, RequestClass, RequestId, ServiceId, VersionedDocument, VmId,
 };
 use jackdaw_link::{ControlMessage, PeerLink, ProcessRole, RunRequest};
 use jackdaw_platform::{CatalogUpdate, ConfigCatalog};
 use jackdaw_policy::{
-    ArrivedRequest, RouterCommand, RouterCore, RouterEvent, RouterSnapshot, RunFault,
+    ArrivedRequest, CrashSuspects, RouterCommand, RouterCore, RouterEvent, RouterSnapshot,
+    RunFault, SuspectStanding,
 };
 use jackdaw_telemetry::{Readiness, ReadyFlag};
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::call_reader::{CallTarget, IncomingCall};
 use crate::caller_server::AnswerPart;
@@ -47,6 +48,8 @@
     catalog: ConfigCatalog,
     /// The links to agents and other routers.
     links: LinkBook,
+    /// The evidence against requests that crash targets.
+    suspects: CrashSuspects,
     /// The requests that have no final answer yet.
     requests: HashMap<RequestId, OpenRequest>,
     /// The time within which a run is to start where the caller names none.
@@ -87,6 +90,8 @@
     head_sent: bool,
     /// Whether the request may run more than once.
     is_idempotent: bool,
+    /// The agent of the present run.
+    runner: Option<VmId>,
 }
 
 /// Asks to place a caller's request; the answer goes to `sender`.
@@ -205,6 +210,7 @@
             sequence: 0,
             catalog: ConfigCatalog::new(),
             links: parts.links,
+            suspects: CrashSuspects::default(),
             requests: HashMap::new(),
             default_patience: parts.default_patience,
             commands: Vec::new(),
@@ -214,8 +220,12 @@
         }
     }
 
+    fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.start.elapsed().as_micros() as u64)
+    }
+
     fn decide(&mut self, event: RouterEvent, context: &Context<DecisionActor>) {
-        let now = MonotonicTime(self.start.elapsed().as_micros() as u64);
+        let now = self.now();
         let mut commands = std::mem::take(&mut self.commands);
         self.core.handle(now, event, &mut commands);
         for command in commands.drain(..) {
@@ -271,6 +281,11 @@
         let Some(service) = find_service(&self.catalog, &call) else {
             return Err(ErrorKind::NotFound);
         };
+        let fingerprint = fingerprint(customer, &call);
+        if self.suspects.standing(self.now(), fingerprint) == SuspectStanding::Refused {
+            self.metrics.count_failure(ErrorKind::Quarantined);
+            return Err(ErrorKind::Quarantined);
+        }
         let id = RequestId { router: self.incarnation, sequence: self.sequence };
         let request = ArrivedRequest {
             id,
@@ -287,9 +302,10 @@
         watch_caller(id, &sender, context.address());
         let open = OpenRequest {
             is_idempotent: call.class != RequestClass::Recording,
-            run: build_run(id, customer, call),
+            run: build_run(id, call, fingerprint),
             sender,
             head_sent: false,
+            runner: None,
         };
         self.requests.insert(id, open);
         self.decide(RouterEvent::RequestArrived { request }, context);
@@ -297,14 +313,29 @@
     }
 
     fn start_run(&mut self, agent: VmId, offer: OfferId, context: &Context<DecisionActor>) {
+        let now = self.now();
         let link = self.links.get(agent).cloned();
         let (Some(open), Some(link)) = (self.requests.get_mut(&offer.request), link) else {
             // The loss of the link reaches the decision code as an event of its own.
             log::warn!("run of {} cannot start: link or request is gone", offer.request);
             return;
         };
-        self.metrics.count_run();
         open.run.offer = offer;
+        open.runner = Some(agent);
+        let standing = self.suspects.standing(now, open.run.fingerprint);
+        if standing == SuspectStanding::Refused {
+            self.links.send(agent, ControlMessage::Decline(offer));
+            let end = RunEnd::Fault(RunFault::Refused(ErrorKind::Quarantined));
+            context.address().do_send(RunOver {
+                id: offer.request,
+                attempt: offer.attempt,
+                end,
+                delivered: open.run.resume_from,
+                head_sent: open.head_sent,
+            });
+            return;
+        }
+        self.metrics.count_run();
         let task = RunTask {
             id: offer.request,
             request: open.run.clone(),
@@ -323,6 +354,18 @@
         }
         open.head_sent = over.head_sent;
         open.run.resume_from = over.delivered;
+        let fingerprint = open.run.fingerprint;
+        let runner = open.runner.take();
+        match &over.end {
+            RunEnd::Whole(_) => self.learn_evidence(CrashEvidence { fingerprint, target: None }),
+            RunEnd::Fault(RunFault::TargetCrashed) if runner.is_some() => {
+                self.learn_evidence(CrashEvidence { fingerprint, target: runner });
+            }
+            RunEnd::Fault(_) | RunEnd::Abandoned => {}
+        }
+        let is_refused =
+            self.suspects.standing(self.now(), fingerprint) == SuspectStanding::Refused;
+        let Some(open) = self.requests.get_mut(&request) else { return };
         let event = match &over.end {
             RunEnd::Whole(units) => {
                 self.requests.remove(&request);
@@ -334,15 +377,41 @@
                 RouterEvent::RequestCancelled { request }
             }
             RunEnd::Fault(fault) => {
-                let repeatable = open.is_idempotent
+                let repeatable = (open.is_idempotent && !is_refused)
                     || matches!(fault, RunFault::Refused(kind) if kind.is_retryable());
-                RouterEvent::RunFailed { request, fault: *fault, repeatable }
+                // Evidence decides on crashes; a target that goes down may break two attempts.
+                let fault = match fault {
+                    RunFault::TargetCrashed if !is_refused => RunFault::Interrupted,
+                    fault => *fault,
+                };
+                RouterEvent::RunFailed { request, fault, repeatable }
             }
         };
         self.decide(event, context);
         self.check_drain();
     }
 
+    /// Takes in evidence of this router's own and passes what is new on to all that it is
+    /// linked to.
+    fn learn_evidence(&mut self, evidence: CrashEvidence) {
+        if !self.suspects.learn(self.now(), evidence) {
+            return;
+        }
+        for vm in self.links.routers().into_iter().chain(self.links.agents()) {
+            self.links.send(vm, ControlMessage::CrashEvidence(evidence));
+        }
+    }
+
+    /// Takes in evidence of another router and passes what is new on to the linked agents.
+    fn hear_evidence(&mut self, evidence: CrashEvidence) {
+        if !self.suspects.learn(self.now(), evidence) {
+            return;
+        }
+        for agent in self.links.agents() {
+            self.links.send(agent, ControlMessage::CrashEvidence(evidence));
+        }
+    }
+
     fn answer(&mut self, request: RequestId, kind: ErrorKind, retry_after: Duration) {
         let Some(open) = self.requests.remove(&request) else { return };
         self.metrics.count_failure(kind);
@@ -478,6 +547,7 @@
             ControlMessage::Probe(nonce) => {
                 self.links.send(router, ControlMessage::ProbeReply(nonce));
             }
+            ControlMessage::CrashEvidence(evidence) => self.hear_evidence(evidence),
             ControlMessage::ProbeReply(_) | ControlMessage::Leaving => {}
             _ => self.refuse(link, "message that routers do not send to routers"),
         }
@@ -539,15 +609,21 @@
     Some(service)
 }
 
+/// Returns the digest of customer and content by which a request is known when it comes again.
+fn fingerprint(customer: CustomerId, call: &IncomingCall) -> u64 {
+    let place = xxh3_64(call.path.as_bytes()) ^ customer.0;
+    xxh3_64_with_seed(&call.body, place)
+}
+
 /// Builds the message to the agent; the offer is filled in when one is granted.
-fn build_run(id: RequestId, customer: CustomerId, call: IncomingCall) -> RunRequest {
+fn build_run(id: RequestId, call: IncomingCall, fingerprint: u64) -> RunRequest {
     RunRequest {
         offer: OfferId { request: id, attempt: 0 },
         method: call.method,
         path: call.path,
         headers: call.headers,
         recording_key: call.recording_key,
-        fingerprint: xxh3_64(&call.body) ^ customer.0,
+        fingerprint,
         resume_from: 0,
         body: call.body,
     }
--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -101,6 +101,17 @@
         routers
     }
 
+    /// Returns the agents to which links are open.
+    pub fn agents(&self) -> Vec<VmId> {
+        let mut agents = Vec::new();
+        for (vm, link) in &self.links {
+            if link.greeting().role == ProcessRole::Agent {
+                agents.push(*vm);
+            }
+        }
+        agents
+    }
+
     /// Returns the control traffic of all links, in bytes sent and received.
     pub fn control_bytes(&self) -> (u64, u64) {
         let mut total = self.closed_bytes;
