--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The running agent: its link endpoint, its decisions and its way to the target.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,12 +10,12 @@
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_daemon::{AdminOptions, AdminServer};
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, PeerLink, ProcessRole};
+use jackdaw_platform::{ClaimSettings, ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentCore, AgentSnapshot};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, Readiness, ReadyFlag};
 use serde_json::json;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
-use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, DecisionActor, DrainAgent, DumpAgent};
 use crate::options::AgentOptions;
 use crate::run::RunContext;
@@ -55,11 +55,15 @@
         let endpoint = Rc::new(endpoint);
         let core = AgentCore::new(options.policy, options.identity.vm(), incarnation, options.seed);
         let actor = DecisionActor::new(core).start();
-        let claims = ClaimDesk;
+        let store = PlatformClient::open(options.platform);
+        let claims = ClaimWriter::spawn(store, incarnation, ClaimSettings::default());
         let context = Rc::new(RunContext {
             actor: actor.clone(),
             client: TargetClient::open(&options.target_url, options.kind),
             claims,
+            vm: options.identity.vm(),
+            latest_loss: Cell::new(None),
+            suspect_place: Semaphore::new(1),
         });
         let links = Rc::new(RefCell::new(Vec::new()));
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use jackdaw_base::{
-    ErrorKind, FleetTotal, OfferId, ProcessIncarnation, ServiceId, ServiceReport,
+    CrashEvidence, ErrorKind, FleetTotal, OfferId, ProcessIncarnation, ServiceId, ServiceReport,
     VersionedDocument, VmId, WorkOffer, WorkUnits, plain_data,
 };
 
@@ -83,6 +83,8 @@
         BucketDigests(Vec<u64>),
         /// Asks for the documents of some buckets.
         BucketRequest(Vec<u16>),
+        /// Evidence on a request that may crash targets.
+        CrashEvidence(CrashEvidence),
     }
 }
 
@@ -105,7 +107,8 @@
             | ControlMessage::Probe(_)
             | ControlMessage::ProbeReply(_)
             | ControlMessage::BucketDigests(_)
-            | ControlMessage::BucketRequest(_) => 1,
+            | ControlMessage::BucketRequest(_)
+            | ControlMessage::CrashEvidence(_) => 1,
         }
     }
 }
