Let a customer that has starved go first again

Cause: after a split of 200 s a customer that sat on both halves had no service for 257 s (shares 1 800 40 120 split): its total stood far ahead of the others. Ruled out: a cap on the lead over the lowest counter (one customer out of reach of its share would pull all others together). Change: a home lowers the total of a customer that waits 120 s without service to the lowest counter that it meets; HomeSpans reads missing fields as defaults. Conclusion: starvation is bounded; the bound on the gap does not span splits.

--- a/crates/jackdaw-policy/examples/shares.rs
+++ b/crates/jackdaw-policy/examples/shares.rs
@@ -1,6 +1,6 @@
 //! Prints fairness gap, utilisation and control traffic of the three policies.
 //!
-//! Arguments: seed, seconds, routers, agents; all optional.
+//! Arguments: seed, seconds, routers, agents, and a load to run alone; all optional.
 
 #[path = "../tests/support/fleet.rs"]
 mod fleet;
@@ -12,7 +12,9 @@
 const POLICIES: [SharePolicy; 3] = [SharePolicy::Fleet, SharePolicy::Local, SharePolicy::FirstCome];
 
 fn main() {
-    let mut numbers = std::env::args().skip(1).map(|text| text.parse().expect("a whole number"));
+    let only = std::env::args().nth(5);
+    let mut numbers =
+        std::env::args().skip(1).take(4).map(|text| text.parse().expect("a whole number"));
     let seed: u64 = numbers.next().unwrap_or(1);
     let seconds = numbers.next().unwrap_or(240);
     let routers = numbers.next().unwrap_or(40) as usize;
@@ -24,6 +26,9 @@
     for load in
         ["even", "flood", "uneven", "hints", "shares", "returns", "cut", "split", "restarts"]
     {
+        if only.as_deref().is_some_and(|only| only != load) {
+            continue;
+        }
         for policy in POLICIES {
             let mut plan = FleetPlan::even(seed, policy, routers, agents);
             plan.seconds = seconds;
--- a/crates/jackdaw-policy/src/router.rs
+++ b/crates/jackdaw-policy/src/router.rs
@@ -87,12 +87,7 @@
             retry_backoff: Duration::from_millis(20),
             totals_interval: Duration::from_millis(250),
             home_routers: 200,
-            home_spans: HomeSpans {
-                idle_after: Duration::from_secs(4),
-                silent_after: Duration::from_secs(20),
-                gather: Duration::from_secs(1),
-                forget_after: Duration::from_secs(600),
-            },
+            home_spans: HomeSpans::default(),
         }
     }
 }
--- a/crates/jackdaw-policy/src/router/account_home.rs
+++ b/crates/jackdaw-policy/src/router/account_home.rs
@@ -15,6 +15,7 @@
 plain_data! {
     copy
     /// Time spans of account homes.
+    #[serde(default)]
     pub struct HomeSpans {
         /// The time after which a customer that waits at no agent counts as idle.
         pub idle_after: Duration,
@@ -23,11 +24,26 @@
         /// The time in which a customer that comes back, or an account that is rebuilt, gathers
         /// reports before its total is fixed.
         pub gather: Duration,
+        /// The longest time without service for a customer that waits: its total then falls to
+        /// the lowest counter that it meets, however much it has received before.
+        pub starve_after: Duration,
         /// The time after which an agent that sends no reports is forgotten.
         pub forget_after: Duration,
     }
 }
 
+impl Default for HomeSpans {
+    fn default() -> HomeSpans {
+        HomeSpans {
+            idle_after: Duration::from_secs(4),
+            silent_after: Duration::from_secs(20),
+            gather: Duration::from_secs(1),
+            starve_after: Duration::from_secs(120),
+            forget_after: Duration::from_secs(600),
+        }
+    }
+}
+
 /// What an agent has reported of a customer.
 #[derive(Debug, Clone)]
 struct AgentEntry {
@@ -36,6 +52,7 @@
     via: Option<VmId>,
     given: NormalService,
     waiting: bool,
+    virtual_time: NormalService,
     heard: MonotonicTime,
     sent: Option<FleetTotal>,
 }
@@ -49,6 +66,8 @@
     gather_until: MonotonicTime,
     rebuild_until: MonotonicTime,
     last_waiting: MonotonicTime,
+    /// The last time at which the customer was served or did not wait.
+    served: MonotonicTime,
     heard: MonotonicTime,
     entries: BTreeMap<ProcessIncarnation, AgentEntry>,
 }
@@ -108,6 +127,7 @@
         for (customer, account) in &mut self.accounts {
             account.settle(now);
             account.prune(now, &spans);
+            account.relieve(now, &spans);
             let total = account.present_total();
             for entry in account.entries.values_mut() {
                 // An agent that has never heard a total needs one for a later home to go on from.
@@ -141,6 +161,7 @@
             gather_until: now,
             rebuild_until: now.after(spans.gather),
             last_waiting: MonotonicTime::default(),
+            served: now,
             heard: now,
             entries: BTreeMap::new(),
         }
@@ -155,6 +176,10 @@
     ) {
         self.heard = now;
         self.settle(now);
+        let given = self.entries.get(&report.agent).map(|entry| entry.given);
+        if given.is_none_or(|given| report.given > given) {
+            self.served = now;
+        }
         match self.entries.get(&report.agent) {
             Some(entry) => {
                 self.total = (self.total + report.given).saturating_sub(entry.given);
@@ -182,6 +207,7 @@
             via,
             given: report.given,
             waiting: report.waiting,
+            virtual_time: report.virtual_time,
             heard: now,
             sent: None,
         };
@@ -219,6 +245,24 @@
         self.entries.retain(|_, entry| now.since(entry.heard) < spans.forget_after);
     }
 
+    /// Lets a customer that has starved go first again: it may stand far ahead since it had a
+    /// part of the fleet to itself while others could not reach it.
+    fn relieve(&mut self, now: MonotonicTime, spans: &HomeSpans) {
+        let waiting = self.entries.values().filter(|entry| entry.waiting);
+        let met = waiting.clone().map(|entry| entry.virtual_time);
+        let lowest = met.filter(|time| *time != NormalService::default()).min();
+        if waiting.count() == 0 {
+            self.served = now;
+        }
+        if now.since(self.served) < spans.starve_after {
+            return;
+        }
+        self.served = now;
+        if let Some(lowest) = lowest {
+            self.total = self.total.min(lowest);
+        }
+    }
+
     /// Fixes the lift once the customer has met the fleet for long enough.
     fn settle(&mut self, now: MonotonicTime) {
         if now > self.gather_until
--- a/crates/jackdaw-policy/tests/account_homes.rs
+++ b/crates/jackdaw-policy/tests/account_homes.rs
@@ -102,6 +102,22 @@
     assert_eq!(total(&home), 7_000);
 }
 
+#[test]
+fn starved_customer() {
+    let mut home = home();
+    let mut ahead = report(1, 900_000, 0);
+    ahead.virtual_time = NormalService(5_000);
+    for second in 0..130 {
+        let now = START.after(Duration::from_secs(second));
+        home.take_report(now, None, &ahead);
+        home.take_batches(now);
+        if second < 115 {
+            assert_eq!(total(&home), 900_000);
+        }
+    }
+    assert_eq!(total(&home), 5_000);
+}
+
 #[test]
 fn totals_return() {
     let mut home = home();
