--- a/crates/jackdaw-policy/examples/spread.rs
+++ b/crates/jackdaw-policy/examples/spread.rs
@@ -49,8 +49,8 @@
     }
     for round in 1..=DIGEST_ROUNDS {
         let before = informed.clone();
-        for router in 0..count {
-            for peer in pick(&mut rng, &links[router], DIGEST_FANOUT) {
+        for (router, linked) in links.iter().enumerate() {
+            for peer in pick(&mut rng, linked, DIGEST_FANOUT) {
                 if before.contains(&router) || before.contains(&peer) {
                     informed.insert(router);
                     informed.insert(peer);
--- a/crates/jackdaw-proofs/src/fleet.rs
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -73,6 +73,11 @@
         fleet
     }
 
+    /// Returns the certificate of the authority that all processes trust.
+    pub fn authority_pem(&self) -> &str {
+        self.authority.certificate_pem()
+    }
+
     /// Has a ticket accepted.
     pub async fn accept(&self, ticket: &ChangeTicket) {
         let desk = TicketDesk::open(self.platform_client());
@@ -232,7 +237,7 @@
     format!("key-{name}")
 }
 
-/// Returns the record of a customer with the key of [`customer_key`].
+/// Returns the record of a customer with the key `key-<name>`.
 pub fn customer(name: &str, share: u32) -> CustomerRecord {
     CustomerRecord {
         name: name.to_owned(),
