--- a/crates/jackdaw-platform/examples/claim_rate.rs
+++ b/crates/jackdaw-platform/examples/claim_rate.rs
@@ -1,6 +1,6 @@
 //! Measures platform writes and bytes per recording at several rates and ways of writing.
 //!
-//! `claim_rate [SEED] [SECONDS]` prints one line a way and rate, as a Markdown table.
+//! `claim_rate [SEED] [SECONDS] [WRITERS]` prints one line a way and rate, as a Markdown table.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -20,9 +20,6 @@
 
 /// Recordings a second over all writers.
 const RATES: [u32; 3] = [50, 200, 800];
-/// The processes that claim.
-const WRITERS: usize = 3;
-
 /// Way of keeping claims.
 #[derive(Debug, Clone, Copy)]
 enum ClaimWay {
@@ -82,7 +79,8 @@
     let mut arguments = std::env::args().skip(1);
     let seed = read_number(arguments.next(), 1)?;
     let seconds = read_number(arguments.next(), 10)?;
-    println!("seed {seed}, {seconds} s a line, {WRITERS} writers\n");
+    let writers = read_number(arguments.next(), 3)?.max(1) as usize;
+    println!("seed {seed}, {seconds} s a line, {writers} writers\n");
     println!(
         "| way | recordings/s | granted | failed | writes per recording | reads per recording \
               | bytes written per recording | p50 ms | p99 ms |"
@@ -91,7 +89,9 @@
     actix_rt::System::new().block_on(async {
         for way in WAYS {
             for rate in RATES {
-                measure(way, rate, seed, Duration::from_secs(seconds)).await?;
+                let load =
+                    RecordingLoad { rate, seed, writers, span: Duration::from_secs(seconds) };
+                measure(way, load).await?;
             }
         }
         Ok(())
@@ -105,15 +105,24 @@
     }
 }
 
-/// Runs one way at one rate and prints its line.
-async fn measure(
-    way: ClaimWay,
+/// Recordings that are sent.
+#[derive(Debug, Clone, Copy)]
+struct RecordingLoad {
+    /// The recordings a second over all writers.
     rate: u32,
+    /// The seed of their times and writers.
     seed: u64,
+    /// The processes that claim.
+    writers: usize,
+    /// The time for which recordings are sent.
     span: Duration,
-) -> Result<(), Report<ErrorKind>> {
+}
+
+/// Runs one way at one rate and prints its line.
+async fn measure(way: ClaimWay, load: RecordingLoad) -> Result<(), Report<ErrorKind>> {
+    let RecordingLoad { rate, seed, writers, span } = load;
     let standin = PlatformStandin::bind(StandinSettings::default())?;
-    let claimers: Vec<Claimer> = (0..WRITERS).map(|_| Claimer::open(&standin, way)).collect();
+    let claimers: Vec<Claimer> = (0..writers).map(|_| Claimer::open(&standin, way)).collect();
     let latencies: Rc<RefCell<Vec<f64>>> = Rc::default();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let start = Instant::now();
@@ -122,7 +131,7 @@
     while due < span {
         due += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / f64::from(rate));
         actix_rt::time::sleep(due.saturating_sub(start.elapsed())).await;
-        let claimer = claimers[rng.random_range(0..WRITERS)].clone();
+        let claimer = claimers[rng.random_range(0..writers)].clone();
         let latencies = Rc::clone(&latencies);
         tasks.push(actix_rt::spawn(async move {
             let key = Uuid::now_v7().to_string();
--- /dev/null
+++ b/crates/jackdaw-platform/tests/claim_size.rs
@@ -0,0 +1,34 @@
+//! A full claim object fits the platform's limit.
+
+use std::collections::HashSet;
+
+use jackdaw_base::ProcessIncarnation;
+use jackdaw_platform::ClaimKey;
+use jackdaw_platform::claim::{ClaimObject, ClaimOwner, ClaimRequest, ClaimVerdict};
+use jackdaw_platform::store::OBJECT_LIMIT_BYTES;
+
+/// More claims than one object holds.
+const CLAIMS: u64 = 30_000;
+
+fn request(index: u64) -> ClaimRequest {
+    let mut key = [255; 16];
+    key[..8].copy_from_slice(&index.to_le_bytes());
+    let owner = ClaimOwner { incarnation: ProcessIncarnation(u64::MAX), nonce: u64::MAX };
+    ClaimRequest { key: ClaimKey(key), bucket: u64::MAX, owner }
+}
+
+#[test]
+fn full_object() {
+    let requests: Vec<ClaimRequest> = (0..CLAIMS).map(request).collect();
+    let plan = ClaimObject::default().plan(&requests, &HashSet::new());
+    let granted = plan.verdicts.iter().filter(|verdict| **verdict == ClaimVerdict::Granted);
+    let full = plan.verdicts.iter().filter(|verdict| **verdict == ClaimVerdict::Full);
+    let (granted, full) = (granted.count(), full.count());
+    assert_eq!(granted + full, requests.len());
+    assert!(full > 0, "the object takes any number of claims");
+    let object = plan.object.unwrap();
+    let bytes = object.encode().unwrap();
+    println!("{granted} claims, {} bytes", bytes.len());
+    assert!(bytes.len() < OBJECT_LIMIT_BYTES);
+    assert_eq!(ClaimObject::decode(&bytes).unwrap(), object);
+}
