--- a/crates/jackdaw-demo/src/population.rs
+++ b/crates/jackdaw-demo/src/population.rs
@@ -38,10 +38,10 @@
 }
 
 /// Open requests of a backlogged customer for each place that it is owed.
-const WINDOW_PER_PLACE: usize = 3;
+const WINDOW_PER_PLACE: usize = 4;
 
 /// Open requests that a backlogged customer keeps beyond its share.
-const WINDOW_BASE: usize = 6;
+const WINDOW_BASE: usize = 12;
 
 /// Plans the customers: the first floods, the last is interactive, the others are backlogged
 /// with shares of 1, 2 and 4, on one router or on several.
