--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -15,7 +15,7 @@
 use jackdaw_policy::subset::{SubsetNode, SubsetPolicy, home_routers, linked_agents};
 use rand::Rng;
 
-use crate::decision_actor::{DecisionActor, LinkInput};
+use crate::decision_actor::{DecisionActor, HasLink, LinkInput};
 
 /// The shortest wait before a lost link is opened again.
 const REDIAL_MIN: Duration = Duration::from_millis(50);
@@ -23,6 +23,9 @@
 /// The longest wait before a lost link is opened again.
 const REDIAL_MAX: Duration = Duration::from_secs(2);
 
+/// The longest wait before a link that the peer should open is opened from this end.
+const HELP_WAIT: Duration = Duration::from_secs(2);
+
 /// The links of a router, and the tasks that keep them open.
 pub struct LinkBook {
     /// The router itself.
@@ -81,6 +84,11 @@
         }
     }
 
+    /// Returns whether the list has a VM as leaving.
+    pub fn is_leaving(&self, vm: VmId) -> bool {
+        self.members.get(&vm).is_some_and(|member| member.state == VmState::Leaving)
+    }
+
     /// Returns the routers to which links are open.
     pub fn routers(&self) -> Vec<VmId> {
         let mut routers = Vec::new();
@@ -188,6 +196,9 @@
 
     /// Dials the VMs that this router is to be linked to, and no others.
     ///
+    /// Of two routers, the one with the lower identifier dials. The other one helps out, since
+    /// a router that starts while the platform is down knows no address.
+    ///
     /// A link that is open stays until it closes by itself, since work may run on it.
     fn update_dialers(&mut self, actor: &Addr<DecisionActor>) {
         let wanted = self.wanted_links();
@@ -202,8 +213,13 @@
             if self.dialers.contains_key(&vm) {
                 continue;
             }
-            let task = keep_dialing(self.endpoint.clone(), vm, address, actor.clone());
-            self.dialers.insert(vm, (address, actix_rt::spawn(task)));
+            let dials = self.own.vm < vm || self.members[&vm].service.is_some();
+            let (endpoint, actor) = (self.endpoint.clone(), actor.clone());
+            let task = match dials {
+                true => actix_rt::spawn(keep_dialing(endpoint, vm, address, actor)),
+                false => actix_rt::spawn(help_dialing(endpoint, vm, address, actor)),
+            };
+            self.dialers.insert(vm, (address, task));
         }
     }
 
@@ -221,8 +237,7 @@
         let homes = home_routers(&ids, self.home_routers);
         let is_home = homes.contains(&self.own.vm);
         for router in ids {
-            // Of two routers, the one with the lower identifier dials.
-            if router > self.own.vm && (is_home || homes.contains(&router)) {
+            if router != self.own.vm && (is_home || homes.contains(&router)) {
                 wanted.insert(router, self.members[&router].link_address);
             }
         }
@@ -268,6 +283,27 @@
     actor.do_send(LinkInput::Closed(link));
 }
 
+/// Opens the link to a router that is to dial itself and has not done so for a while.
+async fn help_dialing(
+    endpoint: Rc<LinkEndpoint>,
+    vm: VmId,
+    address: SocketAddr,
+    actor: Addr<DecisionActor>,
+) {
+    loop {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        actix_rt::time::sleep(HELP_WAIT.mul_f64(jitter)).await;
+        // Without an actor there is nobody to hold a link.
+        if actor.send(HasLink { vm }).await.unwrap_or(true) {
+            continue;
+        }
+        match endpoint.dial(address, vm).await {
+            Ok(link) => drop(actix_rt::spawn(receive_control(link, actor.clone()))),
+            Err(report) => log::debug!("cannot open link to {vm}: {report}"),
+        }
+    }
+}
+
 /// Opens the link to a VM again each time it closes, with exponential backoff and full jitter.
 async fn keep_dialing(
     endpoint: Rc<LinkEndpoint>,
