--- a/crates/jackdaw-proofs/src/fleet.rs
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -237,7 +237,7 @@
     format!("key-{name}")
 }
 
-/// Returns the record of a customer with the key `key-<name>`.
+/// Returns the record of a customer with the key of [`customer_key`].
 pub fn customer(name: &str, share: u32) -> CustomerRecord {
     CustomerRecord {
         name: name.to_owned(),
