--- a/crates/jackdaw-router/src/membership.rs
+++ b/crates/jackdaw-router/src/membership.rs
@@ -207,6 +207,9 @@
 
     /// Dials the VMs that this router is to be linked to, and no others.
     ///
+    /// Of two routers, the one with the lower identifier dials. The other one helps out, since
+    /// a router that starts while the platform is down knows no address.
+    ///
     /// A link that is open stays until it closes by itself, since work may run on it.
     fn update_dialers(&mut self, actor: &Addr<DecisionActor>) {
         let wanted = self.wanted_links();
@@ -221,25 +224,17 @@
             if self.dialers.contains_key(&vm) {
                 continue;
             }
+            let dials = self.own.vm < vm || self.members[&vm].service.is_some();
             let (endpoint, actor) = (self.endpoint.clone(), actor.clone());
-            let task = match self.is_dialed_by(vm) {
-                true => actix_rt::spawn(help_dialing(endpoint, vm, address, actor)),
-                false => actix_rt::spawn(keep_dialing(endpoint, vm, address, actor)),
+            let task = match dials {
+                true => actix_rt::spawn(keep_dialing(endpoint, vm, address, actor)),
+                false => actix_rt::spawn(help_dialing(endpoint, vm, address, actor)),
             };
             self.dialers.insert(vm, (address, task));
         }
     }
 
-    /// Returns whether a VM is a router that opens its link to this one.
-    ///
-    /// Of two routers, the one with the lower identifier dials. The other one helps out after a
-    /// while, since a router that starts while the platform is down knows no address.
-    fn is_dialed_by(&self, vm: VmId) -> bool {
-        let is_router = self.members.get(&vm).is_some_and(|member| member.service.is_none());
-        is_router && vm < self.own.vm
-    }
-
-    /// Returns the VMs that this router is to be linked to, with their addresses.
+    /// Returns the VMs that this router dials, with their addresses.
     fn wanted_links(&self) -> HashMap<VmId, SocketAddr> {
         let routers = self.router_nodes();
         let mut wanted = HashMap::new();
