--- a/crates/jackdaw-proofs/src/load.rs
+++ b/crates/jackdaw-proofs/src/load.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use actix_rt::task::JoinHandle;
-use jackdaw_standin::answer::DRAFT_MARKER;
+use jackdaw_standin::answer::{DRAFT_MARKER, answer_length};
 use jackdaw_standin::{EngineSettings, EngineStandin, EngineTally, prompt_id};
 
 use crate::caller::{CallerAnswer, CallerClient};
 
-/// The most tokens of one completion; a draft has at least sixty.
+/// The tokens of each completion.
 const STREAM_TOKENS: u32 = 80;
 
 /// Completions of one customer that are under way.
@@ -31,8 +31,9 @@
     /// Sends `count` prompts at once; the label keeps them apart from those of other loads.
     pub fn spawn(router: SocketAddr, customer: &str, label: &str, count: u32) -> StreamLoad {
         let mut load = StreamLoad { prompts: Vec::new(), callers: Vec::new() };
-        for number in 0..count {
-            let prompt = format!("{DRAFT_MARKER} {label} {number}");
+        let prompts = (0_u32..).map(|number| format!("{DRAFT_MARKER} {label} {number}"));
+        let long = prompts.filter(|prompt| answer_length(prompt, STREAM_TOKENS) == STREAM_TOKENS);
+        for prompt in long.take(count as usize) {
             let caller = CallerClient::open(router, customer);
             load.prompts.push(prompt.clone());
             load.callers.push(actix_rt::spawn(async move {
--- a/crates/jackdaw-proofs/src/process.rs
+++ b/crates/jackdaw-proofs/src/process.rs
@@ -21,7 +21,11 @@
     Continue,
 }
 
-/// A running process; killed when dropped.
+/// What a process logs where an invariant does not hold.
+const VIOLATION_TEXT: &str = "invariant violated";
+
+/// A running process; killed when dropped, which fails the proof where the process has logged
+/// that an invariant does not hold.
 pub struct FleetProcess {
     /// The process.
     child: Child,
@@ -97,6 +101,13 @@
         // Both fail only where the process has ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            return;
+        }
+        // Invariants are asserted inside the processes; a broken one fails the proof.
+        for line in self.log().lines() {
+            assert!(!line.contains(VIOLATION_TEXT), "{line}");
+        }
     }
 }
 
--- a/crates/jackdaw-proofs/tests/leaving_target.rs
+++ b/crates/jackdaw-proofs/tests/leaving_target.rs
@@ -4,7 +4,7 @@
 
 use jackdaw_base::{ServiceKind, VmState};
 use jackdaw_proofs::fleet::{ENGINE_SERVICE, wait_agents, wait_until};
-use jackdaw_proofs::load::assert_byte_equal;
+use jackdaw_proofs::load::{assert_byte_equal, count_runs};
 use jackdaw_proofs::{CallerClient, FleetProcess, ProcessFleet, ProcessSignal, StreamLoad};
 use jackdaw_standin::{AnswerFault, EngineSettings, EngineStandin, PlatformFaults};
 
@@ -19,7 +19,7 @@
 /// An engine so slow that a stream lasts longer than the limit.
 fn slow_engine() -> EngineStandin {
     let settings = EngineSettings {
-        step_base: Duration::from_millis(80),
+        step_base: Duration::from_millis(65),
         batch_places: 32,
         ..Default::default()
     };
@@ -76,7 +76,13 @@
     load_past(limit, &[&router], &second).await;
     println!("the leaving engine still ran {} requests", first.usage().running);
     assert_eq!(count_after(&first, limit), 0);
-    assert_byte_equal(&streams.finish().await).await;
+    let ends = streams.finish().await;
+    assert_byte_equal(&ends).await;
+    let (first, second) = (first.tally(), second.tally());
+    for end in &ends {
+        let runs = count_runs(&first, &end.prompt) + count_runs(&second, &end.prompt);
+        assert_eq!(runs, 1, "{:?} was cut and run again", end.prompt);
+    }
 }
 
 /// The list says it and nobody signals the agent; one router starts only after that.
--- a/crates/jackdaw-proofs/tests/recording_once.rs
+++ b/crates/jackdaw-proofs/tests/recording_once.rs
@@ -98,6 +98,9 @@
     let address = service.address();
     let killed = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
+    // The first recording of all writes what claims have in common besides its own claim.
+    let first = record(&router, &new_key()).await.expect("an answer");
+    assert_eq!(first.status, 200, "{first:?}");
     fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
     let key = new_key();
     let callers = router.address("callers");
@@ -111,7 +114,7 @@
     let answer = call.await.unwrap().expect("an answer");
     assert_eq!(answer.outcome().as_deref(), Some("unknown"), "{answer:?}");
     fleet.platform.set_faults(PlatformFaults::default());
-    fleet.platform.release_writes();
+    assert_eq!(fleet.platform.release_writes(), 1, "the claim takes effect");
     fleet.remove_vm("p-1");
     let _second = fleet.spawn_agent("p-2", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
@@ -129,6 +132,9 @@
     let address = service.address();
     let frozen = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
+    // The first recording of all writes what claims have in common besides its own claim.
+    let first = record(&router, &new_key()).await.expect("an answer");
+    assert_eq!(first.status, 200, "{first:?}");
     fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
     let key = new_key();
     let callers = router.address("callers");
@@ -183,6 +189,11 @@
     let mut refused = 0;
     let mut first_answers = Vec::new();
     for fault in faults {
+        // Each fault meets an agent that has got over the one before.
+        wait_until("recordings run", || async {
+            record(&router, &new_key()).await.is_some_and(|answer| answer.status == 200)
+        })
+        .await;
         fleet.platform.set_faults(fault);
         let key = new_key();
         let answer = record(&router, &key).await.expect("an answer");
@@ -196,9 +207,10 @@
             (_, "unknown") => assert!(runs(&service, &key) <= 1, "{fault:?}"),
             _ => panic!("{fault:?}: {answer:?}"),
         }
+        println!("{fault:?}: {} {}", answer.status, outcome(Some(&answer)));
         first_answers.push((key, answer.status));
+        fleet.platform.set_faults(PlatformFaults::default());
     }
-    fleet.platform.set_faults(PlatformFaults::default());
     println!("{refused} of {} recordings were refused in the outages", first_answers.len());
     assert!(refused >= 2, "a recording needs its claim");
     for (key, status) in first_answers {
