--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -10,12 +10,12 @@
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_daemon::{AdminOptions, AdminServer};
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, PeerLink, ProcessRole};
+use jackdaw_platform::{ClaimSettings, ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentCore, AgentSnapshot};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, Readiness, ReadyFlag};
 use serde_json::json;
 use tokio::sync::{Semaphore, oneshot};
 
-use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, DecisionActor, DrainAgent, DumpAgent};
 use crate::options::AgentOptions;
 use crate::run::RunContext;
@@ -55,7 +55,8 @@
         let endpoint = Rc::new(endpoint);
         let core = AgentCore::new(options.policy, options.identity.vm(), incarnation, options.seed);
         let actor = DecisionActor::new(core).start();
-        let claims = ClaimDesk;
+        let store = PlatformClient::open(options.platform);
+        let claims = ClaimWriter::spawn(store, incarnation, ClaimSettings::default());
         let context = Rc::new(RunContext {
             actor: actor.clone(),
             client: TargetClient::open(&options.target_url, options.kind),
--- a/crates/jackdaw-agent/src/lib.rs
+++ b/crates/jackdaw-agent/src/lib.rs
@@ -5,7 +5,6 @@
 //! carried to the target ([`run`]) by the HTTP client ([`target_client`]), charged while the
 //! answer streams back.
 
-pub mod claim_desk;
 pub mod daemon;
 pub mod decision_actor;
 pub mod options;
--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -16,12 +16,12 @@
     CrashEvidence, ErrorKind, OfferId, ServiceKind, VmId, WorkUnits, describe_report,
 };
 use jackdaw_link::{IncomingRun, RunReply, RunRequest, RunWriter};
+use jackdaw_platform::{ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentEvent, SuspectStanding};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::sync::Semaphore;
 
-use crate::claim_desk::ClaimDesk;
 use crate::decision_actor::{AgentInput, BeginRun, DecisionActor, ReadStanding, RunPermit};
 use crate::target_client::{TargetAnswer, TargetClient, TargetFailure};
 
@@ -49,7 +49,7 @@
     /// The client of the target.
     pub client: TargetClient,
     /// The claims of recordings.
-    pub claims: ClaimDesk,
+    pub claims: ClaimWriter<PlatformClient>,
     /// The agent's VM.
     pub vm: VmId,
     /// The time at which an answer of the target last broke off.
@@ -180,7 +180,7 @@
     };
     let answer = match answer {
         Ok(answer) => answer,
-        Err(failure) => return Some(reply_to_failure(failure, request)),
+        Err(failure) => return Some(reply_to_failure(failure, request, context)),
     };
     match stream_answer(answer, writer, meter).await {
         Ok(length) => Some(RunReply::End { length, units: meter.units() }),
@@ -213,16 +213,21 @@
     }
 }
 
-fn reply_to_failure(failure: TargetFailure, request: &RunRequest) -> RunReply {
+fn reply_to_failure(
+    failure: TargetFailure,
+    request: &RunRequest,
+    context: &RunContext,
+) -> RunReply {
     match failure {
-        // A claim stands for this key by now, so the recording cannot come again.
-        TargetFailure::NotSent(report) if request.recording_key.is_some() => {
-            log::warn!("target cannot be reached after the claim: {report}");
-            RunReply::Broken { crashed: false }
-        }
         TargetFailure::NotSent(report) => {
             log::warn!("target cannot be reached: {report}");
-            RunReply::Refused { kind: ErrorKind::NoCapacity, retry_after_millis: 0 }
+            let Some(key) = &request.recording_key else {
+                return RunReply::Refused { kind: ErrorKind::NoCapacity, retry_after_millis: 0 };
+            };
+            // The caller may send it again; another agent must not try before the claim is gone.
+            context.claims.release(key);
+            let kind = ErrorKind::ClaimUnavailable;
+            RunReply::Refused { kind, retry_after_millis: CLAIM_RETRY_MILLIS }
         }
         TargetFailure::Lost(report) => {
             log::warn!("target lost: {report}");
--- a/crates/jackdaw-agent/src/target_client.rs
+++ b/crates/jackdaw-agent/src/target_client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_web::http::Method;
-use awc::error::{PayloadError, SendRequestError};
+use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
 use error_stack::Report;
@@ -146,6 +146,8 @@
 fn classify_failure(error: &SendRequestError) -> TargetFailure {
     let report = Report::new(ErrorKind::Interrupted).attach(error.to_string());
     match error {
+        // The client reports a connection that ends before the answer in this way too.
+        SendRequestError::Connect(ConnectError::Disconnected) => TargetFailure::Lost(report),
         SendRequestError::Url(_) | SendRequestError::Connect(_) => TargetFailure::NotSent(report),
         _ => TargetFailure::Lost(report),
     }
--- a/crates/jackdaw-router/src/caller_server.rs
+++ b/crates/jackdaw-router/src/caller_server.rs
@@ -93,6 +93,7 @@
                 .default_service(web::to(answer_call))
         })
         .workers(SERVER_WORKERS)
+        .tcp_nodelay(true)
         .shutdown_timeout(SHUTDOWN_SECONDS)
         .disable_signals();
         let server = match settings.tls {
