--- a/crates/jackdaw-proofs/tests/recording_once.rs
+++ b/crates/jackdaw-proofs/tests/recording_once.rs
@@ -98,7 +98,7 @@
     let address = service.address();
     let killed = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
-    // The first claim of all makes the writer look up the layout; the write to hold comes later.
+    // The first recording of all writes what claims have in common besides its own claim.
     let first = record(&router, &new_key()).await.expect("an answer");
     assert_eq!(first.status, 200, "{first:?}");
     fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
@@ -132,7 +132,7 @@
     let address = service.address();
     let frozen = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
-    // The first claim of all makes the writer look up the layout; the write to hold comes later.
+    // The first recording of all writes what claims have in common besides its own claim.
     let first = record(&router, &new_key()).await.expect("an answer");
     assert_eq!(first.status, 200, "{first:?}");
     fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
