Call a router ready only once it knows more than the VM list

Cause: the VM list alone made the catalog not empty, so a router that had not yet read the customers was ready and told valid callers 401 unauthorized. Ruled out: the proof's waiting; it asks /ready first. Change: ready needs a document that is not of a VM. Before: whole_path streamed_completion got 401 in one of its runs. Left: a catalog that comes from a peer in several batches may still be partial.

--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -594,6 +594,11 @@
         }
     }
 
+    /// Returns whether anything but the list of VMs is known; without it no key is.
+    fn has_configuration(&self) -> bool {
+        self.catalog.documents().any(|document| !matches!(document.key, DocumentKey::Vm(_)))
+    }
+
     /// Passes what is new on to the other routers and acts on it.
     fn apply(
         &mut self,
@@ -601,7 +606,7 @@
         source: Option<VmId>,
         context: &Context<DecisionActor>,
     ) {
-        if self.ready.get() == Readiness::Starting && !self.catalog.is_empty() {
+        if self.ready.get() == Readiness::Starting && self.has_configuration() {
             self.ready.set(Readiness::Ready);
         }
         let routers = self.links.routers();
