--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -30,13 +30,42 @@
     /// The task that accepts links.
     acceptor: actix_rt::task::JoinHandle<()>,
     /// The links that are open.
-    links: Rc<RefCell<Vec<PeerLink>>>,
+    links: Rc<RefCell<OpenLinks>>,
     /// The stage of the process's life.
     ready: ReadyFlag,
     /// The operators' interface.
     admin: Option<AdminServer>,
 }
 
+/// The links that are open, and the control traffic of those that were.
+#[derive(Default)]
+struct OpenLinks {
+    /// The open links.
+    open: Vec<PeerLink>,
+    /// The control traffic of closed links, in bytes sent and received.
+    closed_bytes: (u64, u64),
+}
+
+impl OpenLinks {
+    /// Takes out a link that has closed.
+    fn retire(&mut self, link: &PeerLink) {
+        self.open.retain(|other| other.id() != link.id());
+        let (sent, received) = link.control_bytes();
+        self.closed_bytes.0 += sent;
+        self.closed_bytes.1 += received;
+    }
+
+    /// Returns the control traffic of all links, in bytes sent and received.
+    fn control_bytes(&self) -> (u64, u64) {
+        let mut total = self.closed_bytes;
+        for link in &self.open {
+            let (sent, received) = link.control_bytes();
+            total = (total.0 + sent, total.1 + received);
+        }
+        total
+    }
+}
+
 impl AgentDaemon {
     /// Starts an agent on the current thread's runtime.
     ///
@@ -65,7 +94,7 @@
             latest_loss: Cell::new(None),
             suspect_place: Semaphore::new(1),
         });
-        let links = Rc::new(RefCell::new(Vec::new()));
+        let links = Rc::new(RefCell::new(OpenLinks::default()));
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
         let ready = ReadyFlag::default();
         let admin = match &options.admin {
@@ -93,7 +122,7 @@
 
     /// Returns the bytes of control traffic sent and received since the start.
     pub fn control_bytes(&self) -> (u64, u64) {
-        sum_control_bytes(&self.links.borrow())
+        self.links.borrow().control_bytes()
     }
 
     /// Takes no new work, lets what runs end, then closes the links.
@@ -103,7 +132,7 @@
         self.actor.do_send(DrainAgent { done: sender });
         // An error means that the actor is gone, and with it everything that ran.
         let _ = receiver.await;
-        let links = self.links.borrow().clone();
+        let links = self.links.borrow().open.clone();
         for link in links {
             link.drained().await;
         }
@@ -116,7 +145,7 @@
         if let Some(admin) = self.admin {
             admin.close().await;
         }
-        for link in self.links.borrow().iter() {
+        for link in &self.links.borrow().open {
             link.close("agent closed");
         }
         // A task of a run may hold the endpoint; it ends with its link.
@@ -142,21 +171,11 @@
     AdminServer::bind(options.address, &state, |_| {})
 }
 
-/// Adds up the control traffic of links.
-fn sum_control_bytes(links: &[PeerLink]) -> (u64, u64) {
-    let mut total = (0, 0);
-    for link in links {
-        let (sent, received) = link.control_bytes();
-        total = (total.0 + sent, total.1 + received);
-    }
-    total
-}
-
 /// Accepts links until the endpoint closes.
 async fn accept_links(
     endpoint: Rc<LinkEndpoint>,
     context: Rc<RunContext>,
-    links: Rc<RefCell<Vec<PeerLink>>>,
+    links: Rc<RefCell<OpenLinks>>,
 ) {
     while let Some(link) = endpoint.accept().await {
         if link.greeting().role != ProcessRole::Router {
@@ -164,18 +183,23 @@
             link.close("agents take links from routers only");
             continue;
         }
-        links.borrow_mut().push(link.clone());
+        links.borrow_mut().open.push(link.clone());
         context.actor.do_send(AgentInput::LinkOpened(link.clone()));
-        actix_rt::spawn(receive_control(link.clone(), context.actor.clone()));
+        actix_rt::spawn(receive_control(link.clone(), context.actor.clone(), links.clone()));
         actix_rt::spawn(accept_runs(link, context.clone()));
     }
 }
 
 /// Passes control messages of one link to the decisions until the link closes.
-async fn receive_control(link: PeerLink, actor: Addr<DecisionActor>) {
+async fn receive_control(
+    link: PeerLink,
+    actor: Addr<DecisionActor>,
+    links: Rc<RefCell<OpenLinks>>,
+) {
     while let Some(message) = link.receive().await {
         actor.do_send(AgentInput::Control(link.clone(), message));
     }
+    links.borrow_mut().retire(&link);
     actor.do_send(AgentInput::LinkClosed(link));
 }
 
--- a/crates/jackdaw-agent/src/decision_actor.rs
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -11,8 +11,11 @@
 };
 use tokio::sync::oneshot;
 
-/// The period at which the decision code learns that time has passed.
-const TIMER_PERIOD: Duration = Duration::from_millis(10);
+/// The shortest wait until the decision code learns that time has passed.
+const TIMER_WAIT_MIN: Duration = Duration::from_millis(10);
+
+/// The longest such wait, where the decision code expects nothing earlier.
+const TIMER_WAIT_MAX: Duration = Duration::from_millis(50);
 
 /// Owner of the decision code and of the links to routers.
 pub struct DecisionActor {
@@ -106,6 +109,18 @@
         self.suspects.learn(now, evidence);
     }
 
+    /// Tells the decision code that time has passed when it next expects to hear so.
+    fn arm_timer(&self, context: &mut Context<DecisionActor>) {
+        let wait = match self.core.next_timer() {
+            Some(time) => time.since(self.now()).clamp(TIMER_WAIT_MIN, TIMER_WAIT_MAX),
+            None => TIMER_WAIT_MAX,
+        };
+        context.run_later(wait, |actor, context| {
+            actor.decide(AgentEvent::TimerFired);
+            actor.arm_timer(context);
+        });
+    }
+
     fn decide(&mut self, event: AgentEvent) {
         let now = self.now();
         let mut commands = std::mem::take(&mut self.commands);
@@ -232,7 +247,7 @@
 
     fn started(&mut self, context: &mut Context<DecisionActor>) {
         context.set_mailbox_capacity(4096);
-        context.run_interval(TIMER_PERIOD, |actor, _| actor.decide(AgentEvent::TimerFired));
+        self.arm_timer(context);
     }
 }
 
--- a/crates/jackdaw-policy/src/router/outcome.rs
+++ b/crates/jackdaw-policy/src/router/outcome.rs
@@ -160,7 +160,9 @@
                 entry.attempt += 1;
                 let is_spent = entry.attempt >= self.policy.max_attempts
                     || entry.crashes >= self.policy.max_crashes;
-                if repeatable && !is_spent {
+                if repeatable && !is_spent && now >= entry.deadline {
+                    self.finish(now, request, ErrorKind::DeadlineUnreachable, commands);
+                } else if repeatable && !is_spent {
                     self.pause(now, request, self.policy.retry_backoff);
                 } else {
                     self.finish(now, request, ErrorKind::Interrupted, commands);
@@ -176,15 +178,26 @@
             }
             self.timers.pop_first();
             match kind {
-                TimerKind::Deadline => {
-                    self.finish(now, request, ErrorKind::DeadlineUnreachable, commands);
-                }
+                TimerKind::Deadline => self.pass_deadline(now, request, commands),
                 TimerKind::Widen => self.widen(now, request, commands),
                 TimerKind::Retry => self.retry(now, request, commands),
             }
         }
     }
 
+    /// Answers a request that has not started in time; one that runs is let run.
+    fn pass_deadline(
+        &mut self,
+        now: MonotonicTime,
+        request: RequestId,
+        commands: &mut Vec<RouterCommand>,
+    ) {
+        let is_running = |entry: &RequestEntry| entry.stage == RequestStage::Running;
+        if !self.requests.get(&request).is_some_and(is_running) {
+            self.finish(now, request, ErrorKind::DeadlineUnreachable, commands);
+        }
+    }
+
     pub(super) fn set_timer(&mut self, request: RequestId, time: MonotonicTime, kind: TimerKind) {
         self.clear_timer(request);
         if let Some(entry) = self.requests.get_mut(&request) {
@@ -256,7 +269,9 @@
         entry.attempt += 1;
         let is_passing =
             matches!(kind, ErrorKind::NotReady | ErrorKind::NoCapacity | ErrorKind::LinkFailed);
-        if is_passing && entry.attempt < self.policy.max_attempts {
+        if is_passing && now >= entry.deadline {
+            self.finish(now, request, ErrorKind::DeadlineUnreachable, commands);
+        } else if is_passing && entry.attempt < self.policy.max_attempts {
             self.pause(now, request, self.policy.retry_backoff);
         } else {
             self.finish(now, request, kind, commands);
--- a/crates/jackdaw-policy/tests/random_requests.rs
+++ b/crates/jackdaw-policy/tests/random_requests.rs
@@ -185,6 +185,10 @@
     }
     bench.now = bench.now.after(Duration::from_secs(60));
     bench.tell(RouterEvent::TimerFired);
+    // Runs outlive the deadline; one that breaks off after it is answered and not tried again.
+    while let Some(request) = bench.pick(0) {
+        bench.end(request, Some(RunFault::Interrupted));
+    }
     if let Some(fault) = bench.fault {
         return TestResult::error(format!("seed {seed}: {fault}"));
     }
--- a/crates/jackdaw-policy/tests/request_outcome.rs
+++ b/crates/jackdaw-policy/tests/request_outcome.rs
@@ -122,6 +122,20 @@
     assert!(bench.core.is_idle());
 }
 
+#[test]
+fn deadline_during_run() {
+    let mut bench = RouterBench::new(3);
+    let asked = holders(&bench.arrive(1));
+    bench.grant(asked[0], 1, 0);
+    let commands = bench.pass(Duration::from_secs(6));
+    assert_eq!(answer(&commands), None, "a run that had begun was given up");
+    let fault = RunFault::Interrupted;
+    let commands =
+        bench.tell(RouterEvent::RunFailed { request: request(1).id, fault, repeatable: true });
+    assert_eq!(answer(&commands), Some(ErrorKind::DeadlineExceeded));
+    assert!(bench.core.is_idle());
+}
+
 #[test]
 fn cancelled_offer_fenced() {
     let mut bench = RouterBench::new(3);
--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -1,23 +1,26 @@
 //! The actor that owns the decision code and turns its commands into messages.
 
+mod handler;
+mod message;
+mod peer_links;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use actix::{Actor, Addr, AsyncContext, Context, Handler, Message, MessageResult};
+use actix::{Actor, Addr, AsyncContext, Context};
 use jackdaw_base::{
-    CrashEvidence, CustomerId, DocumentBody, DocumentKey, ErrorKind, MonotonicTime, OfferId,
-    ProcessIncarnation, RequestClass, RequestId, ServiceId, VersionedDocument, VmId,
+    CrashEvidence, CustomerId, ErrorKind, MonotonicTime, OfferId, ProcessIncarnation, RequestClass,
+    RequestId, ServiceId, VmId,
 };
-use jackdaw_link::{ControlMessage, PeerLink, ProcessRole, RunRequest};
-use jackdaw_platform::{CatalogUpdate, ConfigCatalog};
+use jackdaw_link::{ControlMessage, RunRequest};
+use jackdaw_platform::ConfigCatalog;
 use jackdaw_policy::{
-    ArrivedRequest, CrashSuspects, DIGEST_FANOUT, RouterCommand, RouterCore, RouterEvent,
-    RouterSnapshot, RunFault, SPREAD_FANOUT, SuspectStanding, pick_peers,
+    ArrivedRequest, CrashSuspects, RouterCommand, RouterCore, RouterEvent, RunFault,
+    SuspectStanding,
 };
 use jackdaw_telemetry::{Readiness, ReadyFlag};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -28,15 +31,20 @@
 use crate::metrics::RouterMetrics;
 use crate::run::{RunEnd, RunTask, carry_run};
 
-/// The period at which the decision code learns that time has passed.
-const TIMER_PERIOD: Duration = Duration::from_millis(10);
+pub use self::message::{
+    AdmitCall, CancelCall, DrainRouter, DumpRouter, FleetStatus, HasLink, LearnUpdate, LinkInput,
+    ReadReadiness, ReadStatus, ReadTraffic, RunOver,
+};
+
+/// The shortest wait until the decision code learns that time has passed.
+const TIMER_WAIT_MIN: Duration = Duration::from_millis(10);
+
+/// The longest such wait, where the decision code expects nothing earlier.
+const TIMER_WAIT_MAX: Duration = Duration::from_millis(50);
 
 /// The period at which routers compare what configuration they hold.
 const DIGEST_PERIOD: Duration = Duration::from_secs(1);
 
-/// The documents that one message carries at the most.
-const DOCUMENT_BATCH: usize = 500;
-
 /// Owner of the decision code, the configuration, the links and the waiting requests.
 pub struct DecisionActor {
     /// The decision code.
@@ -105,114 +113,6 @@
     runner: Option<VmId>,
 }
 
-/// Asks to place a caller's request; the answer goes to `sender`.
-#[derive(Message)]
-#[rtype(result = "Result<(), ErrorKind>")]
-pub struct AdmitCall {
-    /// The request.
-    pub call: IncomingCall,
-    /// The way to the caller.
-    pub sender: mpsc::Sender<AnswerPart>,
-}
-
-/// Tells that a caller is gone.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct CancelCall {
-    /// The request.
-    pub id: RequestId,
-}
-
-/// Tells how a run ended.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct RunOver {
-    /// The request.
-    pub id: RequestId,
-    /// The attempt.
-    pub attempt: u32,
-    /// How it ended.
-    pub end: RunEnd,
-    /// The stream events that the caller has.
-    pub delivered: u64,
-    /// Whether the caller has the head of the answer.
-    pub head_sent: bool,
-}
-
-/// What reaches the actor from links.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub enum LinkInput {
-    /// A link is open.
-    Opened(PeerLink),
-    /// A link is gone.
-    Closed(PeerLink),
-    /// A control message has come.
-    Control(PeerLink, ControlMessage),
-}
-
-/// Configuration or VM list from the platform.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct LearnUpdate(pub CatalogUpdate);
-
-/// Asks whether a link to a VM is open.
-#[derive(Message)]
-#[rtype(result = "bool")]
-pub struct HasLink {
-    /// The VM.
-    pub vm: VmId,
-}
-
-/// Asks whether the router takes callers.
-#[derive(Message)]
-#[rtype(result = "bool")]
-pub struct ReadReadiness;
-
-/// Asks for the state of the decision code.
-#[derive(Message)]
-#[rtype(result = "RouterSnapshot")]
-pub struct DumpRouter;
-
-/// Asks for the configuration in force and the open links.
-#[derive(Message)]
-#[rtype(result = "FleetStatus")]
-pub struct ReadStatus;
-
-/// What a router knows of the fleet.
-#[derive(Debug, Serialize)]
-pub struct FleetStatus {
-    /// The incarnation of the router.
-    pub incarnation: String,
-    /// The documents of the configuration.
-    pub documents: usize,
-    /// The digest of the configuration; equal on routers that hold the same.
-    pub digest: String,
-    /// The highest number of a change ticket in force.
-    pub ticket: u64,
-    /// The requests without a final answer.
-    pub open_requests: usize,
-    /// The open links to agents.
-    pub agents: usize,
-    /// The open links to routers.
-    pub routers: usize,
-    /// Whether this router watches the platform.
-    pub watches_platform: bool,
-}
-
-/// Asks for the control traffic of all links, in bytes sent and received.
-#[derive(Message)]
-#[rtype(result = "(u64, u64)")]
-pub struct ReadTraffic;
-
-/// Takes no new requests; `done` is told when none is left.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct DrainRouter {
-    /// The one to tell.
-    pub done: oneshot::Sender<()>,
-}
-
 impl DecisionActor {
     /// Creates the actor around the decision code.
     pub fn new(parts: ActorParts) -> DecisionActor {
@@ -239,6 +139,18 @@
         MonotonicTime(self.start.elapsed().as_micros() as u64)
     }
 
+    /// Tells the decision code that time has passed when it next expects to hear so.
+    fn arm_timer(&self, context: &mut Context<DecisionActor>) {
+        let wait = match self.core.next_timer() {
+            Some(time) => time.since(self.now()).clamp(TIMER_WAIT_MIN, TIMER_WAIT_MAX),
+            None => TIMER_WAIT_MAX,
+        };
+        context.run_later(wait, |actor, context| {
+            actor.decide(RouterEvent::TimerFired, context);
+            actor.arm_timer(context);
+        });
+    }
+
     fn decide(&mut self, event: RouterEvent, context: &Context<DecisionActor>) {
         let now = self.now();
         let mut commands = std::mem::take(&mut self.commands);
@@ -447,203 +359,19 @@
             let _ = sender.send(());
         }
     }
+}
 
-    fn open_link(&mut self, link: &PeerLink, context: &Context<DecisionActor>) {
-        let greeting = *link.greeting();
-        if self.links.insert(link) {
-            self.decide(lost_event(greeting.vm, greeting.role), context);
-        }
-        match greeting.role {
-            ProcessRole::Agent => {
-                let Some(service) = greeting.service else {
-                    return self.refuse(link, "agent without a service");
-                };
-                let domain = self.links.domain(greeting.vm);
-                self.send_service(link, service);
-                let event = RouterEvent::AgentJoined { agent: greeting.vm, service, domain };
-                self.decide(event, context);
-                if self.links.is_leaving(greeting.vm) {
-                    self.decide(RouterEvent::AgentLeaving { agent: greeting.vm }, context);
-                }
-            }
-            ProcessRole::Router => {
-                let digest = ControlMessage::DocumentDigest(self.catalog.digest());
-                self.links.send(greeting.vm, digest);
-                self.decide(RouterEvent::PeerJoined { router: greeting.vm }, context);
-            }
-            ProcessRole::Operator => {}
-        }
-    }
-
-    fn close_link(&mut self, link: &PeerLink, context: &Context<DecisionActor>) {
-        if !self.links.remove(link) {
-            return;
-        }
-        let greeting = link.greeting();
-        self.decide(lost_event(greeting.vm, greeting.role), context);
-    }
-
-    fn send_service(&self, link: &PeerLink, service: ServiceId) {
-        if let Some(document) = self.catalog.document(DocumentKey::Service(service)) {
-            let documents = ControlMessage::Documents(vec![document.clone()]);
-            self.links.send(link.greeting().vm, documents);
-        }
-    }
-
-    fn refuse(&self, link: &PeerLink, reason: &str) {
-        log::warn!("closing link to {}: {reason}", link.greeting().vm);
-        link.close(reason);
-    }
-
-    fn receive(
-        &mut self,
-        link: &PeerLink,
-        message: ControlMessage,
-        context: &Context<DecisionActor>,
-    ) {
-        if !self.links.is_current(link) {
-            return;
-        }
-        match link.greeting().role {
-            ProcessRole::Agent => self.receive_from_agent(link, message, context),
-            ProcessRole::Router => self.receive_from_router(link, message, context),
-            ProcessRole::Operator => self.refuse(link, "operators send no control messages"),
-        }
-    }
-
-    fn receive_from_agent(
-        &mut self,
-        link: &PeerLink,
-        message: ControlMessage,
-        context: &Context<DecisionActor>,
-    ) {
-        let agent = link.greeting().vm;
-        let event = match message {
-            ControlMessage::Grant(offer) => RouterEvent::GrantReceived { agent, offer },
-            ControlMessage::Room(places) => RouterEvent::RoomAnnounced { agent, places },
-            ControlMessage::Leaving => RouterEvent::AgentLeaving { agent },
-            ControlMessage::Reports(reports) => {
-                RouterEvent::ReportsReceived { sender: agent, reports }
-            }
-            ControlMessage::Probe(nonce) => {
-                return self.links.send(agent, ControlMessage::ProbeReply(nonce));
-            }
-            ControlMessage::ProbeReply(_) => return,
-            _ => return self.refuse(link, "message that agents do not send"),
-        };
-        self.decide(event, context);
-    }
-
-    fn receive_from_router(
-        &mut self,
-        link: &PeerLink,
-        message: ControlMessage,
-        context: &Context<DecisionActor>,
-    ) {
-        let router = link.greeting().vm;
-        match message {
-            ControlMessage::Reports(reports) => {
-                let event = RouterEvent::ReportsReceived { sender: router, reports };
-                self.decide(event, context);
-            }
-            ControlMessage::RelayedTotals { agent, totals } => {
-                self.decide(RouterEvent::TotalsReceived { agent, totals }, context);
-            }
-            ControlMessage::Documents(documents) => {
-                let changed = self.catalog.merge(documents);
-                self.apply(&changed, Some(router), context);
-            }
-            ControlMessage::DocumentDigest(digest) => {
-                if digest != self.catalog.digest() {
-                    let digests = ControlMessage::BucketDigests(self.catalog.bucket_digests());
-                    self.links.send(router, digests);
-                }
-            }
-            ControlMessage::BucketDigests(digests) => self.compare_buckets(router, &digests),
-            ControlMessage::BucketRequest(buckets) => {
-                self.send_documents(router, &self.catalog.bucket_documents(&buckets));
-            }
-            ControlMessage::DocumentRequest => {
-                let documents: Vec<VersionedDocument> = self.catalog.documents().cloned().collect();
-                self.send_documents(router, &documents);
-            }
-            ControlMessage::Probe(nonce) => {
-                self.links.send(router, ControlMessage::ProbeReply(nonce));
-            }
-            ControlMessage::CrashEvidence(evidence) => self.hear_evidence(evidence),
-            ControlMessage::ProbeReply(_) | ControlMessage::Leaving => {}
-            _ => self.refuse(link, "message that routers do not send to routers"),
-        }
-    }
-
-    /// Exchanges the documents of those buckets that differ.
-    fn compare_buckets(&self, router: VmId, digests: &[u64]) {
-        let mut buckets = Vec::new();
-        for (index, own) in self.catalog.bucket_digests().iter().enumerate() {
-            if digests.get(index) != Some(own) {
-                buckets.push(index as u16);
-            }
-        }
-        self.send_documents(router, &self.catalog.bucket_documents(&buckets));
-        self.links.send(router, ControlMessage::BucketRequest(buckets));
-    }
-
-    fn send_documents(&self, router: VmId, documents: &[VersionedDocument]) {
-        for batch in documents.chunks(DOCUMENT_BATCH) {
-            self.links.send(router, ControlMessage::Documents(batch.to_vec()));
-        }
-    }
-
-    /// Returns whether anything but the list of VMs is known; without it no key is.
-    fn has_configuration(&self) -> bool {
-        self.catalog.documents().any(|document| !matches!(document.key, DocumentKey::Vm(_)))
-    }
-
-    /// Passes what is new on to the other routers and acts on it.
-    fn apply(
-        &mut self,
-        changed: &[VersionedDocument],
-        source: Option<VmId>,
-        context: &Context<DecisionActor>,
-    ) {
-        if self.ready.get() == Readiness::Starting && self.has_configuration() {
-            self.ready.set(Readiness::Ready);
-        }
-        let routers = self.links.routers();
-        for router in pick_peers(&mut self.rng, &routers, source, SPREAD_FANOUT) {
-            for batch in changed.chunks(DOCUMENT_BATCH) {
-                self.links.send(router, ControlMessage::Documents(batch.to_vec()));
-            }
-        }
-        for document in changed {
-            if let Some(DocumentBody::Service(_)) = &document.body {
-                self.links.send_to_agents(document);
-            }
-        }
-        for (agent, role) in self.links.follow(changed, &context.address()) {
-            if role == ProcessRole::Agent {
-                self.decide(RouterEvent::AgentLeaving { agent }, context);
-            }
-        }
-    }
-
-    /// Keeps the watch on the platform where this router is a relay or knows no other router.
-    fn update_watch(&mut self, context: &Context<DecisionActor>) {
-        let is_alone = self.links.routers().is_empty();
-        if is_alone || self.links.is_relay() || self.ready.get() == Readiness::Starting {
-            self.watch.start(context.address());
-        } else {
-            self.watch.stop();
-        }
-    }
+impl Actor for DecisionActor {
+    type Context = Context<DecisionActor>;
 
-    fn compare_digests(&mut self) {
-        self.metrics.set_open(self.requests.len());
-        let digest = self.catalog.digest();
-        let routers = self.links.routers();
-        for router in pick_peers(&mut self.rng, &routers, None, DIGEST_FANOUT) {
-            self.links.send(router, ControlMessage::DocumentDigest(digest));
-        }
+    fn started(&mut self, context: &mut Context<DecisionActor>) {
+        context.set_mailbox_capacity(4096);
+        self.arm_timer(context);
+        self.update_watch(context);
+        context.run_interval(DIGEST_PERIOD, |actor, context| {
+            actor.compare_digests();
+            actor.update_watch(context);
+        });
     }
 }
 
@@ -685,157 +413,3 @@
         actor.do_send(CancelCall { id });
     });
 }
-
-fn lost_event(vm: VmId, role: ProcessRole) -> RouterEvent {
-    match role {
-        ProcessRole::Router => RouterEvent::PeerLost { router: vm },
-        ProcessRole::Agent | ProcessRole::Operator => RouterEvent::AgentLost { agent: vm },
-    }
-}
-
-impl Actor for DecisionActor {
-    type Context = Context<DecisionActor>;
-
-    fn started(&mut self, context: &mut Context<DecisionActor>) {
-        context.set_mailbox_capacity(4096);
-        context.run_interval(TIMER_PERIOD, |actor, context| {
-            actor.decide(RouterEvent::TimerFired, context);
-        });
-        self.update_watch(context);
-        context.run_interval(DIGEST_PERIOD, |actor, context| {
-            actor.compare_digests();
-            actor.update_watch(context);
-        });
-    }
-}
-
-impl Handler<AdmitCall> for DecisionActor {
-    type Result = Result<(), ErrorKind>;
-
-    fn handle(&mut self, admit: AdmitCall, context: &mut Context<DecisionActor>) -> Self::Result {
-        self.admit(admit.call, admit.sender, context)
-    }
-}
-
-impl Handler<CancelCall> for DecisionActor {
-    type Result = ();
-
-    fn handle(&mut self, cancel: CancelCall, context: &mut Context<DecisionActor>) {
-        if self.requests.remove(&cancel.id).is_none() {
-            return;
-        }
-        self.decide(RouterEvent::RequestCancelled { request: cancel.id }, context);
-        self.check_drain();
-    }
-}
-
-impl Handler<RunOver> for DecisionActor {
-    type Result = ();
-
-    fn handle(&mut self, over: RunOver, context: &mut Context<DecisionActor>) {
-        self.end_run(&over, context);
-    }
-}
-
-impl Handler<LinkInput> for DecisionActor {
-    type Result = ();
-
-    fn handle(&mut self, input: LinkInput, context: &mut Context<DecisionActor>) {
-        match input {
-            LinkInput::Opened(link) => self.open_link(&link, context),
-            LinkInput::Closed(link) => self.close_link(&link, context),
-            LinkInput::Control(link, message) => self.receive(&link, message, context),
-        }
-    }
-}
-
-impl Handler<LearnUpdate> for DecisionActor {
-    type Result = ();
-
-    fn handle(&mut self, learn: LearnUpdate, context: &mut Context<DecisionActor>) {
-        let changed = match learn.0 {
-            CatalogUpdate::Documents(documents) => self.catalog.merge(documents),
-            CatalogUpdate::Vms(listing) => self.catalog.merge_vms(&listing),
-        };
-        self.apply(&changed, None, context);
-    }
-}
-
-impl Handler<HasLink> for DecisionActor {
-    type Result = bool;
-
-    fn handle(&mut self, has: HasLink, _: &mut Context<DecisionActor>) -> bool {
-        self.links.get(has.vm).is_some()
-    }
-}
-
-impl Handler<ReadReadiness> for DecisionActor {
-    type Result = bool;
-
-    fn handle(&mut self, _: ReadReadiness, _: &mut Context<DecisionActor>) -> bool {
-        self.ready.get() == Readiness::Ready
-    }
-}
-
-impl Handler<DumpRouter> for DecisionActor {
-    type Result = MessageResult<DumpRouter>;
-
-    fn handle(
-        &mut self,
-        _: DumpRouter,
-        _: &mut Context<DecisionActor>,
-    ) -> MessageResult<DumpRouter> {
-        MessageResult(self.core.snapshot())
-    }
-}
-
-impl Handler<ReadStatus> for DecisionActor {
-    type Result = MessageResult<ReadStatus>;
-
-    fn handle(
-        &mut self,
-        _: ReadStatus,
-        _: &mut Context<DecisionActor>,
-    ) -> MessageResult<ReadStatus> {
-        let mut ticket = 0;
-        for document in self.catalog.documents() {
-            if !matches!(document.key, DocumentKey::Vm(_)) {
-                ticket = ticket.max(document.number);
-            }
-        }
-        let routers = self.links.routers().len();
-        MessageResult(FleetStatus {
-            incarnation: self.incarnation.to_string(),
-            documents: self.catalog.len(),
-            digest: format!("{:016x}", self.catalog.digest()),
-            ticket,
-            open_requests: self.requests.len(),
-            agents: self.links.len() - routers,
-            routers,
-            watches_platform: self.watch.is_running(),
-        })
-    }
-}
-
-impl Handler<ReadTraffic> for DecisionActor {
-    type Result = MessageResult<ReadTraffic>;
-
-    fn handle(
-        &mut self,
-        _: ReadTraffic,
-        _: &mut Context<DecisionActor>,
-    ) -> MessageResult<ReadTraffic> {
-        MessageResult(self.links.control_bytes())
-    }
-}
-
-impl Handler<DrainRouter> for DecisionActor {
-    type Result = ();
-
-    fn handle(&mut self, drain: DrainRouter, context: &mut Context<DecisionActor>) {
-        self.ready.set(Readiness::Leaving);
-        self.drained = Some(drain.done);
-        self.decide(RouterEvent::DrainStarted, context);
-        self.check_drain();
-    }
-}
