Give agents metrics and keep one writer of problem documents

Cause: an agent's /metrics was empty, and problem documents were written in two places that had drifted apart (other URNs, no Retry-After in one). Change: runs by end, work, grants and violations of agents; the router's fuller writer moves to telemetry and serves both. The new test first failed: a counter that never rose was not shown, so that an alert on violations could not tell zero from a missing process; it is shown from the start now, on routers too.

--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -12,11 +12,12 @@
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, PeerLink, ProcessRole};
 use jackdaw_platform::{ClaimSettings, ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentCore, AgentSnapshot};
-use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, Readiness, ReadyFlag};
+use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
 use serde_json::json;
 use tokio::sync::{Semaphore, oneshot};
 
 use crate::decision_actor::{AgentInput, DecisionActor, DrainAgent, DumpAgent};
+use crate::metrics::AgentMetrics;
 use crate::options::AgentOptions;
 use crate::run::RunContext;
 use crate::target_client::TargetClient;
@@ -83,13 +84,15 @@
             LinkEndpoint::bind(options.link_address, &options.identity, greeting, options.link)?;
         let endpoint = Rc::new(endpoint);
         let core = AgentCore::new(options.policy, options.identity.vm(), incarnation, options.seed);
-        let actor = DecisionActor::new(core).start();
+        let metrics = AgentMetrics::new();
+        let actor = DecisionActor::new(core, metrics.clone()).start();
         let store = PlatformClient::open(options.platform);
         let claims = ClaimWriter::spawn(store, incarnation, ClaimSettings::default());
         let context = Rc::new(RunContext {
             actor: actor.clone(),
             client: TargetClient::open(&options.target_url, options.kind),
             claims,
+            metrics: metrics.clone(),
             vm: options.identity.vm(),
             latest_loss: Cell::new(None),
             suspect_place: Semaphore::new(1),
@@ -98,7 +101,7 @@
         let acceptor = actix_rt::spawn(accept_links(endpoint.clone(), context, links.clone()));
         let ready = ReadyFlag::default();
         let admin = match &options.admin {
-            Some(admin) => Some(bind_admin(admin, ready.clone(), &actor)?),
+            Some(admin) => Some(bind_admin(admin, ready.clone(), metrics.registry(), &actor)?),
             None => None,
         };
         ready.set(Readiness::Ready);
@@ -159,6 +162,7 @@
 fn bind_admin(
     options: &AdminOptions,
     ready: ReadyFlag,
+    metrics: Arc<MetricRegistry>,
     actor: &Addr<DecisionActor>,
 ) -> Result<AdminServer, Report<ErrorKind>> {
     let actor = actor.clone();
@@ -167,7 +171,7 @@
         async move { answer.await.map(|state| json!(state)).unwrap_or_default() }
     });
     let key = AdminKey::new(options.key_digest);
-    let state = AdminState { key, ready, metrics: Arc::default(), dump };
+    let state = AdminState { key, ready, metrics, dump };
     AdminServer::bind(options.address, &state, |_| {})
 }
 
--- a/crates/jackdaw-agent/src/decision_actor.rs
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -11,6 +11,8 @@
 };
 use tokio::sync::oneshot;
 
+use crate::metrics::AgentMetrics;
+
 /// The shortest wait until the decision code learns that time has passed.
 const TIMER_WAIT_MIN: Duration = Duration::from_millis(10);
 
@@ -31,6 +33,8 @@
     commands: Vec<AgentCommand>,
     /// The one that waits for the end of the drain.
     drained: Option<oneshot::Sender<()>>,
+    /// The metrics.
+    metrics: AgentMetrics,
 }
 
 /// What reaches the actor from links and runs.
@@ -89,7 +93,7 @@
 
 impl DecisionActor {
     /// Creates the actor around the decision code.
-    pub fn new(core: AgentCore) -> DecisionActor {
+    pub fn new(core: AgentCore, metrics: AgentMetrics) -> DecisionActor {
         DecisionActor {
             core,
             start: Instant::now(),
@@ -97,6 +101,7 @@
             suspects: CrashSuspects::default(),
             commands: Vec::new(),
             drained: None,
+            metrics,
         }
     }
 
@@ -134,6 +139,7 @@
     fn execute(&mut self, command: AgentCommand) {
         match command {
             AgentCommand::SendGrant { router, offer } => {
+                self.metrics.count_grant();
                 self.send(router, ControlMessage::Grant(offer));
             }
             AgentCommand::SendReports { router, reports } => {
@@ -152,6 +158,7 @@
                 }
             }
             AgentCommand::ReportViolation { message } => {
+                self.metrics.count_violation();
                 log::error!("invariant violated: {message}");
             }
         }
--- a/crates/jackdaw-agent/src/lib.rs
+++ b/crates/jackdaw-agent/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod daemon;
 pub mod decision_actor;
+pub mod metrics;
 pub mod options;
 pub mod run;
 pub mod target_client;
--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Semaphore;
 
 use crate::decision_actor::{AgentInput, BeginRun, DecisionActor, ReadStanding, RunPermit};
+use crate::metrics::AgentMetrics;
 use crate::target_client::{TargetAnswer, TargetClient, TargetFailure};
 
 /// The time after which a request that no claim could be kept for may come again, in
@@ -48,6 +49,8 @@
     pub actor: Addr<DecisionActor>,
     /// The client of the target.
     pub client: TargetClient,
+    /// The metrics.
+    pub metrics: AgentMetrics,
     /// The claims of recordings.
     pub claims: ClaimWriter<PlatformClient>,
     /// The agent's VM.
@@ -117,6 +120,8 @@
         let evidence = CrashEvidence { fingerprint: request.fingerprint, target };
         context.actor.do_send(AgentInput::Evidence(evidence));
     }
+    context.metrics.count_run(final_reply.as_ref());
+    context.metrics.count_units(meter.units());
     if let Some(reply) = final_reply {
         // The router is gone where this fails; it treats the run as broken.
         let _ = writer.send(&reply).await;
--- a/crates/jackdaw-proofs/tests/whole_path.rs
+++ b/crates/jackdaw-proofs/tests/whole_path.rs
@@ -1,7 +1,8 @@
 //! The whole path with real processes: a streamed completion, a read and a recording.
 
 use jackdaw_base::ServiceKind;
-use jackdaw_proofs::fleet::{ENGINE_SERVICE, PLAIN_SERVICE, wait_until};
+use jackdaw_proofs::fleet::{ADMIN_KEY, ENGINE_SERVICE, PLAIN_SERVICE, wait_until};
+use jackdaw_proofs::process::FleetProcess;
 use jackdaw_proofs::{CallerClient, ProcessFleet};
 use jackdaw_standin::{
     EngineSettings, EngineStandin, ServiceSettings, ServiceStandin, expected_answer,
@@ -24,6 +25,14 @@
     assert_eq!(answer.tokens(), Some(expected_answer("who owes dues in March?", 40)));
 }
 
+/// Returns the metrics of an agent, read with the operators' key.
+async fn metrics(agent: &FleetProcess) -> String {
+    let url = format!("http://{}/metrics", agent.address("admin"));
+    let request = awc::Client::default().get(url).bearer_auth(ADMIN_KEY);
+    let body = request.send().await.unwrap().body().await.unwrap();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
 #[actix_rt::test]
 async fn read_and_recording() {
     let mut fleet = ProcessFleet::spawn(&[("delegados", 1)]).await;
@@ -42,4 +51,9 @@
     let again = caller.record("/cobranza/payments", &key, "12.50").await.unwrap();
     assert_eq!(again.outcome().as_deref(), Some("unknown"), "{again:?}");
     assert_eq!(service.tally().recordings.get(&key), Some(&1));
+    let metrics = metrics(&agent).await;
+    for line in ["runs_total{end=\"already-claimed\"} 1", "violations_total{} 0"] {
+        let line = format!("jackdaw_agent_{line}");
+        assert!(metrics.contains(&line), "{line} is missing in {metrics}");
+    }
 }
--- a/crates/jackdaw-router/src/caller_server.rs
+++ b/crates/jackdaw-router/src/caller_server.rs
@@ -11,11 +11,11 @@
 use error_stack::{Report, ResultExt};
 use futures_util::stream;
 use jackdaw_base::ErrorKind;
+use jackdaw_telemetry::{problem_response, retry_response};
 use tokio::sync::mpsc;
 
 use crate::call_reader::read_call;
 use crate::decision_actor::{AdmitCall, DecisionActor, ReadReadiness};
-use crate::problem;
 
 /// The parts of an answer that may wait for a slow caller.
 const ANSWER_QUEUE: usize = 64;
@@ -125,7 +125,7 @@
 async fn answer_readiness(actor: web::Data<Addr<DecisionActor>>) -> HttpResponse {
     match actor.send(ReadReadiness).await {
         Ok(true) => HttpResponse::Ok().finish(),
-        _ => problem::respond(ErrorKind::NotReady, "starting or leaving", Duration::ZERO),
+        _ => problem_response(ErrorKind::NotReady, "starting or leaving"),
     }
 }
 
@@ -140,25 +140,25 @@
     };
     let call = match read_call(&request, body) {
         Ok(call) => call,
-        Err(error) => return problem::respond(error.kind, &error.detail, Duration::ZERO),
+        Err(error) => return problem_response(error.kind, &error.detail),
     };
     let (sender, mut receiver) = mpsc::channel(ANSWER_QUEUE);
     match actor.send(AdmitCall { call, sender }).await {
         Ok(Ok(())) => {}
-        Ok(Err(kind)) => return problem::respond(kind, "", retry_after(kind)),
+        Ok(Err(kind)) => return retry_response(kind, "", retry_after(kind)),
         Err(_) => return refuse_not_ready(),
     }
     match receiver.recv().await {
         Some(AnswerPart::Head { status, headers }) => {
             build_head(status, &headers).streaming(stream_body(receiver))
         }
-        Some(AnswerPart::Failure { kind, retry_after }) => problem::respond(kind, "", retry_after),
-        _ => problem::respond(ErrorKind::Interrupted, "", Duration::ZERO),
+        Some(AnswerPart::Failure { kind, retry_after }) => retry_response(kind, "", retry_after),
+        _ => problem_response(ErrorKind::Interrupted, ""),
     }
 }
 
 fn refuse_not_ready() -> HttpResponse {
-    problem::respond(ErrorKind::NotReady, "", retry_after(ErrorKind::NotReady))
+    retry_response(ErrorKind::NotReady, "", retry_after(ErrorKind::NotReady))
 }
 
 /// Returns when a request that was refused at once may come again; zero where it need not.
@@ -175,7 +175,7 @@
         StatusCode::PAYLOAD_TOO_LARGE => ErrorKind::TooLarge,
         _ => ErrorKind::Malformed,
     };
-    problem::respond(kind, &format!("body: {error}"), Duration::ZERO)
+    problem_response(kind, &format!("body: {error}"))
 }
 
 fn build_head(status: u16, headers: &[(String, String)]) -> HttpResponseBuilder {
--- a/crates/jackdaw-router/src/lib.rs
+++ b/crates/jackdaw-router/src/lib.rs
@@ -3,7 +3,7 @@
 //! Stages of a request: the HTTP server reads and bounds it ([`caller_server`],
 //! [`call_reader`]); the actor authenticates it and lets the decision code place it
 //! ([`decision_actor`]); once an agent has granted it, a task carries it there and streams the
-//! answer ([`run`]); failures become problem documents ([`problem`]). Links to agents and other
+//! answer ([`run`]); failures become problem documents. Links to agents and other
 //! routers follow the platform's list of VMs ([`membership`]).
 
 pub mod admin_server;
@@ -15,7 +15,6 @@
 pub mod membership;
 pub mod metrics;
 pub mod options;
-pub mod problem;
 pub mod run;
 
 pub use daemon::RouterDaemon;
--- a/crates/jackdaw-router/src/metrics.rs
+++ b/crates/jackdaw-router/src/metrics.rs
@@ -25,11 +25,14 @@
     /// Registers the metrics.
     pub fn new() -> RouterMetrics {
         let registry = Arc::new(MetricRegistry::new());
+        let violations = registry.counter("jackdaw_violations", "Invariants found broken");
+        // Shown from the start, so that its absence tells of a process that is not there.
+        violations.add(&[], 0);
         RouterMetrics {
             answers: registry.counter("jackdaw_answers", "Answers to callers by outcome"),
             offers: registry.counter("jackdaw_offers", "Offers sent to agents"),
             runs: registry.counter("jackdaw_runs", "Runs started at agents"),
-            violations: registry.counter("jackdaw_violations", "Invariants found broken"),
+            violations,
             open: registry.gauge("jackdaw_open_requests", "Requests without a final answer"),
             registry,
         }
--- a/crates/jackdaw-telemetry/src/lib.rs
+++ b/crates/jackdaw-telemetry/src/lib.rs
@@ -12,4 +12,4 @@
 pub use jackdaw_settings::{LogOutput, LogSettings};
 pub use log_line::{log_dispatch, open_log};
 pub use metric::{CounterFamily, GaugeFamily, HistogramFamily, MetricRegistry};
-pub use problem::{PROBLEM_TYPE, problem_response};
+pub use problem::{PROBLEM_TYPE, problem_response, retry_response};
