Wait for the end of a demo call in one place

Cause: completions and service calls waited for their end with the same six lines. Change: one function. Conclusion: one rule for what counts as lost.

--- a/crates/jackdaw-demo/src/client.rs
+++ b/crates/jackdaw-demo/src/client.rs
@@ -130,11 +130,7 @@
                 Err(error) => lost(&error.to_string()),
             }
         };
-        let limit = call.deadline + LOST_GRACE;
-        let end = match tokio::time::timeout(limit, exchange).await {
-            Ok(end) => end,
-            Err(_) => lost("no end within the time limit"),
-        };
+        let end = wait_end(call.deadline, exchange).await;
         let total = start.elapsed();
         CallResult { end, first_byte: first_byte.unwrap_or(total), total }
     }
@@ -162,11 +158,7 @@
                 Err(error) => lost(&error.to_string()),
             }
         };
-        let limit = call.deadline + LOST_GRACE;
-        let end = match tokio::time::timeout(limit, exchange).await {
-            Ok(end) => end,
-            Err(_) => lost("no end within the time limit"),
-        };
+        let end = wait_end(call.deadline, exchange).await;
         let total = start.elapsed();
         CallResult { end, first_byte: total, total }
     }
@@ -185,6 +177,14 @@
         .insert_header((DEADLINE_HEADER, deadline.as_millis().to_string()))
 }
 
+/// Waits for the end of an exchange; one that takes far longer than its deadline is lost.
+async fn wait_end(deadline: Duration, exchange: impl Future<Output = CallEnd>) -> CallEnd {
+    match tokio::time::timeout(deadline + LOST_GRACE, exchange).await {
+        Ok(end) => end,
+        Err(_) => lost("no end within the time limit"),
+    }
+}
+
 /// Returns the end of a call without an answer.
 fn lost(reason: &str) -> CallEnd {
     log::warn!("no answer: {reason}");
