Take out a message that nobody sends, and hold claims in one place

Ruled out: sharing the daemons' command line tests, since each needs the path of its own program. Change: the message is gone (no build has been released that knows it), the codec test covers bucket digests and requests, the proofs share hold_claim and send_record. Conclusion: one way to make two catalogs equal.

--- a/crates/jackdaw-agent/src/decision_actor.rs
+++ b/crates/jackdaw-agent/src/decision_actor.rs
@@ -221,7 +221,6 @@
             ControlMessage::ProbeReply(_)
             | ControlMessage::Leaving
             | ControlMessage::DocumentDigest(_)
-            | ControlMessage::DocumentRequest
             | ControlMessage::BucketDigests(_)
             | ControlMessage::BucketRequest(_) => {}
             ControlMessage::Grant(_)
--- a/crates/jackdaw-link/src/message.rs
+++ b/crates/jackdaw-link/src/message.rs
@@ -73,8 +73,6 @@
         Documents(Vec<VersionedDocument>),
         /// Digest of all configuration documents that the sender holds.
         DocumentDigest(u64),
-        /// Asks for all configuration documents.
-        DocumentRequest,
         /// Asks for a [`ControlMessage::ProbeReply`] with the same number.
         Probe(u64),
         /// Answers a [`ControlMessage::Probe`].
@@ -103,7 +101,6 @@
             | ControlMessage::RelayedTotals { .. }
             | ControlMessage::Documents(_)
             | ControlMessage::DocumentDigest(_)
-            | ControlMessage::DocumentRequest
             | ControlMessage::Probe(_)
             | ControlMessage::ProbeReply(_)
             | ControlMessage::BucketDigests(_)
--- a/crates/jackdaw-link/tests/link/message_codec.rs
+++ b/crates/jackdaw-link/tests/link/message_codec.rs
@@ -90,7 +90,7 @@
 
 impl Arbitrary for AnyMessage {
     fn arbitrary(g: &mut Gen) -> AnyMessage {
-        AnyMessage(match u32::arbitrary(g) % 15 {
+        AnyMessage(match u32::arbitrary(g) % 16 {
             0 => ControlMessage::Offer(work_offer(g)),
             1 => ControlMessage::Withdraw(offer_id(g)),
             2 => ControlMessage::Decline(offer_id(g)),
@@ -105,9 +105,10 @@
             },
             9 => ControlMessage::Documents(several(g, document)),
             10 => ControlMessage::DocumentDigest(u64::arbitrary(g)),
-            11 => ControlMessage::DocumentRequest,
+            11 => ControlMessage::BucketDigests(several(g, u64::arbitrary)),
             12 => ControlMessage::Probe(u64::arbitrary(g)),
             13 => ControlMessage::ProbeReply(u64::arbitrary(g)),
+            14 => ControlMessage::BucketRequest(several(g, u16::arbitrary)),
             _ => ControlMessage::CrashEvidence(CrashEvidence {
                 fingerprint: u64::arbitrary(g),
                 target: Option::arbitrary(g).map(VmId),
--- a/crates/jackdaw-proofs/tests/recording_once.rs
+++ b/crates/jackdaw-proofs/tests/recording_once.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use jackdaw_base::ServiceKind;
 use jackdaw_proofs::fleet::{PLAIN_SERVICE, wait_agents, wait_until};
 use jackdaw_proofs::{CallerAnswer, CallerClient, FleetProcess, ProcessFleet, ProcessSignal};
@@ -37,6 +38,43 @@
     answer.and_then(CallerAnswer::outcome).unwrap_or_default()
 }
 
+/// A recording whose claim is on its way to the platform and held back there.
+struct HeldClaim {
+    fleet: ProcessFleet,
+    service: ServiceStandin,
+    router: FleetProcess,
+    agent: FleetProcess,
+    key: String,
+    call: JoinHandle<Option<CallerAnswer>>,
+}
+
+async fn hold_claim() -> HeldClaim {
+    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
+    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
+    let router = fleet.spawn_router("router-1");
+    let address = service.address();
+    let agent = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
+    wait_agents(&router, 1).await;
+    // The first recording of all writes what claims have in common besides its own claim.
+    let first = record(&router, &new_key()).await.expect("an answer");
+    assert_eq!(first.status, 200, "{first:?}");
+    fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
+    let key = new_key();
+    let call = send_record(&router, &key);
+    wait_until("the claim is on its way", || async { fleet.platform.held_writes() == 1 }).await;
+    HeldClaim { fleet, service, router, agent, key, call }
+}
+
+/// Sends a recording without waiting for its answer.
+fn send_record(router: &FleetProcess, key: &str) -> JoinHandle<Option<CallerAnswer>> {
+    let callers = router.address("callers");
+    let key = key.to_owned();
+    actix_rt::spawn(async move {
+        let caller = CallerClient::open(callers, CUSTOMER);
+        caller.record("/cobranza/payments", &key, "{}").await
+    })
+}
+
 #[actix_rt::test]
 async fn two_routers() {
     let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
@@ -71,12 +109,7 @@
     let killed = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
     let key = new_key();
-    let callers = router.address("callers");
-    let sent = key.clone();
-    let call = actix_rt::spawn(async move {
-        let caller = CallerClient::open(callers, CUSTOMER);
-        caller.record("/cobranza/payments", &sent, "{}").await
-    });
+    let call = send_record(&router, &key);
     wait_until("the target has the recording", || async { runs(&service, &key) == 1 }).await;
     killed.signal(ProcessSignal::Kill);
     let answer = call.await.unwrap().expect("an answer");
@@ -92,30 +125,14 @@
 /// The claim takes effect only after its agent was killed, so the target never saw the request.
 #[actix_rt::test]
 async fn claim_after_kill() {
-    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
-    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
-    let router = fleet.spawn_router("router-1");
-    let address = service.address();
-    let killed = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
-    wait_agents(&router, 1).await;
-    // The first recording of all writes what claims have in common besides its own claim.
-    let first = record(&router, &new_key()).await.expect("an answer");
-    assert_eq!(first.status, 200, "{first:?}");
-    fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
-    let key = new_key();
-    let callers = router.address("callers");
-    let sent = key.clone();
-    let call = actix_rt::spawn(async move {
-        let caller = CallerClient::open(callers, CUSTOMER);
-        caller.record("/cobranza/payments", &sent, "{}").await
-    });
-    wait_until("the claim is on its way", || async { fleet.platform.held_writes() == 1 }).await;
+    let HeldClaim { mut fleet, service, router, agent: killed, key, call } = hold_claim().await;
     killed.signal(ProcessSignal::Kill);
     let answer = call.await.unwrap().expect("an answer");
     assert_eq!(answer.outcome().as_deref(), Some("unknown"), "{answer:?}");
     fleet.platform.set_faults(PlatformFaults::default());
     assert_eq!(fleet.platform.release_writes(), 1, "the claim takes effect");
     fleet.remove_vm("p-1");
+    let address = service.address();
     let _second = fleet.spawn_agent("p-2", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
     let again = record(&router, &key).await.expect("an answer");
@@ -126,29 +143,13 @@
 /// An agent sleeps over the end of its link; the recording comes again by another agent.
 #[actix_rt::test]
 async fn frozen_agent_wakes() {
-    let mut fleet = ProcessFleet::spawn(&[(CUSTOMER, 1)]).await;
-    let service = ServiceStandin::bind(ServiceSettings::default()).unwrap();
-    let router = fleet.spawn_router("router-1");
-    let address = service.address();
-    let frozen = fleet.spawn_agent("p-1", PLAIN_SERVICE, ServiceKind::Plain, address);
-    wait_agents(&router, 1).await;
-    // The first recording of all writes what claims have in common besides its own claim.
-    let first = record(&router, &new_key()).await.expect("an answer");
-    assert_eq!(first.status, 200, "{first:?}");
-    fleet.platform.set_faults(PlatformFaults { held_writes: 1, ..PlatformFaults::default() });
-    let key = new_key();
-    let callers = router.address("callers");
-    let sent = key.clone();
-    let call = actix_rt::spawn(async move {
-        let caller = CallerClient::open(callers, CUSTOMER);
-        caller.record("/cobranza/payments", &sent, "{}").await
-    });
-    wait_until("the claim is on its way", || async { fleet.platform.held_writes() == 1 }).await;
+    let HeldClaim { mut fleet, service, router, agent: frozen, key, call } = hold_claim().await;
     frozen.signal(ProcessSignal::Stop);
     let answer = call.await.unwrap().expect("an answer");
     assert_eq!(answer.outcome().as_deref(), Some("unknown"), "{answer:?}");
     fleet.platform.set_faults(PlatformFaults::default());
     fleet.remove_vm("p-1");
+    let address = service.address();
     let _second = fleet.spawn_agent("p-2", PLAIN_SERVICE, ServiceKind::Plain, address);
     wait_agents(&router, 1).await;
     let again = record(&router, &key).await.expect("an answer");
--- a/crates/jackdaw-router/src/decision_actor/peer_links.rs
+++ b/crates/jackdaw-router/src/decision_actor/peer_links.rs
@@ -127,10 +127,6 @@
             ControlMessage::BucketRequest(buckets) => {
                 self.send_documents(router, &self.catalog.bucket_documents(&buckets));
             }
-            ControlMessage::DocumentRequest => {
-                let documents: Vec<VersionedDocument> = self.catalog.documents().cloned().collect();
-                self.send_documents(router, &documents);
-            }
             ControlMessage::Probe(nonce) => {
                 self.links.send(router, ControlMessage::ProbeReply(nonce));
             }
