--- a/crates/jackdaw-agent/src/daemon.rs
+++ b/crates/jackdaw-agent/src/daemon.rs
@@ -10,7 +10,7 @@
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_daemon::{AdminOptions, AdminServer};
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, PeerLink, ProcessRole};
-use jackdaw_platform::{ClaimSettings, ClaimWriter, PlatformClient};
+use jackdaw_objects::{ClaimSettings, ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentCore, AgentSnapshot};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
 use serde_json::json;
--- a/crates/jackdaw-agent/src/options.rs
+++ b/crates/jackdaw-agent/src/options.rs
@@ -6,7 +6,7 @@
 use jackdaw_base::{DomainId, ErrorKind, ServiceId, ServiceKind};
 use jackdaw_daemon::{AdminOptions, open_identity, platform_settings};
 use jackdaw_link::{FleetIdentity, LinkSettings};
-use jackdaw_platform::PlatformSettings;
+use jackdaw_objects::PlatformSettings;
 use jackdaw_policy::AgentPolicy;
 use jackdaw_settings::AgentSettings;
 
--- a/crates/jackdaw-agent/src/run.rs
+++ b/crates/jackdaw-agent/src/run.rs
@@ -16,7 +16,7 @@
     CrashEvidence, ErrorKind, OfferId, ServiceKind, VmId, WorkUnits, describe_report,
 };
 use jackdaw_link::{IncomingRun, RunReply, RunRequest, RunWriter};
-use jackdaw_platform::{ClaimWriter, PlatformClient};
+use jackdaw_objects::{ClaimWriter, PlatformClient};
 use jackdaw_policy::{AgentEvent, SuspectStanding};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
--- a/crates/jackdaw-cli/src/check.rs
+++ b/crates/jackdaw-cli/src/check.rs
@@ -5,7 +5,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::ErrorKind;
-use jackdaw_platform::{ChangeTicket, TicketProblem};
+use jackdaw_objects::{ChangeTicket, TicketProblem};
 use jackdaw_settings::{AgentSettings, RouterSettings};
 
 const TICKET_EXTENSION: &str = "json";
--- a/crates/jackdaw-cli/src/keys.rs
+++ b/crates/jackdaw-cli/src/keys.rs
@@ -3,7 +3,7 @@
 use error_stack::Report;
 use jackdaw_base::ErrorKind;
 use jackdaw_link::FleetAuthority;
-use jackdaw_platform::digest_key;
+use jackdaw_objects::digest_key;
 
 use crate::args::KeysCommand;
 
--- a/crates/jackdaw-cli/src/platform.rs
+++ b/crates/jackdaw-cli/src/platform.rs
@@ -5,7 +5,7 @@
 
 use error_stack::Report;
 use jackdaw_base::{DocumentBody, ErrorKind, ServiceId, ServiceKind, VmState};
-use jackdaw_platform::{
+use jackdaw_objects::{
     ConfigCatalog, ObjectStore, PlatformClient, PlatformSettings, TicketDesk, VmListing,
 };
 
--- a/crates/jackdaw-cli/src/ticket.rs
+++ b/crates/jackdaw-cli/src/ticket.rs
@@ -5,7 +5,7 @@
 
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, TicketNumber};
-use jackdaw_platform::{PlatformClient, PlatformSettings, TicketDesk, TicketStatus};
+use jackdaw_objects::{PlatformClient, PlatformSettings, TicketDesk, TicketStatus};
 
 use crate::check::{read_ticket, refuse_problems};
 use crate::exit::{ExitReason, print_report};
--- a/crates/jackdaw-cli/tests/command/fleet_keys.rs
+++ b/crates/jackdaw-cli/tests/command/fleet_keys.rs
@@ -2,7 +2,7 @@
 
 use jackdaw_base::VmId;
 use jackdaw_link::{FleetIdentity, ProcessRole};
-use jackdaw_platform::digest_key;
+use jackdaw_objects::digest_key;
 
 use crate::program::{RunResult, run};
 
--- a/crates/jackdaw-cli/tests/command/operators_page.rs
+++ b/crates/jackdaw-cli/tests/command/operators_page.rs
@@ -7,7 +7,7 @@
 
 use actix_web::web;
 use jackdaw_daemon::AdminServer;
-use jackdaw_platform::digest_key;
+use jackdaw_objects::digest_key;
 use jackdaw_router::metrics::RouterMetrics;
 use jackdaw_standin::{PlatformStandin, StandinSettings};
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
--- a/crates/jackdaw-cli/tests/command/process_state.rs
+++ b/crates/jackdaw-cli/tests/command/process_state.rs
@@ -6,7 +6,7 @@
 use actix_web::web::{self, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use jackdaw_daemon::AdminServer;
-use jackdaw_platform::digest_key;
+use jackdaw_objects::digest_key;
 use jackdaw_telemetry::{AdminKey, AdminState, DumpSource, MetricRegistry, Readiness, ReadyFlag};
 use serde_json::json;
 
--- a/crates/jackdaw-daemon/src/parts.rs
+++ b/crates/jackdaw-daemon/src/parts.rs
@@ -5,7 +5,7 @@
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, KeyDigest};
 use jackdaw_link::FleetIdentity;
-use jackdaw_platform::{GovernorSettings, PlatformSettings};
+use jackdaw_objects::{GovernorSettings, PlatformSettings};
 use jackdaw_settings::{KeyFiles, ProcessSettings};
 
 /// The operators' interface of a process.
--- /dev/null
+++ b/crates/jackdaw-edge/src/answer_relay.rs
@@ -0,0 +1,199 @@
+//! Answers on their way from targets to callers.
+
+use std::error::Error;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use jackdaw_policy::direct::RunEnd;
+use tokio::time::Sleep;
+
+use crate::event_cutter::EventCutter;
+use crate::exchange::{CallContext, resume_stream};
+use crate::run_guard::RunGuard;
+
+/// Body of an answer to a caller.
+pub enum AnswerBody {
+    /// The whole body is there.
+    Whole(Option<Bytes>),
+    /// The body comes from a target.
+    Relay(Box<AnswerRelay>),
+}
+
+/// Why a body ends before its time; the caller's connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayFault {
+    /// The target broke off.
+    Broken,
+    /// The deadline or the route's timeout was reached.
+    TimedOut,
+}
+
+/// A body that is passed on as it comes, and goes on at another target where it may.
+pub struct AnswerRelay {
+    context: CallContext,
+    phase: RelayPhase,
+    cutter: EventCutter,
+    deadline: Pin<Box<Sleep>>,
+}
+
+/// A target's part in a body.
+pub struct RelaySource {
+    /// The run.
+    pub guard: RunGuard,
+    /// The body as the target sends it.
+    pub body: Incoming,
+}
+
+/// Where a body comes from at present.
+enum RelayPhase {
+    Streaming(RelaySource),
+    Resuming(Pin<Box<dyn Future<Output = Option<RelaySource>>>>),
+    Ended,
+}
+
+impl AnswerBody {
+    /// Creates a body that is there as a whole.
+    pub fn whole(bytes: Bytes) -> AnswerBody {
+        AnswerBody::Whole(Some(bytes))
+    }
+}
+
+impl AnswerRelay {
+    /// Creates the relay of a stream of events until the context's deadline.
+    pub fn new(context: CallContext, source: RelaySource) -> AnswerRelay {
+        let deadline = Box::pin(tokio::time::sleep_until(context.deadline_at()));
+        AnswerRelay {
+            context,
+            phase: RelayPhase::Streaming(source),
+            cutter: EventCutter::default(),
+            deadline,
+        }
+    }
+
+    fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, RelayFault>>> {
+        loop {
+            if self.deadline.as_mut().poll(cx).is_ready() {
+                self.phase = RelayPhase::Ended;
+                self.context.finish("timed-out-midway", 200);
+                return Poll::Ready(Some(Err(RelayFault::TimedOut)));
+            }
+            match &mut self.phase {
+                RelayPhase::Ended => return Poll::Ready(None),
+                RelayPhase::Resuming(resumption) => {
+                    let source = ready!(resumption.as_mut().poll(cx));
+                    let Some(source) = source else {
+                        self.phase = RelayPhase::Ended;
+                        self.context.finish("broken-midway", 200);
+                        return Poll::Ready(Some(Err(RelayFault::Broken)));
+                    };
+                    self.phase = RelayPhase::Streaming(source);
+                }
+                RelayPhase::Streaming(source) => {
+                    let frame = ready!(Pin::new(&mut source.body).poll_frame(cx));
+                    if let Some(outcome) = self.take_frame(frame) {
+                        return Poll::Ready(outcome);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in what the target sent; `None` where nothing can be passed on yet.
+    fn take_frame(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Option<Result<Bytes, RelayFault>>> {
+        match frame {
+            Some(Ok(frame)) => {
+                let bytes = frame.into_data().ok()?;
+                if let RelayPhase::Streaming(source) = &self.phase {
+                    source.guard.note_started();
+                }
+                self.context.note_first_byte();
+                let whole = self.cutter.push(bytes);
+                (!whole.is_empty()).then_some(Some(Ok(whole)))
+            }
+            Some(Err(error)) => {
+                self.break_off(&error);
+                None
+            }
+            None => {
+                if let RelayPhase::Streaming(source) = self.take_phase() {
+                    source.guard.end(RunEnd::Whole);
+                }
+                self.context.finish("whole", 200);
+                let rest = self.cutter.take_rest();
+                Some((!rest.is_empty()).then_some(Ok(rest)))
+            }
+        }
+    }
+
+    /// Ends a broken run and goes on at another target.
+    fn break_off(&mut self, error: &hyper::Error) {
+        if let RelayPhase::Streaming(source) = self.take_phase() {
+            source.guard.end(RunEnd::Broken);
+        }
+        self.cutter.drop_rest();
+        self.context.note_break(error);
+        let resumption = resume_stream(self.context.clone(), self.cutter.last_id());
+        self.phase = RelayPhase::Resuming(Box::pin(resumption));
+    }
+
+    fn take_phase(&mut self) -> RelayPhase {
+        std::mem::replace(&mut self.phase, RelayPhase::Ended)
+    }
+}
+
+impl Drop for AnswerRelay {
+    fn drop(&mut self) {
+        self.context.finish("caller-left", 200);
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayFault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
+        match &mut *self {
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            AnswerBody::Relay(relay) => {
+                let bytes = ready!(relay.poll_bytes(cx));
+                Poll::Ready(bytes.map(|bytes| bytes.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            AnswerBody::Relay(_) => SizeHint::default(),
+        }
+    }
+}
+
+impl fmt::Display for RelayFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RelayFault::Broken => "the target broke off",
+            RelayFault::TimedOut => "the deadline was reached",
+        })
+    }
+}
+
+impl Error for RelayFault {}
--- /dev/null
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -0,0 +1,105 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jackdaw_base::ErrorKind;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::edge_state::{EdgeStage, EdgeState};
+use crate::exchange::serve;
+
+/// The idle timeout before a configuration states one.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The limit of a request's head before a configuration states one, and the least one.
+const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
+
+/// Pause after a failure to accept, such as a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The server of callers' connections.
+pub struct CallerServer {
+    task: JoinHandle<()>,
+}
+
+impl CallerServer {
+    /// Binds the callers' address and serves until the router closes.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where the address cannot be bound.
+    pub async fn bind(state: &Rc<EdgeState>) -> Result<CallerServer, Report<ErrorKind>> {
+        let address = state.settings.caller_address;
+        let listener = TcpListener::bind(address).await;
+        let listener = listener
+            .change_context(ErrorKind::LocalResource)
+            .attach_with(|| address.to_string())?;
+        let task = tokio::task::spawn_local(accept_callers(Rc::clone(state), listener));
+        Ok(CallerServer { task })
+    }
+
+    /// Waits until the server takes no more connections.
+    pub async fn close(self) {
+        if let Err(error) = self.task.await {
+            log::error!(error:% = error; "the callers' server failed");
+        }
+    }
+}
+
+async fn accept_callers(state: Rc<EdgeState>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = state.wait_closing() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a connection cannot be taken");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: Rc<EdgeState>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "a caller's connection delays small packets");
+    }
+    let limits = state.router().table().map(|table| table.config().limits.clone());
+    let idle_timeout = limits.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let header_bytes = limits.as_ref().map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
+    let service_state = Rc::clone(&state);
+    let service = service_fn(move |request| {
+        let state = Rc::clone(&service_state);
+        async move { Ok::<_, Infallible>(serve(state, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    // The time for a head runs from the end of the last answer, so it covers idle time too.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(header_bytes.max(DEFAULT_HEADER_BYTES))
+        .keep_alive(state.stage() == EdgeStage::Serving);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = state.wait_closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "a caller's connection broke");
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -0,0 +1,162 @@
+//! The life of an edge router from its settings to its end.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use jackdaw_base::ErrorKind;
+use jackdaw_policy::direct::TargetEntry;
+use jackdaw_settings::EdgeSettings;
+use jackdaw_telemetry::LogBuffer;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
+
+use crate::caller_server::CallerServer;
+use crate::edge_state::{EdgeStage, EdgeState};
+use crate::peer_reports::PeerReports;
+use crate::service_server::ServiceServer;
+use crate::store_watch::StoreWatch;
+
+/// Time from SIGTERM for which new connections are still taken: the balancer asks once a second
+/// and sends none after two misses.
+const LEAVE_DELAY: Duration = Duration::from_millis(2600);
+
+/// Time before the end of the grace period at which the process ends by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at what has grown old.
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(200);
+
+/// Pause between two looks at open requests while the process ends.
+const END_POLL: Duration = Duration::from_millis(20);
+
+/// A running edge router.
+pub struct EdgeDaemon {
+    state: Rc<EdgeState>,
+    callers: CallerServer,
+    services: Vec<ServiceServer>,
+    reports: PeerReports,
+    watch: StoreWatch,
+    housekeeping: JoinHandle<()>,
+}
+
+impl EdgeDaemon {
+    /// Starts all parts of a router within the current local task set.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where an address cannot be bound.
+    pub async fn bind(settings: EdgeSettings) -> Result<EdgeDaemon, Report<ErrorKind>> {
+        let state = EdgeState::open(settings);
+        let settings = &state.settings;
+        let metrics = SocketAddr::from((settings.ip(), settings.metrics_port));
+        let mut services = Vec::new();
+        for address in [settings.readiness_address, settings.peer_address.into(), metrics] {
+            services.push(ServiceServer::bind(&state, address).await?);
+        }
+        let reports = PeerReports::bind(&state).await?;
+        let watch = StoreWatch::spawn(&state);
+        let callers = CallerServer::bind(&state).await?;
+        let housekeeping = tokio::task::spawn_local(keep_house(Rc::clone(&state)));
+        log::info!(
+            node:% = settings.name,
+            domain:% = settings.domain,
+            callers:% = settings.caller_address,
+            store:% = settings.store_address,
+            seeds = settings.seeds.len();
+            "edge router started"
+        );
+        Ok(EdgeDaemon { state, callers, services, reports, watch, housekeeping })
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> &Rc<EdgeState> {
+        &self.state
+    }
+
+    /// Serves until a signal ends the router.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where signals cannot be received.
+    pub async fn run(self) -> Result<(), Report<ErrorKind>> {
+        let mut terminate = open_signal(SignalKind::terminate())?;
+        let mut interrupt = open_signal(SignalKind::interrupt())?;
+        let mut reload = open_signal(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = reload.recv() => {
+                    log::info!("SIGHUP received; settings take effect at the next start");
+                }
+            }
+        }
+        self.close().await;
+        Ok(())
+    }
+
+    /// Ends the router after the work in progress, within the grace period.
+    pub async fn close(self) {
+        let started = Instant::now();
+        let state = &self.state;
+        log::info!(open_requests = state.open_calls(); "edge router leaving");
+        state.enter_stage(EdgeStage::Leaving);
+        let limit = state.settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
+        tokio::time::sleep(LEAVE_DELAY.min(limit / 2)).await;
+        state.enter_stage(EdgeStage::Closing);
+        self.callers.close().await;
+        while state.open_calls() > 0 && started.elapsed() < limit {
+            tokio::time::sleep(END_POLL).await;
+        }
+        // The last answers leave their buffers.
+        tokio::time::sleep(END_POLL).await;
+        log::info!(
+            cut_requests = state.open_calls(),
+            seconds = started.elapsed().as_secs_f64();
+            "edge router ended"
+        );
+        for service in self.services {
+            service.close();
+        }
+        self.reports.close();
+        self.watch.close();
+        self.housekeeping.abort();
+        LogBuffer::shared().drain();
+    }
+}
+
+async fn keep_house(state: Rc<EdgeState>) {
+    loop {
+        tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
+        let now = state.now();
+        let (gone, known) = {
+            let mut router = state.router();
+            let gone = router.expire(now);
+            router.forget_unknown();
+            let known: Vec<_> = router.targets.entries().map(TargetEntry::id).collect();
+            (gone, known)
+        };
+        for target in gone {
+            log::info!(target:% = target; "target did not register again, taken as gone");
+        }
+        state.pool.expire(|target| known.contains(&target));
+        note_levels(&state, known.len());
+        LogBuffer::shared().drain();
+    }
+}
+
+fn note_levels(state: &EdgeState, targets: usize) {
+    let router = state.router();
+    let levels = &state.metrics.levels;
+    levels.set(&[("of", "config_version")], router.config_version() as i64);
+    levels.set(&[("of", "targets")], targets as i64);
+    levels.set(&[("of", "runs")], router.run_count() as i64);
+    levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
+    levels.set(&[("of", "log_lines_dropped")], LogBuffer::shared().dropped_lines() as i64);
+}
+
+fn open_signal(kind: SignalKind) -> Result<Signal, Report<ErrorKind>> {
+    signal(kind).change_context(ErrorKind::LocalResource)
+}
--- /dev/null
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -0,0 +1,115 @@
+//! State that the parts of one router share, on its one thread.
+
+use std::cell::{Cell, RefCell, RefMut};
+use std::rc::Rc;
+use std::time::Instant;
+
+use jackdaw_base::{MonotonicTime, ProcessIncarnation};
+use jackdaw_policy::direct::{DirectPolicy, DirectRouter};
+use jackdaw_settings::EdgeSettings;
+use tokio::sync::watch;
+
+use crate::edge_metrics::EdgeMetrics;
+use crate::target_pool::TargetPool;
+
+/// The stage of the router's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EdgeStage {
+    /// It takes requests once it knows configuration and targets.
+    Serving,
+    /// It is told to end: it is not ready, and its answers close their connections.
+    Leaving,
+    /// It takes no connections and closes those that are idle.
+    Closing,
+}
+
+/// State of one router.
+pub struct EdgeState {
+    /// The settings.
+    pub settings: EdgeSettings,
+    /// The metrics.
+    pub metrics: EdgeMetrics,
+    /// The connections to targets.
+    pub pool: TargetPool,
+    router: RefCell<DirectRouter>,
+    stage: watch::Sender<EdgeStage>,
+    open_calls: Cell<usize>,
+    origin: Instant,
+}
+
+impl EdgeState {
+    /// Creates the state of a router that knows nothing yet.
+    pub fn open(settings: EdgeSettings) -> Rc<EdgeState> {
+        let policy = DirectPolicy {
+            domain: settings.domain.clone(),
+            share_window: settings.share_window,
+            repeat_window: settings.repeat_window,
+            repeat_ratio: settings.repeat_ratio,
+            repeat_allowance: settings.repeat_allowance,
+        };
+        let router = DirectRouter::new(MonotonicTime(0), policy, ProcessIncarnation::random());
+        Rc::new(EdgeState {
+            settings,
+            metrics: EdgeMetrics::open(),
+            pool: TargetPool::default(),
+            router: RefCell::new(router),
+            stage: watch::Sender::new(EdgeStage::Serving),
+            open_calls: Cell::new(0),
+            origin: Instant::now(),
+        })
+    }
+
+    /// Returns the time on this process's clock.
+    pub fn now(&self) -> MonotonicTime {
+        MonotonicTime(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the decisions; never held across a wait.
+    pub fn router(&self) -> RefMut<'_, DirectRouter> {
+        self.router.borrow_mut()
+    }
+
+    /// Returns the stage of the router's life.
+    pub fn stage(&self) -> EdgeStage {
+        *self.stage.borrow()
+    }
+
+    /// Moves on to a later stage.
+    pub fn enter_stage(&self, stage: EdgeStage) {
+        self.stage.send_replace(stage);
+    }
+
+    /// Waits until the router closes its connections.
+    pub async fn wait_closing(&self) {
+        let mut stage = self.stage.subscribe();
+        // The sender lives as long as this state.
+        let _ = stage.wait_for(|stage| *stage == EdgeStage::Closing).await;
+    }
+
+    /// Returns whether the balancer may send new connections.
+    pub fn is_ready(&self) -> bool {
+        self.stage() == EdgeStage::Serving && self.router.borrow().is_ready()
+    }
+
+    /// Returns the requests that are not answered yet.
+    pub fn open_calls(&self) -> usize {
+        self.open_calls.get()
+    }
+
+    /// Counts a request until the returned value is dropped.
+    pub fn count_call(self: &Rc<EdgeState>) -> OpenCall {
+        self.open_calls.set(self.open_calls.get() + 1);
+        OpenCall { state: Rc::clone(self) }
+    }
+}
+
+/// A request that is not answered yet.
+pub struct OpenCall {
+    state: Rc<EdgeState>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.state.open_calls.set(self.state.open_calls.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -0,0 +1,22 @@
+//! Edge router: takes callers' requests and sends them to targets itself.
+//!
+//! Stages of a request: [`caller_server`] takes the connection; [`exchange`] reads the request,
+//! asks [`jackdaw_policy::direct`] where it goes and sends it; [`target_pool`] keeps the
+//! connections to targets; [`answer_relay`] passes the answer on. Beside them [`store_watch`]
+//! follows configuration and targets, [`peer_reports`] exchanges load and shares with the other
+//! routers, and [`peer_snapshot`] brings what only they know while the store is away.
+
+pub mod answer_relay;
+pub mod caller_server;
+pub mod edge_daemon;
+pub mod edge_metrics;
+pub mod edge_state;
+pub mod event_cutter;
+pub mod exchange;
+pub mod own_answer;
+pub mod peer_reports;
+pub mod peer_snapshot;
+pub mod run_guard;
+pub mod service_server;
+pub mod store_watch;
+pub mod target_pool;
--- /dev/null
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -0,0 +1,66 @@
+//! A run at a target, from its sending to its end.
+
+use std::rc::Rc;
+
+use jackdaw_policy::direct::{RunEnd, RunId};
+
+use crate::edge_state::EdgeState;
+use crate::target_pool::TargetConnection;
+
+/// A run that ends as abandoned, its connection closed, unless it is ended otherwise.
+pub struct RunGuard {
+    state: Rc<EdgeState>,
+    run: Option<RunId>,
+    connection: Option<TargetConnection>,
+}
+
+impl RunGuard {
+    /// Guards a run that is not connected yet.
+    pub fn new(state: &Rc<EdgeState>, run: RunId) -> RunGuard {
+        RunGuard { state: Rc::clone(state), run: Some(run), connection: None }
+    }
+
+    /// Keeps the connection until the end of the run.
+    pub fn attach(&mut self, connection: TargetConnection) {
+        self.connection = Some(connection);
+    }
+
+    /// Returns the connection.
+    pub fn connection(&mut self) -> Option<&mut TargetConnection> {
+        self.connection.as_mut()
+    }
+
+    /// Notes the first bytes of the answer, or later ones.
+    pub fn note_started(&self) {
+        if let Some(run) = self.run {
+            self.state.router().note_started(self.state.now(), run);
+        }
+    }
+
+    /// Ends the run; the connection is kept only after whole answers.
+    pub fn end(mut self, end: RunEnd) {
+        self.finish(end);
+        let is_clean = matches!(end, RunEnd::Whole | RunEnd::Failed | RunEnd::Rejected);
+        if let (true, Some(connection)) = (is_clean, self.connection.take()) {
+            self.state.pool.put_back(connection);
+        }
+    }
+
+    fn finish(&mut self, end: RunEnd) {
+        let Some(run) = self.run.take() else {
+            return;
+        };
+        let now = self.state.now();
+        let is_left_out = self.state.router().end_run(now, run, end);
+        if is_left_out {
+            let target = self.connection.as_ref().map_or(0, |connection| connection.target().0);
+            log::info!(target_id = target, end:? = end; "target left out for a while");
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.finish(RunEnd::Abandoned);
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-edge/src/service_server.rs
@@ -0,0 +1,101 @@
+//! Small servers for the balancer, the other routers and the metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jackdaw_base::ErrorKind;
+use jackdaw_platform::READINESS_PATH;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::edge_state::EdgeState;
+use crate::peer_snapshot::{SNAPSHOT_PATH, encode_snapshot};
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// A server of readiness, metrics and snapshots.
+pub struct ServiceServer {
+    task: JoinHandle<()>,
+}
+
+impl ServiceServer {
+    /// Binds an address and serves until the returned value is closed.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where the address cannot be bound.
+    pub async fn bind(
+        state: &Rc<EdgeState>,
+        address: SocketAddr,
+    ) -> Result<ServiceServer, Report<ErrorKind>> {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener
+            .change_context(ErrorKind::LocalResource)
+            .attach_with(|| address.to_string())?;
+        let task = tokio::task::spawn_local(accept_all(Rc::clone(state), listener));
+        Ok(ServiceServer { task })
+    }
+
+    /// Ends the server.
+    pub fn close(self) {
+        self.task.abort();
+    }
+}
+
+async fn accept_all(state: Rc<EdgeState>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "a connection cannot be taken");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let state = Rc::clone(&state);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer_path(&state, request.uri().path());
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "a service connection broke");
+            }
+        });
+    }
+}
+
+fn answer_path(state: &EdgeState, path: &str) -> Response<Full<Bytes>> {
+    match path {
+        READINESS_PATH if state.is_ready() => plain(StatusCode::OK, "ready\n"),
+        READINESS_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        METRICS_PATH => match state.metrics.registry.encode() {
+            Ok(text) => Response::new(Full::new(Bytes::from(text))),
+            Err(error) => {
+                log::warn!(error:% = error; "the metrics cannot be written");
+                plain(StatusCode::INTERNAL_SERVER_ERROR, "no metrics\n")
+            }
+        },
+        SNAPSHOT_PATH => Response::new(Full::new(Bytes::from(encode_snapshot(state)))),
+        _ => plain(StatusCode::NOT_FOUND, "nothing here\n"),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -0,0 +1,192 @@
+//! Follows configuration and targets in the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use error_stack::Report;
+use jackdaw_base::{ErrorKind, describe_report};
+use jackdaw_platform::{ConfigWatch, StoreClient, TargetWatch};
+use jackdaw_policy::direct::FleetConfig;
+use tokio::task::JoinHandle;
+
+use crate::edge_state::EdgeState;
+
+/// Time for which the store may hold a watch; a connection gone silent is noticed after it.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+
+/// Bounds of the pause after a failed call.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+
+/// The watches of the store.
+pub struct StoreWatch {
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Pause between failed calls, doubling up to a limit.
+struct RetryPause {
+    next: Duration,
+    failures: u32,
+}
+
+impl StoreWatch {
+    /// Starts the watches; they end when the returned value is closed.
+    pub fn spawn(state: &Rc<EdgeState>) -> StoreWatch {
+        let tasks = vec![
+            tokio::task::spawn_local(follow_config(Rc::clone(state))),
+            tokio::task::spawn_local(follow_targets(Rc::clone(state))),
+        ];
+        StoreWatch { tasks }
+    }
+
+    /// Ends the watches.
+    pub fn close(self) {
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl RetryPause {
+    fn new() -> RetryPause {
+        RetryPause { next: RETRY_RANGE.0, failures: 0 }
+    }
+
+    fn reset(&mut self) {
+        *self = RetryPause::new();
+    }
+
+    /// Waits between half and the whole of the pause, so that routers do not call in step.
+    async fn wait(&mut self) {
+        let part = rand::random_range(0.5..=1.0);
+        self.failures += 1;
+        tokio::time::sleep(self.next.mul_f64(part)).await;
+        self.next = (self.next * 2).min(RETRY_RANGE.1);
+    }
+}
+
+async fn follow_config(state: Rc<EdgeState>) {
+    let mut client = StoreClient::open(state.settings.store_address);
+    let mut pause = RetryPause::new();
+    let mut revision = None;
+    loop {
+        let calls = client.calls();
+        let outcome = config_step(&state, &mut client, &mut revision).await;
+        state.metrics.store_calls.inc_by(client.calls() - calls);
+        match outcome {
+            Ok(()) => {
+                if pause.failures > 0 {
+                    log::info!(failures = pause.failures; "store regained, configuration");
+                }
+                pause.reset();
+            }
+            Err(report) => {
+                log_failure("configuration", &report, pause.failures);
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Reads the configuration, or waits for its next change.
+async fn config_step(
+    state: &Rc<EdgeState>,
+    client: &mut StoreClient,
+    revision: &mut Option<u64>,
+) -> Result<(), Report<ErrorKind>> {
+    let Some(after) = *revision else {
+        let (config, read) = client.read_config().await?;
+        install(state, config);
+        *revision = Some(read);
+        return Ok(());
+    };
+    match client.watch_config(after, WATCH_WAIT).await? {
+        ConfigWatch::Current { config, revision: next } => {
+            install(state, config);
+            *revision = Some(next);
+        }
+        ConfigWatch::HistoryLost => {
+            log::info!(revision = after; "the store's history is gone, configuration read again");
+            *revision = None;
+        }
+    }
+    Ok(())
+}
+
+fn install(state: &Rc<EdgeState>, config: Option<FleetConfig>) {
+    let Some(config) = config else {
+        return;
+    };
+    let (version, routes) = (config.version, config.routes.len());
+    let known = state.router().config_version();
+    if state.router().install_config(config) {
+        log::info!(config = version, before = known, routes; "configuration in force");
+    } else if version < known {
+        log::warn!(config = version, known; "an older configuration was read, left out");
+    }
+}
+
+async fn follow_targets(state: Rc<EdgeState>) {
+    let mut client = StoreClient::open(state.settings.store_address);
+    let mut pause = RetryPause::new();
+    let mut revision = None;
+    loop {
+        let calls = client.calls();
+        let outcome = targets_step(&state, &mut client, &mut revision).await;
+        state.metrics.store_calls.inc_by(client.calls() - calls);
+        match outcome {
+            Ok(()) => pause.reset(),
+            Err(report) => {
+                let now = state.now();
+                if state.router().targets.note_contact(now, false) || pause.failures == 0 {
+                    log_failure("targets", &report, pause.failures);
+                }
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+/// Lists the targets, or waits for their next changes.
+async fn targets_step(
+    state: &Rc<EdgeState>,
+    client: &mut StoreClient,
+    revision: &mut Option<u64>,
+) -> Result<(), Report<ErrorKind>> {
+    let Some(after) = *revision else {
+        let (entries, read) = client.list_targets().await?;
+        note_contact(state);
+        let count = entries.len();
+        state.router().targets.replace(state.now(), entries, read);
+        log::info!(targets = count, revision = read; "targets listed");
+        *revision = Some(read);
+        return Ok(());
+    };
+    match client.watch_targets(after, WATCH_WAIT).await? {
+        TargetWatch::Changes { changes, revision: next } => {
+            note_contact(state);
+            for change in changes {
+                log::info!(change:? = change; "target changed");
+                state.router().targets.apply(state.now(), change);
+            }
+            *revision = Some(next);
+        }
+        TargetWatch::HistoryLost => {
+            log::info!(revision = after; "the store's history is gone, targets listed again");
+            *revision = None;
+        }
+    }
+    Ok(())
+}
+
+fn note_contact(state: &Rc<EdgeState>) {
+    if state.router().targets.note_contact(state.now(), true) {
+        log::info!("store regained, targets");
+    }
+}
+
+/// Logs the first failure in a row, and then every tenth.
+fn log_failure(subject: &str, report: &Report<ErrorKind>, failures: u32) {
+    if failures.is_multiple_of(10) {
+        log::warn!(subject, failures, error:% = describe_report(report); "store not reached");
+    }
+}
--- a/crates/jackdaw-platform/examples/claim_rate.rs
+++ b/crates/jackdaw-objects/examples/claim_rate.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
-use jackdaw_platform::{
+use jackdaw_objects::{
     ClaimLayout, ClaimSettings, ClaimWriter, ObjectStore, PlatformClient, PlatformSettings,
     WriteCondition,
 };
--- a/crates/jackdaw-platform/examples/ticket_load.rs
+++ b/crates/jackdaw-objects/examples/ticket_load.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{CustomerRecord, CustomerShare, ErrorKind, TicketNumber};
-use jackdaw_platform::{
+use jackdaw_objects::{
     CatalogFeed, CatalogUpdate, ChangeTicket, FeedSettings, PlatformClient, PlatformSettings,
     TicketDesk, digest_key,
 };
--- a/crates/jackdaw-platform/tests/catalog_merge.rs
+++ b/crates/jackdaw-objects/tests/catalog_merge.rs
@@ -6,7 +6,7 @@
     CustomerId, CustomerRecord, CustomerShare, DocumentBody, DocumentKey, DomainId, KeyDigest,
     VersionedDocument, VmId, VmRecord, VmState,
 };
-use jackdaw_platform::{ConfigCatalog, VmListing};
+use jackdaw_objects::{ConfigCatalog, VmListing};
 use quickcheck::{Gen, QuickCheck, TestResult};
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
--- a/crates/jackdaw-platform/tests/claim_race.rs
+++ b/crates/jackdaw-objects/tests/claim_race.rs
@@ -5,7 +5,7 @@
 use error_stack::Report;
 use futures_util::future::Either;
 use jackdaw_base::{ErrorKind, ProcessIncarnation, RequestOutcome};
-use jackdaw_platform::{ClaimLayout, ClaimSettings, ClaimWriter, PlatformClient, PlatformSettings};
+use jackdaw_objects::{ClaimLayout, ClaimSettings, ClaimWriter, PlatformClient, PlatformSettings};
 use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
 use uuid::{NoContext, Timestamp, Uuid};
 
--- a/crates/jackdaw-platform/tests/claim_search.rs
+++ b/crates/jackdaw-objects/tests/claim_search.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
-use jackdaw_platform::{
+use jackdaw_objects::{
     CallCounts, ClaimLayout, ClaimSettings, ClaimWriter, ObjectListing, ObjectStore, ObjectVersion,
     StoredObject, VmListing, WriteCondition,
 };
--- a/crates/jackdaw-platform/tests/claim_size.rs
+++ b/crates/jackdaw-objects/tests/claim_size.rs
@@ -3,9 +3,9 @@
 use std::collections::HashSet;
 
 use jackdaw_base::ProcessIncarnation;
-use jackdaw_platform::ClaimKey;
-use jackdaw_platform::claim::{ClaimObject, ClaimOwner, ClaimRequest, ClaimVerdict};
-use jackdaw_platform::store::OBJECT_LIMIT_BYTES;
+use jackdaw_objects::ClaimKey;
+use jackdaw_objects::claim::{ClaimObject, ClaimOwner, ClaimRequest, ClaimVerdict};
+use jackdaw_objects::store::OBJECT_LIMIT_BYTES;
 
 /// More claims than one object holds.
 const CLAIMS: u64 = 30_000;
--- a/crates/jackdaw-platform/tests/config_feed.rs
+++ b/crates/jackdaw-objects/tests/config_feed.rs
@@ -5,7 +5,7 @@
 use jackdaw_base::{
     CustomerId, CustomerRecord, CustomerShare, DomainId, TicketNumber, VmRecord, VmState,
 };
-use jackdaw_platform::{
+use jackdaw_objects::{
     CatalogFeed, CatalogUpdate, ChangeTicket, ConfigCatalog, FeedSettings, PlatformClient,
     PlatformSettings, TicketDesk, TicketStatus, digest_key,
 };
--- a/crates/jackdaw-platform/tests/desk_race.rs
+++ b/crates/jackdaw-objects/tests/desk_race.rs
@@ -10,7 +10,7 @@
     CustomerId, CustomerRecord, CustomerShare, DocumentKey, ErrorKind, ServiceKind, ServiceRecord,
     TargetRecord, TicketNumber,
 };
-use jackdaw_platform::{
+use jackdaw_objects::{
     CallCounts, ChangeTicket, ObjectListing, ObjectStore, ObjectVersion, PlatformClient,
     PlatformSettings, StoredObject, TicketDesk, TicketProblem, TicketStatus, VmListing,
     WriteCondition, digest_key,
--- a/crates/jackdaw-platform/tests/object_calls.rs
+++ b/crates/jackdaw-objects/tests/object_calls.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use jackdaw_base::ErrorKind;
-use jackdaw_platform::{
+use jackdaw_objects::{
     ObjectStore, ObjectVersion, PlatformClient, PlatformSettings, WriteCondition,
 };
 use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
--- a/crates/jackdaw-platform/tests/retry_storm.rs
+++ b/crates/jackdaw-objects/tests/retry_storm.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jackdaw_base::MonotonicTime;
-use jackdaw_platform::{
+use jackdaw_objects::{
     CallGovernor, CallPermission, GovernorSettings, ObjectStore, PlatformClient, PlatformSettings,
 };
 use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
--- a/crates/jackdaw-platform/tests/shard_size.rs
+++ b/crates/jackdaw-objects/tests/shard_size.rs
@@ -1,10 +1,10 @@
 //! The customers of the target size fit the platform's objects.
 
 use jackdaw_base::{CustomerRecord, CustomerShare, KeyDigest, TicketNumber};
-use jackdaw_platform::layout::{CUSTOMER_SHARDS, CatalogShard, encode, group_by_shard};
-use jackdaw_platform::store::OBJECT_LIMIT_BYTES;
-use jackdaw_platform::ticket::NAME_LIMIT_BYTES;
-use jackdaw_platform::{ChangeTicket, ConfigCatalog};
+use jackdaw_objects::layout::{CUSTOMER_SHARDS, CatalogShard, encode, group_by_shard};
+use jackdaw_objects::store::OBJECT_LIMIT_BYTES;
+use jackdaw_objects::ticket::NAME_LIMIT_BYTES;
+use jackdaw_objects::{ChangeTicket, ConfigCatalog};
 
 /// The customers at the target size.
 const CUSTOMERS: usize = 40_000;
--- a/crates/jackdaw-platform/tests/ticket_check.rs
+++ b/crates/jackdaw-objects/tests/ticket_check.rs
@@ -1,7 +1,7 @@
 //! Every problem of a ticket is told at once, with its place.
 
 use jackdaw_base::{DocumentBody, ServiceKind, TicketNumber};
-use jackdaw_platform::{ChangeTicket, TicketProblem, digest_key};
+use jackdaw_objects::{ChangeTicket, TicketProblem, digest_key};
 
 const GOOD: &str = r#"{
   "number": 7,
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -0,0 +1,40 @@
+//! Decisions of a router that sends requests to targets itself.
+//!
+//! Stages of a request: [`RouteTable`] finds its route and customer; [`DirectRouter`] chooses a
+//! target for it or refuses it at once; the router sends it and reports its first event and its
+//! end. What routers know of each other's work travels in [`PeerReport`]s, which state absolute
+//! figures, so that a lost or repeated one does no harm.
+
+pub mod customer_ledger;
+pub mod direct_router;
+pub mod fleet_config;
+pub mod load_book;
+pub mod peer_report;
+pub mod placement;
+pub mod prefix_map;
+pub mod prompt_shape;
+pub mod repeat_budget;
+pub mod return_book;
+pub mod route_table;
+pub mod target_book;
+pub mod target_health;
+pub mod target_speed;
+
+pub use customer_ledger::{CustomerLedger, CustomerStanding};
+pub use direct_router::{ArrivedCall, DirectPolicy, DirectRouter, RunEnd, RunId};
+pub use fleet_config::{
+    CallerLimits, CustomerKeys, FleetConfig, RequestKind, RouteRecord, ServiceShape, ServiceSplit,
+};
+pub use load_book::{LoadBook, TargetLoad};
+pub use peer_report::{CustomerUse, PeerReport, RefusedCall, TargetUse};
+pub use placement::{Placement, PlacementRequest, RefusalReason};
+pub use prefix_map::PrefixMap;
+pub use prompt_shape::{PromptPart, PromptShape};
+pub use repeat_budget::RepeatBudget;
+pub use return_book::ReturnBook;
+pub use route_table::{KeyFault, RouteTable};
+pub use target_book::{
+    StoreContact, TargetBook, TargetChange, TargetEntry, TargetId, TargetSnapshot, TargetState,
+};
+pub use target_health::{FaultKind, TargetHealth};
+pub use target_speed::TargetSpeed;
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/customer_ledger.rs
@@ -0,0 +1,214 @@
+//! Service of customers within a sliding window, over all routers, against their fair share.
+//!
+//! The share is max-min: a customer that asks for less than an even part gets what it asks for,
+//! and the others divide the rest evenly.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+
+use crate::direct::peer_report::CustomerUse;
+
+/// Parts into which the window is cut.
+const WINDOW_PARTS: u32 = 8;
+
+/// Time for which a computed share is used.
+const SHARE_LIFETIME: Duration = Duration::from_millis(100);
+
+/// What a customer has had against its share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CustomerStanding {
+    /// The service of the customer within the window, divided by its fair share; zero where
+    /// every customer gets all that it asks for.
+    pub share_used: f64,
+}
+
+/// Counts of one customer.
+#[derive(Debug, Clone, Copy, Default)]
+struct UseCount {
+    asked: u64,
+    started: u64,
+}
+
+impl UseCount {
+    fn add(&mut self, other: UseCount) {
+        self.asked += other.asked;
+        self.started += other.started;
+    }
+
+    fn subtract(&mut self, other: UseCount) {
+        self.asked = self.asked.saturating_sub(other.asked);
+        self.started = self.started.saturating_sub(other.started);
+    }
+}
+
+/// One part of the window.
+#[derive(Debug, Clone)]
+struct WindowPart {
+    start: MonotonicTime,
+    counts: HashMap<CustomerId, UseCount>,
+}
+
+/// Customers' service within the window.
+#[derive(Debug, Clone)]
+pub struct CustomerLedger {
+    window: Duration,
+    parts: VecDeque<WindowPart>,
+    own: HashMap<CustomerId, UseCount>,
+    others: HashMap<CustomerId, UseCount>,
+    peers: HashMap<ProcessIncarnation, Vec<(CustomerId, UseCount)>>,
+    /// The fair share in tokens a window, `None` where all get what they ask for.
+    share: Option<f64>,
+    share_time: Option<MonotonicTime>,
+}
+
+impl CustomerLedger {
+    /// Creates an empty ledger.
+    pub fn new(window: Duration) -> CustomerLedger {
+        CustomerLedger {
+            window,
+            parts: VecDeque::new(),
+            own: HashMap::new(),
+            others: HashMap::new(),
+            peers: HashMap::new(),
+            share: None,
+            share_time: None,
+        }
+    }
+
+    /// Notes that a customer asks for service.
+    pub fn note_asked(&mut self, now: MonotonicTime, customer: CustomerId, tokens: u64) {
+        self.note(now, customer, UseCount { asked: tokens, started: 0 });
+    }
+
+    /// Notes that a customer's request was sent to a target.
+    pub fn note_started(&mut self, now: MonotonicTime, customer: CustomerId, tokens: u64) {
+        self.note(now, customer, UseCount { asked: 0, started: tokens });
+    }
+
+    /// Returns what a customer has had, where the fleet produces `tokens_per_second`.
+    pub fn standing(
+        &mut self,
+        now: MonotonicTime,
+        customer: CustomerId,
+        tokens_per_second: u64,
+    ) -> CustomerStanding {
+        self.drop_old(now);
+        let is_fresh = self.share_time.is_some_and(|time| now.since(time) < SHARE_LIFETIME);
+        if !is_fresh {
+            self.share = self.fair_share(tokens_per_second);
+            self.share_time = Some(now);
+        }
+        let Some(share) = self.share else {
+            return CustomerStanding { share_used: 0.0 };
+        };
+        let started = self.total(customer).started as f64;
+        CustomerStanding { share_used: started / share.max(1.0) }
+    }
+
+    /// Returns this router's counts, for its report.
+    pub fn own_uses(&mut self, now: MonotonicTime) -> Vec<CustomerUse> {
+        self.drop_old(now);
+        let uses = self.own.iter().map(|(customer, count)| CustomerUse {
+            customer: *customer,
+            asked_hundreds: count.asked.div_ceil(100) as u32,
+            started_hundreds: count.started.div_ceil(100) as u32,
+        });
+        uses.collect()
+    }
+
+    /// Takes in another router's counts in place of its earlier ones.
+    pub fn learn(&mut self, incarnation: ProcessIncarnation, uses: &[CustomerUse]) {
+        self.forget(incarnation);
+        let mut counts = Vec::with_capacity(uses.len());
+        for usage in uses {
+            let count = UseCount {
+                asked: u64::from(usage.asked_hundreds) * 100,
+                started: u64::from(usage.started_hundreds) * 100,
+            };
+            self.others.entry(usage.customer).or_default().add(count);
+            counts.push((usage.customer, count));
+        }
+        self.peers.insert(incarnation, counts);
+    }
+
+    /// Drops the counts of a router that fell silent.
+    pub fn forget(&mut self, incarnation: ProcessIncarnation) {
+        let Some(counts) = self.peers.remove(&incarnation) else {
+            return;
+        };
+        for (customer, count) in counts {
+            if let Some(others) = self.others.get_mut(&customer) {
+                others.subtract(count);
+            }
+        }
+    }
+
+    fn total(&self, customer: CustomerId) -> UseCount {
+        let mut total = self.own.get(&customer).copied().unwrap_or_default();
+        if let Some(others) = self.others.get(&customer) {
+            total.add(*others);
+        }
+        total
+    }
+
+    /// Returns the level at which the customers' shares add up to what the fleet produces.
+    ///
+    /// The fleet produces what it has really started where that is more than what is stated.
+    fn fair_share(&self, tokens_per_second: u64) -> Option<f64> {
+        let mut asked = Vec::new();
+        let mut started = 0.0;
+        for customer in self.customers() {
+            let total = self.total(customer);
+            // A request may be asked for before and started within the window.
+            asked.push(total.asked.max(total.started) as f64);
+            started += total.started as f64;
+        }
+        asked.sort_by(f64::total_cmp);
+        let stated = tokens_per_second as f64 * self.window.as_secs_f64();
+        let mut left = stated.max(started);
+        let count = asked.len();
+        for (index, amount) in asked.into_iter().enumerate() {
+            let even = left / (count - index) as f64;
+            if amount > even {
+                return Some(even);
+            }
+            left -= amount;
+        }
+        None
+    }
+
+    fn customers(&self) -> Vec<CustomerId> {
+        let mut customers: Vec<CustomerId> = self.own.keys().copied().collect();
+        customers.extend(self.others.keys().filter(|customer| !self.own.contains_key(customer)));
+        customers
+    }
+
+    fn note(&mut self, now: MonotonicTime, customer: CustomerId, count: UseCount) {
+        self.drop_old(now);
+        let span = self.window / WINDOW_PARTS;
+        let is_open = self.parts.back().is_some_and(|part| now.since(part.start) < span);
+        if !is_open {
+            self.parts.push_back(WindowPart { start: now, counts: HashMap::new() });
+        }
+        if let Some(part) = self.parts.back_mut() {
+            part.counts.entry(customer).or_default().add(count);
+        }
+        self.own.entry(customer).or_default().add(count);
+    }
+
+    fn drop_old(&mut self, now: MonotonicTime) {
+        while self.parts.front().is_some_and(|part| now.since(part.start) >= self.window) {
+            let Some(part) = self.parts.pop_front() else {
+                return;
+            };
+            for (customer, count) in part.counts {
+                if let Some(own) = self.own.get_mut(&customer) {
+                    own.subtract(count);
+                }
+            }
+            self.own.retain(|_, count| count.asked > 0 || count.started > 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -0,0 +1,494 @@
+//! State machine of a router that sends requests to targets itself.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jackdaw_base::{CrashEvidence, CustomerId, MonotonicTime, ProcessIncarnation, VmId};
+
+use crate::crash_suspects::{CrashSuspects, SuspectStanding};
+use crate::direct::customer_ledger::{CustomerLedger, CustomerStanding};
+use crate::direct::fleet_config::FleetConfig;
+use crate::direct::load_book::LoadBook;
+use crate::direct::peer_report::PeerReport;
+use crate::direct::placement::{
+    Placement, PlacementRequest, PlacementTarget, RefusalReason, choose_target,
+};
+use crate::direct::prefix_map::PrefixMap;
+use crate::direct::prompt_shape::PromptShape;
+use crate::direct::repeat_budget::RepeatBudget;
+use crate::direct::return_book::ReturnBook;
+use crate::direct::route_table::RouteTable;
+use crate::direct::target_book::{TargetBook, TargetEntry, TargetId};
+use crate::direct::target_health::{FaultKind, TargetHealth};
+use crate::direct::target_speed::TargetSpeed;
+use crate::rendezvous::rendezvous_weight;
+
+/// Latency objective where no route states one.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// Time within which broken connections and a refused one are of the same crash.
+const CRASH_SPAN: Duration = Duration::from_millis(1500);
+
+/// Time for which new evidence of crashes is told to the other routers.
+const EVIDENCE_REPORT_SPAN: Duration = Duration::from_secs(2);
+
+/// Time after which a request that crashes targets may be tried again.
+const QUARANTINE_RETRY: Duration = Duration::from_secs(60);
+
+/// Fixed parameters of a router's decisions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DirectPolicy {
+    /// The router's failure domain.
+    pub domain: String,
+    /// The window in which customers' shares are kept.
+    pub share_window: Duration,
+    /// The window of the budget of repeats.
+    pub repeat_window: Duration,
+    /// The repeats that each request earns the fleet.
+    pub repeat_ratio: f64,
+    /// The repeats that the fleet has besides in each window.
+    pub repeat_allowance: u32,
+}
+
+/// A request as the decisions see it.
+#[derive(Debug, Clone)]
+pub struct ArrivedCall<'a> {
+    /// The customer; `None` on routes without keys.
+    pub customer: Option<CustomerId>,
+    /// The steps by which the request ranks below the first.
+    pub rank: u32,
+    /// The service.
+    pub service: &'a str,
+    /// The prompt; `None` for a plain service.
+    pub prompt: Option<&'a PromptShape>,
+    /// The time that the caller still waits.
+    pub time_left: Duration,
+    /// The digest of customer and content.
+    pub fingerprint: u64,
+}
+
+/// Identifies a run within one router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RunId(u64);
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The whole answer came.
+    Whole,
+    /// The target answered with a failure of its own.
+    Failed,
+    /// The target turned the request away without running it.
+    Rejected,
+    /// Another target answered at the address.
+    Replaced,
+    /// No connection was made.
+    Unreachable,
+    /// The connection broke before the whole answer was there.
+    Broken,
+    /// The caller left or the time was over.
+    Abandoned,
+}
+
+/// An unfinished run.
+#[derive(Debug, Clone)]
+struct RunRecord {
+    target: TargetId,
+    fingerprint: u64,
+    read_tokens: u64,
+    memory_tokens: u64,
+    /// The tokens to be read at the target when the run was sent, its own included.
+    tokens_ahead: u64,
+    is_plain: bool,
+    sent: MonotonicTime,
+    is_started: bool,
+}
+
+/// A run whose connection broke.
+#[derive(Debug, Clone, Copy)]
+struct BrokenRun {
+    fingerprint: u64,
+    target: TargetId,
+    time: MonotonicTime,
+}
+
+/// State of one router.
+#[derive(Debug)]
+pub struct DirectRouter {
+    policy: DirectPolicy,
+    incarnation: ProcessIncarnation,
+    table: Option<Rc<RouteTable>>,
+    /// What is believed of the targets.
+    pub targets: TargetBook,
+    loads: LoadBook,
+    speeds: TargetSpeed,
+    health: TargetHealth,
+    prefixes: PrefixMap,
+    ledger: CustomerLedger,
+    budgets: HashMap<String, RepeatBudget>,
+    suspects: CrashSuspects,
+    evidence: Vec<(CrashEvidence, MonotonicTime)>,
+    broken: Vec<BrokenRun>,
+    returns: ReturnBook,
+    runs: HashMap<RunId, RunRecord>,
+    next_run: u64,
+    next_report: u64,
+}
+
+impl DirectRouter {
+    /// Creates a router that knows nothing yet.
+    pub fn new(
+        now: MonotonicTime,
+        policy: DirectPolicy,
+        incarnation: ProcessIncarnation,
+    ) -> DirectRouter {
+        DirectRouter {
+            ledger: CustomerLedger::new(policy.share_window),
+            policy,
+            incarnation,
+            table: None,
+            targets: TargetBook::new(now),
+            loads: LoadBook::default(),
+            speeds: TargetSpeed::default(),
+            health: TargetHealth::default(),
+            prefixes: PrefixMap::default(),
+            budgets: HashMap::new(),
+            suspects: CrashSuspects::default(),
+            evidence: Vec::new(),
+            broken: Vec::new(),
+            returns: ReturnBook::default(),
+            runs: HashMap::new(),
+            next_run: 0,
+            next_report: 0,
+        }
+    }
+
+    /// Returns the configuration in force; `None` before the first is known.
+    pub fn table(&self) -> Option<&Rc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the version of the configuration in force; zero before the first is known.
+    pub fn config_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.config().version)
+    }
+
+    /// Puts a configuration in force unless a newer one is; returns whether it did.
+    pub fn install_config(&mut self, config: FleetConfig) -> bool {
+        if config.version <= self.config_version() {
+            return false;
+        }
+        self.table = Some(Rc::new(RouteTable::new(config)));
+        true
+    }
+
+    /// Returns whether requests can be taken: a configuration and targets are known.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && !self.targets.is_empty()
+    }
+
+    /// Returns the number of other routers that report.
+    pub fn peer_count(&self) -> usize {
+        self.loads.peer_count()
+    }
+
+    /// Returns the unfinished runs.
+    pub fn run_count(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Notes what a customer asks for and what it has had; once for each request.
+    pub fn note_arrival(&mut self, now: MonotonicTime, call: &ArrivedCall<'_>) {
+        if let (Some(customer), Some(prompt)) = (call.customer, call.prompt) {
+            self.ledger.note_asked(now, customer, prompt.charge());
+        }
+        let policy = &self.policy;
+        let budget = self.budgets.entry(call.service.to_owned()).or_insert_with(|| {
+            RepeatBudget::new(policy.repeat_window, policy.repeat_ratio, policy.repeat_allowance)
+        });
+        budget.note_request(now);
+    }
+
+    /// Chooses a target for a request, other than those it was sent to before, or refuses it.
+    pub fn place(
+        &mut self,
+        now: MonotonicTime,
+        call: &ArrivedCall<'_>,
+        tried: &[TargetId],
+    ) -> Placement {
+        if self.suspects.standing(now, call.fingerprint) == SuspectStanding::Refused {
+            let reason = RefusalReason::Quarantined;
+            return Placement::Refuse { reason, retry_after: QUARANTINE_RETRY };
+        }
+        let request = self.placement_request(now, call);
+        let targets = self.placement_targets(now, call, tried);
+        let placement = choose_target(&request, &targets);
+        if let Placement::Refuse { retry_after, .. } = placement {
+            self.returns.note_refused(now, call.fingerprint, retry_after);
+        }
+        placement
+    }
+
+    /// Returns what a customer has had against its share.
+    pub fn standing(
+        &mut self,
+        now: MonotonicTime,
+        customer: Option<CustomerId>,
+    ) -> CustomerStanding {
+        let Some(customer) = customer else {
+            return CustomerStanding { share_used: 0.0 };
+        };
+        let limits = self.table.as_ref().map(|table| &table.config().limits);
+        let tokens_per_second = limits.map_or(0, |limits| limits.tokens_per_second);
+        self.ledger.standing(now, customer, tokens_per_second)
+    }
+
+    /// Takes one repeat from the budget of a service; returns whether there was one left.
+    pub fn take_repeat(&mut self, now: MonotonicTime, service: &str) -> bool {
+        let routers = self.loads.peer_count() + 1;
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.take_repeat(now, routers))
+    }
+
+    /// Notes that a request is sent to a target.
+    pub fn begin_run(
+        &mut self,
+        now: MonotonicTime,
+        call: &ArrivedCall<'_>,
+        target: TargetId,
+        read_tokens: u64,
+    ) -> RunId {
+        let memory_tokens = call.prompt.map_or(0, PromptShape::memory_tokens);
+        let tokens_ahead = self.loads.load(target).queued_tokens + read_tokens;
+        self.loads.note_sent(target, read_tokens, memory_tokens);
+        self.health.note_sent(now, target);
+        if let Some(prompt) = call.prompt {
+            self.prefixes.note_sent(now, target, prompt);
+            if let Some(customer) = call.customer {
+                self.ledger.note_started(now, customer, prompt.charge());
+            }
+        }
+        let run = RunId(self.next_run);
+        self.next_run += 1;
+        let record = RunRecord {
+            target,
+            fingerprint: call.fingerprint,
+            read_tokens,
+            memory_tokens,
+            tokens_ahead,
+            is_plain: call.prompt.is_none(),
+            sent: now,
+            is_started: false,
+        };
+        self.runs.insert(run, record);
+        run
+    }
+
+    /// Notes the first bytes of a run's answer, or the first event of its stream.
+    pub fn note_started(&mut self, now: MonotonicTime, run: RunId) {
+        let Some(record) = self.runs.get_mut(&run) else {
+            return;
+        };
+        self.health.note_heard(now, record.target);
+        if record.is_started {
+            return;
+        }
+        record.is_started = true;
+        self.loads.note_started(record.target, record.read_tokens);
+        self.health.note_settled(now, record.target);
+        let elapsed = now.since(record.sent);
+        match record.is_plain {
+            true => self.speeds.learn_service(record.target, elapsed),
+            false => self.speeds.learn_first_event(record.target, record.tokens_ahead, elapsed),
+        }
+    }
+
+    /// Notes the end of a run; returns whether the target is left out for a while.
+    pub fn end_run(&mut self, now: MonotonicTime, run: RunId, end: RunEnd) -> bool {
+        let Some(record) = self.runs.remove(&run) else {
+            return false;
+        };
+        if record.is_started {
+            self.loads.note_finished(record.target, record.memory_tokens);
+        } else {
+            self.loads.note_abandoned(record.target, record.read_tokens, record.memory_tokens);
+            self.health.note_settled(now, record.target);
+        }
+        let target = record.target;
+        match end {
+            RunEnd::Abandoned => false,
+            RunEnd::Whole => {
+                self.health.note_success(now, target);
+                self.clear_suspect(now, record.fingerprint);
+                false
+            }
+            RunEnd::Failed => self.health.note_fault(now, target, FaultKind::Failed),
+            RunEnd::Rejected => self.health.note_fault(now, target, FaultKind::Full),
+            RunEnd::Replaced => self.health.note_fault(now, target, FaultKind::Replaced),
+            RunEnd::Unreachable => {
+                self.learn_crash(now, target);
+                self.health.note_fault(now, target, FaultKind::Unreachable)
+            }
+            RunEnd::Broken => {
+                let fingerprint = record.fingerprint;
+                self.broken.push(BrokenRun { fingerprint, target, time: now });
+                self.health.note_fault(now, target, FaultKind::Broken)
+            }
+        }
+    }
+
+    /// Returns the report for the other routers.
+    pub fn report(&mut self, now: MonotonicTime) -> PeerReport {
+        self.next_report += 1;
+        self.evidence.retain(|(_, time)| now.since(*time) < EVIDENCE_REPORT_SPAN);
+        PeerReport {
+            incarnation: self.incarnation,
+            sequence: self.next_report,
+            config_version: self.config_version(),
+            targets_revision: self.targets.change_revision(),
+            targets: self.loads.own_uses(),
+            customers: self.ledger.own_uses(now),
+            crashes: self.evidence.iter().map(|(evidence, _)| *evidence).collect(),
+            refused: self.returns.recent(now),
+        }
+    }
+
+    /// Takes in another router's report; returns whether it is newer than the last.
+    pub fn learn_report(&mut self, now: MonotonicTime, report: &PeerReport) -> bool {
+        let PeerReport { incarnation, sequence, .. } = *report;
+        if incarnation == self.incarnation {
+            return false;
+        }
+        if !self.loads.learn(now, incarnation, sequence, &report.targets) {
+            return false;
+        }
+        self.ledger.learn(incarnation, &report.customers);
+        self.returns.learn(now, &report.refused);
+        for evidence in &report.crashes {
+            self.suspects.learn(now, *evidence);
+        }
+        true
+    }
+
+    /// Drops what is too old to count; returns the names of targets that are taken as gone.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
+        for incarnation in self.loads.expire(now) {
+            self.ledger.forget(incarnation);
+        }
+        self.broken.retain(|run| now.since(run.time) < CRASH_SPAN);
+        let gone = self.targets.expire(now);
+        if !gone.is_empty() {
+            self.forget_unknown();
+        }
+        gone
+    }
+
+    /// Drops what is known of targets that are not registered any more.
+    pub fn forget_unknown(&mut self) {
+        let known: Vec<TargetId> = self.targets.entries().map(TargetEntry::id).collect();
+        self.speeds.retain(|target| known.contains(&target));
+        self.health.retain(|target| known.contains(&target));
+        self.prefixes.retain(|target| known.contains(&target));
+    }
+
+    fn placement_request<'a>(
+        &mut self,
+        now: MonotonicTime,
+        call: &ArrivedCall<'a>,
+    ) -> PlacementRequest<'a> {
+        let standing = self.standing(now, call.customer);
+        let table = self.table.as_ref();
+        let objective = table.and_then(|table| table.service_objective(call.service));
+        PlacementRequest {
+            prompt: call.prompt,
+            service_objective: objective.unwrap_or(DEFAULT_OBJECTIVE),
+            time_left: call.time_left,
+            standing,
+            rank: call.rank,
+            is_return: self.returns.is_return(now, call.fingerprint),
+        }
+    }
+
+    fn placement_targets(
+        &self,
+        now: MonotonicTime,
+        call: &ArrivedCall<'_>,
+        tried: &[TargetId],
+    ) -> Vec<PlacementTarget> {
+        let memory = self.table.as_ref().and_then(|table| table.service(call.service));
+        let memory_tokens = memory.and_then(|service| service.memory_tokens);
+        let home = self.home_target(call);
+        let mut targets = Vec::new();
+        for entry in self.targets.ready_targets(call.service) {
+            let target = entry.id();
+            if tried.contains(&target) || !self.health.is_usable(now, target) {
+                continue;
+            }
+            targets.push(self.placement_target(now, call, entry, memory_tokens, home));
+        }
+        targets
+    }
+
+    fn placement_target(
+        &self,
+        now: MonotonicTime,
+        call: &ArrivedCall<'_>,
+        entry: &TargetEntry,
+        memory_tokens: Option<u64>,
+        home: Option<TargetId>,
+    ) -> PlacementTarget {
+        let target = entry.id();
+        let load = self.loads.load(target);
+        let missing = call.prompt.map_or(0, |prompt| {
+            self.prefixes.missing_tokens(now, target, prompt, home == Some(target))
+        });
+        let own = call.prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
+        let base_time = match memory_tokens {
+            Some(_) => self.speeds.first_event_overhead(),
+            None => self.speeds.service_time(target),
+        };
+        PlacementTarget {
+            target,
+            slots: entry.slots,
+            memory_tokens,
+            load,
+            queue_time: self.speeds.reading_time(target, load.queued_tokens),
+            read_tokens: own + missing,
+            read_time: self.speeds.reading_time(target, own + missing),
+            reread_time: self.speeds.reading_time(target, missing),
+            base_time,
+            failure_share: self.health.failure_share(now, target),
+            is_near: entry.domain == self.policy.domain,
+        }
+    }
+
+    /// Returns the target at which all routers bring together requests with one shared part.
+    fn home_target(&self, call: &ArrivedCall<'_>) -> Option<TargetId> {
+        let part = call.prompt?.shared_part()?;
+        let targets = self.targets.ready_targets(call.service).map(TargetEntry::id);
+        targets.max_by_key(|target| (rendezvous_weight(part.id, VmId(target.0)), *target))
+    }
+
+    /// Takes the runs that broke at a target as evidence once it refuses connections.
+    fn learn_crash(&mut self, now: MonotonicTime, target: TargetId) {
+        let broken = self.broken.extract_if(.., |run| run.target == target);
+        for run in broken.collect::<Vec<_>>() {
+            let evidence =
+                CrashEvidence { fingerprint: run.fingerprint, target: Some(VmId(target.0)) };
+            if self.suspects.learn(now, evidence) {
+                self.evidence.push((evidence, now));
+            }
+        }
+    }
+
+    /// Takes back evidence against a request that has run whole.
+    fn clear_suspect(&mut self, now: MonotonicTime, fingerprint: u64) {
+        if self.suspects.standing(now, fingerprint) != SuspectStanding::Suspect {
+            return;
+        }
+        let evidence = CrashEvidence { fingerprint, target: None };
+        self.suspects.learn(now, evidence);
+        self.evidence.push((evidence, now));
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/peer_report.rs
@@ -0,0 +1,68 @@
+//! What a router tells the others of its own work.
+
+use jackdaw_base::{CrashEvidence, CustomerId, ProcessIncarnation, plain_data};
+
+use crate::direct::target_book::TargetId;
+
+plain_data! {
+    /// The state of one router; replaces every earlier report of the same incarnation.
+    pub struct PeerReport {
+        /// The incarnation of the router.
+        pub incarnation: ProcessIncarnation,
+        /// The position among the incarnation's reports.
+        pub sequence: u64,
+        /// The version of the configuration in force there; zero for none.
+        pub config_version: u64,
+        /// The newest revision of the store that changed what it knows of the targets.
+        pub targets_revision: u64,
+        /// Its unfinished runs, by target.
+        pub targets: Vec<TargetUse>,
+        /// Its customers' service within the share window.
+        pub customers: Vec<CustomerUse>,
+        /// Crashes of targets that it has seen lately.
+        pub crashes: Vec<CrashEvidence>,
+        /// Requests that it has refused and told when to come back.
+        pub refused: Vec<RefusedCall>,
+    }
+}
+
+plain_data! {
+    copy
+    /// A request that was refused and may come back at any router.
+    pub struct RefusedCall {
+        /// The digest of customer and content.
+        pub fingerprint: u64,
+        /// The time until it may come back, in milliseconds.
+        pub due_ms: u32,
+    }
+}
+
+plain_data! {
+    copy
+    /// The unfinished runs of one router at one target.
+    pub struct TargetUse {
+        /// The target.
+        pub target: TargetId,
+        /// The prompt tokens that are still to be read, in hundreds.
+        pub queued_hundreds: u32,
+        /// The runs without a first event.
+        pub queued: u32,
+        /// The runs with a first event.
+        pub running: u32,
+        /// The memory that all of them need, in thousands of tokens.
+        pub memory_thousands: u32,
+    }
+}
+
+plain_data! {
+    copy
+    /// The service of one customer at one router within the share window.
+    pub struct CustomerUse {
+        /// The customer.
+        pub customer: CustomerId,
+        /// The tokens that it asked for, in hundreds.
+        pub asked_hundreds: u32,
+        /// The tokens of its requests that were sent to targets, in hundreds.
+        pub started_hundreds: u32,
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -0,0 +1,216 @@
+//! Choice of a target for one request, or its refusal.
+//!
+//! A prompt's shared parts lie where requests with them were sent before. The choice weighs the
+//! wait at each target against the reading that a target without the parts would repeat, and
+//! refuses at once where the wait would grow beyond what the customer may cause.
+
+use std::time::Duration;
+
+use jackdaw_base::plain_data;
+
+use crate::direct::customer_ledger::CustomerStanding;
+use crate::direct::load_book::TargetLoad;
+use crate::direct::prompt_shape::PromptShape;
+use crate::direct::target_book::TargetId;
+
+/// Weight of reading shared parts again against waiting: it costs the requests behind as well.
+const REREAD_WEIGHT: f64 = 3.0;
+
+/// Wait that a run in progress stands for, since it slows every step of its target.
+const RUNNING_WAIT: Duration = Duration::from_micros(500);
+
+/// Wait that another failure domain stands for: its bytes are priced and its way is longer.
+const DOMAIN_WAIT: Duration = Duration::from_millis(4);
+
+/// Part of a target's slots that requests may take.
+const SLOT_PART: f64 = 0.92;
+
+/// Part of a target's memory that runs may need.
+const MEMORY_PART: f64 = 0.9;
+
+/// Part of the service's shortest latency objective that requests within their customer's share
+/// may wait at a target.
+const WAIT_PART: f64 = 0.55;
+
+/// The same for customers far beyond their share.
+const EXCESS_WAIT_PART: f64 = 0.15;
+
+/// Use of the share from which the wait shrinks, and at which it is the shortest.
+const EXCESS_RANGE: (f64, f64) = (1.0, 1.4);
+
+/// Factor of the wait for each rank below the first.
+const RANK_FACTOR: f64 = 0.8;
+
+/// Bounds of the time after which a refused caller may come back.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
+
+/// What a request needs of a target.
+#[derive(Debug, Clone)]
+pub struct PlacementRequest<'a> {
+    /// The prompt; `None` for a plain service.
+    pub prompt: Option<&'a PromptShape>,
+    /// The shortest latency objective among the service's routes.
+    pub service_objective: Duration,
+    /// The time that the caller still waits.
+    pub time_left: Duration,
+    /// What the customer has had.
+    pub standing: CustomerStanding,
+    /// The steps by which the request ranks below the first.
+    pub rank: u32,
+    /// Whether the request comes back after a refusal.
+    pub is_return: bool,
+}
+
+/// A target as the choice sees it.
+#[derive(Debug, Clone)]
+pub struct PlacementTarget {
+    /// The target.
+    pub target: TargetId,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// The tokens that it keeps; `None` for a plain service.
+    pub memory_tokens: Option<u64>,
+    /// Its unfinished runs from all routers.
+    pub load: TargetLoad,
+    /// The time in which it reads what is queued.
+    pub queue_time: Duration,
+    /// The tokens of the request that it would have to read.
+    pub read_tokens: u64,
+    /// The time in which it reads them.
+    pub read_time: Duration,
+    /// The part of that time that goes into shared parts.
+    pub reread_time: Duration,
+    /// The time to the first event beyond reading, or the service time of a plain target.
+    pub base_time: Duration,
+    /// The share of requests that lately failed there.
+    pub failure_share: f64,
+    /// Whether it is in the router's failure domain.
+    pub is_near: bool,
+}
+
+plain_data! {
+    copy
+    /// Why a request is refused before anything of it was sent.
+    #[serde(rename_all = "kebab-case")]
+    pub enum RefusalReason {
+        /// No target of the service takes requests.
+        NoTarget,
+        /// Every target's queue is as long as it may get.
+        Overloaded,
+        /// The customer has had its share and the targets are busy.
+        OverShare,
+        /// The request is known to crash targets.
+        Quarantined,
+    }
+}
+
+/// What is done with a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Placement {
+    /// It goes to a target.
+    Send {
+        /// The target.
+        target: TargetId,
+        /// The expected time to its first event or answer.
+        expected: Duration,
+        /// The tokens that the target is expected to read.
+        read_tokens: u64,
+    },
+    /// It is refused.
+    Refuse {
+        /// The reason.
+        reason: RefusalReason,
+        /// The time after which there should be room for it.
+        retry_after: Duration,
+    },
+}
+
+impl PlacementTarget {
+    /// Returns the time that a request waits before the target begins to read it.
+    fn wait(&self) -> Duration {
+        if self.memory_tokens.is_some() {
+            return self.queue_time;
+        }
+        let ahead = (self.load.runs() + 1).saturating_sub(self.slots);
+        self.base_time * ahead / self.slots.max(1)
+    }
+
+    /// Returns the expected time to the first event or the answer.
+    fn expected(&self) -> Duration {
+        self.wait() + self.read_time + self.base_time
+    }
+
+    /// Returns the cost by which targets are compared, in microseconds.
+    fn cost(&self) -> f64 {
+        let mut cost = self.expected().as_micros() as f64;
+        cost += REREAD_WEIGHT * self.reread_time.as_micros() as f64;
+        match self.memory_tokens {
+            Some(_) => cost += RUNNING_WAIT.as_micros() as f64 * f64::from(self.load.running),
+            // Below its slots a plain target has no queue; the emptier one goes first.
+            None => cost += f64::from(self.load.runs()) * self.base_time.as_micros() as f64 / 10.0,
+        }
+        if !self.is_near {
+            cost += DOMAIN_WAIT.as_micros() as f64;
+        }
+        cost / (1.0 - self.failure_share.min(0.95))
+    }
+
+    fn has_room(&self, request: &PlacementRequest<'_>) -> bool {
+        let Some(memory) = self.memory_tokens else {
+            return true;
+        };
+        let needed = request.prompt.map_or(0, PromptShape::memory_tokens);
+        let has_slot = f64::from(self.load.runs() + 1) <= SLOT_PART * f64::from(self.slots);
+        let is_alone = self.load.runs() == 0;
+        let has_memory =
+            (self.load.memory_tokens + needed) as f64 <= MEMORY_PART * memory as f64 || is_alone;
+        has_slot && has_memory
+    }
+}
+
+/// Chooses a target for a request among those that are usable.
+pub fn choose_target(request: &PlacementRequest<'_>, targets: &[PlacementTarget]) -> Placement {
+    let mut ranked: Vec<&PlacementTarget> = targets.iter().collect();
+    ranked.sort_by(|a, b| a.cost().total_cmp(&b.cost()));
+    let Some(best) = ranked.first() else {
+        let (_, longest) = RETRY_RANGE;
+        return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after: longest / 4 };
+    };
+    let limit = wait_limit(request);
+    let tried = if request.standing.share_used > 1.0 { 1 } else { 2 };
+    for target in ranked.iter().take(tried) {
+        let fits_time = target.expected() < request.time_left;
+        if target.has_room(request) && fits_time && target.wait() <= limit {
+            return Placement::Send {
+                target: target.target,
+                expected: target.expected(),
+                read_tokens: target.read_tokens,
+            };
+        }
+    }
+    refuse(request, best, limit)
+}
+
+/// Returns how long a request may wait at a target.
+fn wait_limit(request: &PlacementRequest<'_>) -> Duration {
+    let (from, to) = EXCESS_RANGE;
+    let excess = ((request.standing.share_used - from) / (to - from)).clamp(0.0, 1.0);
+    let mut part = WAIT_PART + (EXCESS_WAIT_PART - WAIT_PART) * excess;
+    if request.is_return {
+        part = part.max(WAIT_PART);
+    }
+    let factor = part * RANK_FACTOR.powi(request.rank.min(8) as i32);
+    request.service_objective.mul_f64(factor)
+}
+
+fn refuse(request: &PlacementRequest<'_>, best: &PlacementTarget, limit: Duration) -> Placement {
+    let (shortest, longest) = RETRY_RANGE;
+    if request.standing.share_used > 1.0 {
+        let after = Duration::from_secs(1).mul_f64(request.standing.share_used.min(4.0));
+        let retry_after = after.clamp(shortest, longest);
+        return Placement::Refuse { reason: RefusalReason::OverShare, retry_after };
+    }
+    let over = best.wait().saturating_sub(limit / 2);
+    let retry_after = over.clamp(shortest, longest);
+    Placement::Refuse { reason: RefusalReason::Overloaded, retry_after }
+}
--- a/crates/jackdaw-policy/src/lib.rs
+++ b/crates/jackdaw-policy/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod agent;
 pub mod crash_suspects;
+pub mod direct;
 pub mod estimate;
 pub mod event;
 pub mod fairness;
--- a/crates/jackdaw-proofs/src/fleet.rs
+++ b/crates/jackdaw-proofs/src/fleet.rs
@@ -9,7 +9,7 @@
     TicketNumber, VmId, VmRecord, VmState,
 };
 use jackdaw_link::{FleetAuthority, ProcessRole};
-use jackdaw_platform::{ChangeTicket, PlatformClient, PlatformSettings, TicketDesk, digest_key};
+use jackdaw_objects::{ChangeTicket, PlatformClient, PlatformSettings, TicketDesk, digest_key};
 use jackdaw_standin::{PlatformStandin, StandinSettings};
 use tempfile::TempDir;
 
--- a/crates/jackdaw-proofs/tests/config_spread.rs
+++ b/crates/jackdaw-proofs/tests/config_spread.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use jackdaw_base::{ServiceKind, TargetRecord, TicketNumber};
-use jackdaw_platform::ChangeTicket;
+use jackdaw_objects::ChangeTicket;
 use jackdaw_proofs::fleet::{ENGINE_SERVICE, customer, service, wait_agents, wait_until};
 use jackdaw_proofs::{CallerClient, FleetProcess, OperatorClient, ProcessFleet, ProcessSignal};
 use jackdaw_standin::{AnswerFault, EngineSettings, EngineStandin, PlatformFaults};
--- a/crates/jackdaw-proofs/tests/relay_duty.rs
+++ b/crates/jackdaw-proofs/tests/relay_duty.rs
@@ -1,7 +1,7 @@
 //! Only relays watch the platform; the other routers learn from them.
 
 use jackdaw_base::TicketNumber;
-use jackdaw_platform::ChangeTicket;
+use jackdaw_objects::ChangeTicket;
 use jackdaw_proofs::ProcessFleet;
 use jackdaw_proofs::fleet::{ADMIN_KEY, customer, wait_until};
 use jackdaw_proofs::process::FleetProcess;
--- a/crates/jackdaw-router/src/catalog_watch.rs
+++ b/crates/jackdaw-router/src/catalog_watch.rs
@@ -2,7 +2,7 @@
 
 use actix::Addr;
 use actix_rt::task::JoinHandle;
-use jackdaw_platform::{CatalogFeed, FeedSettings, PlatformClient};
+use jackdaw_objects::{CatalogFeed, FeedSettings, PlatformClient};
 use tokio::sync::oneshot;
 
 use crate::decision_actor::{DecisionActor, LearnUpdate};
--- a/crates/jackdaw-router/src/daemon.rs
+++ b/crates/jackdaw-router/src/daemon.rs
@@ -9,7 +9,7 @@
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
 use jackdaw_daemon::AdminServer;
 use jackdaw_link::{LinkEndpoint, LinkGreeting, MESSAGE_VERSION, ProcessRole};
-use jackdaw_platform::PlatformClient;
+use jackdaw_objects::PlatformClient;
 use jackdaw_policy::{RouterCore, RouterSnapshot, SubsetNode};
 use jackdaw_telemetry::ReadyFlag;
 use tokio::sync::oneshot;
--- a/crates/jackdaw-router/src/decision_actor.rs
+++ b/crates/jackdaw-router/src/decision_actor.rs
@@ -13,7 +13,7 @@
     RequestId, ServiceId, VmId,
 };
 use jackdaw_link::{ControlMessage, RunRequest};
-use jackdaw_platform::ConfigCatalog;
+use jackdaw_objects::ConfigCatalog;
 use jackdaw_policy::{
     ArrivedRequest, CrashSuspects, RouterCommand, RouterCore, RouterEvent, RunFault,
     SuspectStanding,
--- a/crates/jackdaw-router/src/decision_actor/handler.rs
+++ b/crates/jackdaw-router/src/decision_actor/handler.rs
@@ -2,7 +2,7 @@
 
 use actix::{Context, Handler, MessageResult};
 use jackdaw_base::{DocumentKey, ErrorKind};
-use jackdaw_platform::CatalogUpdate;
+use jackdaw_objects::CatalogUpdate;
 use jackdaw_policy::RouterEvent;
 use jackdaw_telemetry::Readiness;
 
--- a/crates/jackdaw-router/src/decision_actor/message.rs
+++ b/crates/jackdaw-router/src/decision_actor/message.rs
@@ -3,7 +3,7 @@
 use actix::Message;
 use jackdaw_base::{ErrorKind, RequestId, VmId};
 use jackdaw_link::{ControlMessage, PeerLink};
-use jackdaw_platform::CatalogUpdate;
+use jackdaw_objects::CatalogUpdate;
 use jackdaw_policy::RouterSnapshot;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/jackdaw-router/src/options.rs
+++ b/crates/jackdaw-router/src/options.rs
@@ -8,7 +8,7 @@
 use jackdaw_base::{DomainId, ErrorKind};
 use jackdaw_daemon::{AdminOptions, open_identity, platform_settings};
 use jackdaw_link::{FleetIdentity, LinkSettings};
-use jackdaw_platform::PlatformSettings;
+use jackdaw_objects::PlatformSettings;
 use jackdaw_policy::RouterPolicy;
 use jackdaw_settings::{CallerTls, RouterSettings};
 use rustls::ServerConfig;
--- /dev/null
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -0,0 +1,140 @@
+//! Settings of an edge router.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::Report;
+use jackdaw_base::ErrorKind;
+
+use crate::LogSettings;
+use crate::reader::{SettingsReader, ValueRule, read_file};
+use crate::section::{ADDRESS, NAME};
+
+/// Addresses of other routers by IP number.
+const SEEDS: ValueRule<Vec<SocketAddrV4>> = ValueRule {
+    allowed: "addresses such as 10.0.0.5:7400, separated by commas",
+    parse: parse_seeds,
+};
+
+const RATIO: ValueRule<f64> = ValueRule { allowed: "a number from 0 to 10", parse: parse_ratio };
+
+const SECONDS: ValueRule<Duration> =
+    ValueRule { allowed: "seconds, more than 0 and at most 3600", parse: parse_seconds };
+
+/// Settings of an edge router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// The name of the VM.
+    pub name: String,
+    /// The failure domain.
+    pub domain: String,
+    /// The address for callers.
+    pub caller_address: SocketAddr,
+    /// The address at which the balancer asks for readiness.
+    pub readiness_address: SocketAddr,
+    /// The address at which other routers fetch configuration and targets.
+    pub peer_address: SocketAddrV4,
+    /// The port of the routers' reports to each other, the same on every VM.
+    pub report_port: u16,
+    /// The port of the metrics.
+    pub metrics_port: u16,
+    /// The peer addresses of some routers.
+    pub seeds: Vec<SocketAddrV4>,
+    /// The address of the platform's store.
+    pub store_address: SocketAddr,
+    /// The time from SIGTERM to SIGKILL.
+    pub shutdown_grace: Duration,
+    /// The window in which customers' shares are kept.
+    pub share_window: Duration,
+    /// The window of the budget of repeats.
+    pub repeat_window: Duration,
+    /// The repeats that each request earns the fleet.
+    pub repeat_ratio: f64,
+    /// The repeats that the fleet has besides in each window.
+    pub repeat_allowance: u32,
+    /// The log.
+    pub log: LogSettings,
+}
+
+impl EdgeSettings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where the file cannot be read, otherwise as [`EdgeSettings::parse`].
+    pub fn open(path: &Path) -> Result<EdgeSettings, Report<ErrorKind>> {
+        let text = read_file(path)?;
+        EdgeSettings::parse(&path.display().to_string(), &text)
+    }
+
+    /// Reads a text; the file name is for faults only.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsInvalid` with [`crate::SettingsFaults`] attached.
+    pub fn parse(file_name: &str, text: &str) -> Result<EdgeSettings, Report<ErrorKind>> {
+        let mut reader = SettingsReader::new(file_name, text)?;
+        let settings = EdgeSettings::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    /// Returns the IP number of this router.
+    pub fn ip(&self) -> Ipv4Addr {
+        *self.peer_address.ip()
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Option<EdgeSettings> {
+        let name = reader.required("process", "name", &NAME);
+        let domain = reader.required("process", "domain", &NAME);
+        let caller_address = reader.required("listen", "callers", &ADDRESS);
+        let readiness_address = reader.required("listen", "readiness", &ADDRESS);
+        let peer_address = reader.required("listen", "peers", &ADDRESS);
+        let report_port = reader.number("listen", "report_port", 1..=65_535, 7400);
+        let metrics_port = reader.number("listen", "metrics_port", 1..=65_535, 7401);
+        let seeds = reader.optional("peers", "seeds", &SEEDS);
+        let store_address = reader.required("store", "address", &ADDRESS);
+        let grace = reader.optional("limits", "shutdown_grace_s", &SECONDS);
+        let share_window = reader.optional("limits", "share_window_s", &SECONDS);
+        let repeat_window = reader.optional("limits", "repeat_window_s", &SECONDS);
+        let repeat_ratio = reader.optional("limits", "repeat_ratio", &RATIO);
+        let repeat_allowance = reader.number("limits", "repeat_allowance", 0..=1_000_000, 0);
+        let log = LogSettings::read(reader);
+        let SocketAddr::V4(peer_address) = peer_address? else {
+            reader.fault("listen", "peers", "an IPv6 address".into(), "an IPv4 address".into());
+            return None;
+        };
+        Some(EdgeSettings {
+            name: name?,
+            domain: domain?,
+            caller_address: caller_address?,
+            readiness_address: readiness_address?,
+            peer_address,
+            report_port: report_port? as u16,
+            metrics_port: metrics_port? as u16,
+            seeds: seeds?.unwrap_or_default(),
+            store_address: store_address?,
+            shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
+            share_window: share_window?.unwrap_or(Duration::from_secs(4)),
+            repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)),
+            repeat_ratio: repeat_ratio?.unwrap_or(0.2),
+            repeat_allowance: repeat_allowance? as u32,
+            log: log?,
+        })
+    }
+}
+
+fn parse_seeds(text: &str) -> Option<Vec<SocketAddrV4>> {
+    let words = text.split(',').map(str::trim).filter(|word| !word.is_empty());
+    words.map(|word| word.parse().ok()).collect()
+}
+
+fn parse_ratio(text: &str) -> Option<f64> {
+    let ratio: f64 = text.parse().ok()?;
+    (0.0..=10.0).contains(&ratio).then_some(ratio)
+}
+
+fn parse_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    (seconds > 0.0 && seconds <= 3600.0).then(|| Duration::from_secs_f64(seconds))
+}
--- a/crates/jackdaw-settings/src/section.rs
+++ b/crates/jackdaw-settings/src/section.rs
@@ -63,7 +63,7 @@
 };
 
 const OUTPUT: ValueRule<LogOutput> =
-    ValueRule { allowed: "stderr or the path of a file", parse: parse_output };
+    ValueRule { allowed: "stderr, stdout or the path of a file", parse: parse_output };
 
 /// Section `[process]`: who and where the process is.
 #[derive(Debug, Clone, PartialEq)]
@@ -154,6 +154,8 @@
 pub enum LogOutput {
     /// Standard error.
     StandardError,
+    /// Standard output, through a bounded buffer that never blocks the process.
+    StandardOutput,
     /// A file, to which lines are appended.
     File(PathBuf),
 }
@@ -215,6 +217,7 @@
 fn parse_output(text: &str) -> Option<LogOutput> {
     match text {
         "stderr" => Some(LogOutput::StandardError),
+        "stdout" => Some(LogOutput::StandardOutput),
         path => parse_path(path).map(LogOutput::File),
     }
 }
--- a/crates/jackdaw-telemetry/src/log_line.rs
+++ b/crates/jackdaw-telemetry/src/log_line.rs
@@ -12,6 +12,8 @@
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
 
+use crate::log_buffer::LogBuffer;
+
 /// The fields that each line has; key-value fields of the same names are left out.
 const FIXED_FIELDS: [&str; 5] = ["time", "level", "process", "target", "message"];
 
@@ -40,6 +42,7 @@
     let dispatch = Dispatch::new().level(settings.level).format(format);
     match &settings.output {
         LogOutput::StandardError => Ok(dispatch.chain(std::io::stderr())),
+        LogOutput::StandardOutput => Ok(dispatch.chain(LogBuffer::shared().writer())),
         LogOutput::File(path) => {
             let file = fern::log_file(path)
                 .change_context(ErrorKind::LocalResource)
--- a/crates/jackdaw-telemetry/src/problem.rs
+++ b/crates/jackdaw-telemetry/src/problem.rs
@@ -60,6 +60,12 @@
     }
 }
 
+/// Returns the document for an error as JSON text.
+pub fn problem_text(kind: ErrorKind, detail: &str, retry_after: Duration) -> String {
+    // Serialising strings and numbers does not fail.
+    serde_json::to_string(&describe(kind, detail, retry_after)).unwrap_or_default()
+}
+
 /// Returns the answer to an error, with the kind's status and the given detail.
 pub fn problem_response(kind: ErrorKind, detail: &str) -> HttpResponse {
     retry_response(kind, detail, Duration::ZERO)
