--- a/crates/jackdaw-edge/src/answer_relay.rs
+++ b/crates/jackdaw-edge/src/answer_relay.rs
@@ -113,7 +113,7 @@
                 if let RelayPhase::Streaming(source) = &self.phase {
                     source.guard.note_started();
                 }
-                self.context.note_first_byte();
+                self.context.note_bytes();
                 let whole = self.cutter.push(bytes);
                 (!whole.is_empty()).then_some(Some(Ok(whole)))
             }
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -58,6 +58,8 @@
     expected: Cell<Duration>,
     share_used: Cell<f64>,
     first_byte: Cell<Option<Duration>>,
+    last_byte: Cell<Duration>,
+    longest_pause: Cell<Duration>,
     is_finished: Cell<bool>,
     _open: OpenCall,
 }
@@ -165,6 +167,8 @@
         expected: Cell::new(Duration::ZERO),
         share_used: Cell::new(0.0),
         first_byte: Cell::new(None),
+        last_byte: Cell::new(Duration::ZERO),
+        longest_pause: Cell::new(Duration::ZERO),
         is_finished: Cell::new(false),
         head,
         _open: open,
@@ -221,7 +225,7 @@
     };
     match answer {
         Ok(TargetAnswer::Whole(parts, body)) => {
-            context.note_first_byte();
+            context.note_bytes();
             context.finish("answered", parts.status.as_u16());
             build_response(&parts, AnswerBody::whole(body))
         }
@@ -299,13 +303,16 @@
         tokio::time::Instant::from_std(inner.received + limit)
     }
 
-    /// Notes the first bytes of the answer.
-    pub fn note_first_byte(&self) {
+    /// Notes bytes of the answer: the first ones, and the pauses between later ones.
+    pub fn note_bytes(&self) {
         let inner = &self.inner;
+        let elapsed = inner.received.elapsed();
+        let last = inner.last_byte.replace(elapsed);
         if inner.first_byte.get().is_some() {
+            let pause = elapsed.saturating_sub(last);
+            inner.longest_pause.set(inner.longest_pause.get().max(pause));
             return;
         }
-        let elapsed = inner.received.elapsed();
         inner.first_byte.set(Some(elapsed));
         let labels = [("route", inner.route.name.as_str())];
         inner.state.metrics.first_byte.observe(&labels, elapsed.as_secs_f64());
@@ -344,6 +351,7 @@
             unrun_sends = inner.unrun_sends.get(),
             expected_ms = inner.expected.get().as_millis() as u64,
             first_ms = inner.first_byte.get().map_or(0, |first| first.as_millis() as u64),
+            pause_ms = inner.longest_pause.get().as_millis() as u64,
             total_ms = elapsed.as_millis() as u64,
             share_used = inner.share_used.get(),
             config = inner.config_version;
