Place requests with one shared part at two targets only

Change: the first two targets of the part's rendezvous order are candidates; reading shared parts again weighs twelve times as much as waiting.

--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -22,11 +22,14 @@
 use crate::direct::target_book::{TargetBook, TargetEntry, TargetId};
 use crate::direct::target_health::{FaultKind, TargetHealth};
 use crate::direct::target_speed::TargetSpeed;
-use crate::rendezvous::rendezvous_weight;
+use crate::rendezvous::rendezvous_top;
 
 /// Latency objective where no route states one.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
 
+/// Targets among which requests with one shared part are placed.
+const CANDIDATE_TARGETS: usize = 2;
+
 /// Time within which broken connections and a refused one are of the same crash.
 const CRASH_SPAN: Duration = Duration::from_millis(1500);
 
@@ -418,16 +421,17 @@
     ) -> Vec<PlacementTarget> {
         let memory = self.table.as_ref().and_then(|table| table.service(call.service));
         let memory_tokens = memory.and_then(|service| service.memory_tokens);
-        let home = self.home_target(call);
-        let mut targets = Vec::new();
-        for entry in self.targets.ready_targets(call.service) {
-            let target = entry.id();
-            if tried.contains(&target) || !self.health.is_usable(now, target) {
-                continue;
-            }
-            targets.push(self.placement_target(now, call, entry, memory_tokens, home));
-        }
-        targets
+        let usable = self.targets.ready_targets(call.service).map(TargetEntry::id);
+        let usable: Vec<TargetId> = usable
+            .filter(|target| !tried.contains(target) && self.health.is_usable(now, *target))
+            .collect();
+        let candidates = candidate_targets(call.prompt, usable);
+        let entries = self.targets.ready_targets(call.service);
+        let entries = entries.filter(|entry| candidates.contains(&entry.id()));
+        let home = candidates.first().copied();
+        entries
+            .map(|entry| self.placement_target(now, call, entry, memory_tokens, home))
+            .collect()
     }
 
     fn placement_target(
@@ -463,13 +467,6 @@
         }
     }
 
-    /// Returns the target at which all routers bring together requests with one shared part.
-    fn home_target(&self, call: &ArrivedCall<'_>) -> Option<TargetId> {
-        let part = call.prompt?.shared_part()?;
-        let targets = self.targets.ready_targets(call.service).map(TargetEntry::id);
-        targets.max_by_key(|target| (rendezvous_weight(part.id, VmId(target.0)), *target))
-    }
-
     /// Takes the runs that broke at a target as evidence once it refuses connections.
     fn learn_crash(&mut self, now: MonotonicTime, target: TargetId) {
         let broken = self.broken.extract_if(.., |run| run.target == target);
@@ -492,3 +489,16 @@
         self.evidence.push((evidence, now));
     }
 }
+
+/// Returns the targets among which a request is placed, its home target first.
+///
+/// All routers bring requests with the same shared part together at the same few targets, so
+/// that the part is read there once. Without shared parts every target will do.
+fn candidate_targets(prompt: Option<&PromptShape>, usable: Vec<TargetId>) -> Vec<TargetId> {
+    let Some(part) = prompt.and_then(PromptShape::shared_part) else {
+        return usable;
+    };
+    let nodes: Vec<VmId> = usable.into_iter().map(|target| VmId(target.0)).collect();
+    let top = rendezvous_top(part.id, &nodes, CANDIDATE_TARGETS);
+    top.into_iter().map(|node| TargetId(node.0)).collect()
+}
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -14,7 +14,7 @@
 use crate::direct::target_book::TargetId;
 
 /// Weight of reading shared parts again against waiting: it costs the requests behind as well.
-const REREAD_WEIGHT: f64 = 3.0;
+const REREAD_WEIGHT: f64 = 12.0;
 
 /// Wait that a run in progress stands for, since it slows every step of its target.
 const RUNNING_WAIT: Duration = Duration::from_micros(500);
