Let requests wait by what their customer is owed

Change: service counts unshared prompt tokens once and written ones twice; customers stand in one of three tiers by their max-min share of the stated throughput and of the started one, and each tier may wait a different part of the latency objective (0.4, 0.15, 0.02).

--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -20,7 +20,7 @@
 pub mod target_health;
 pub mod target_speed;
 
-pub use customer_ledger::{CustomerLedger, CustomerStanding};
+pub use customer_ledger::{CustomerLedger, CustomerStanding, ShareTier};
 pub use direct_router::{ArrivedCall, DirectPolicy, DirectRouter, RunEnd, RunId};
 pub use fleet_config::{
     CallerLimits, CustomerKeys, FleetConfig, RequestKind, RouteRecord, ServiceShape, ServiceSplit,
--- a/crates/jackdaw-policy/src/direct/customer_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/customer_ledger.rs
@@ -1,29 +1,57 @@
 //! Service of customers within a sliding window, over all routers, against their fair share.
 //!
 //! The share is max-min: a customer that asks for less than an even part gets what it asks for,
-//! and the others divide the rest evenly.
+//! and the others divide the rest evenly. What is divided is both what the fleet is stated to
+//! produce, which customers are owed, and what it really started, which is to be even as well.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, plain_data};
 
 use crate::direct::peer_report::CustomerUse;
 
 /// Parts into which the window is cut.
 const WINDOW_PARTS: u32 = 8;
 
-/// Time for which a computed share is used.
-const SHARE_LIFETIME: Duration = Duration::from_millis(100);
+/// Time for which computed levels are used.
+const LEVEL_LIFETIME: Duration = Duration::from_millis(100);
+
+plain_data! {
+    copy
+    /// How a customer's service within the window compares with its shares.
+    #[serde(rename_all = "kebab-case")]
+    pub enum ShareTier {
+        /// Below its share of what the fleet is stated to produce, and below an even division
+        /// of what the fleet really started.
+        Owed,
+        /// Beyond one of the two.
+        Surplus,
+        /// Beyond both.
+        Excess,
+    }
+}
 
 /// What a customer has had against its share.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CustomerStanding {
-    /// The service of the customer within the window, divided by its fair share; zero where
-    /// every customer gets all that it asks for.
+    /// The tier.
+    pub tier: ShareTier,
+    /// The service of the customer within the window, divided by its share of what the fleet is
+    /// stated to produce; zero where every customer gets all that it asks for.
     pub share_used: f64,
 }
 
+impl CustomerStanding {
+    /// The standing of requests without a customer.
+    pub const UNCOUNTED: CustomerStanding =
+        CustomerStanding { tier: ShareTier::Owed, share_used: 0.0 };
+}
+
+/// The highest service within the window at which customers still have part in a division;
+/// `None` where all get what they ask for.
+type ShareLevel = Option<f64>;
+
 /// Counts of one customer.
 #[derive(Debug, Clone, Copy, Default)]
 struct UseCount {
@@ -58,9 +86,11 @@
     own: HashMap<CustomerId, UseCount>,
     others: HashMap<CustomerId, UseCount>,
     peers: HashMap<ProcessIncarnation, Vec<(CustomerId, UseCount)>>,
-    /// The fair share in tokens a window, `None` where all get what they ask for.
-    share: Option<f64>,
-    share_time: Option<MonotonicTime>,
+    /// The level of what the fleet is stated to produce, in tokens a window.
+    stated_level: ShareLevel,
+    /// The level of what the fleet really started, in tokens a window.
+    started_level: ShareLevel,
+    level_time: Option<MonotonicTime>,
 }
 
 impl CustomerLedger {
@@ -72,8 +102,9 @@
             own: HashMap::new(),
             others: HashMap::new(),
             peers: HashMap::new(),
-            share: None,
-            share_time: None,
+            stated_level: None,
+            started_level: None,
+            level_time: None,
         }
     }
 
@@ -95,16 +126,20 @@
         tokens_per_second: u64,
     ) -> CustomerStanding {
         self.drop_old(now);
-        let is_fresh = self.share_time.is_some_and(|time| now.since(time) < SHARE_LIFETIME);
+        let is_fresh = self.level_time.is_some_and(|time| now.since(time) < LEVEL_LIFETIME);
         if !is_fresh {
-            self.share = self.fair_share(tokens_per_second);
-            self.share_time = Some(now);
+            self.update_levels(tokens_per_second);
+            self.level_time = Some(now);
         }
-        let Some(share) = self.share else {
-            return CustomerStanding { share_used: 0.0 };
-        };
         let started = self.total(customer).started as f64;
-        CustomerStanding { share_used: started / share.max(1.0) }
+        let is_beyond = |level: ShareLevel| level.is_some_and(|level| started > level);
+        let tier = match (is_beyond(self.stated_level), is_beyond(self.started_level)) {
+            (false, false) => ShareTier::Owed,
+            (true, true) => ShareTier::Excess,
+            (true, false) | (false, true) => ShareTier::Surplus,
+        };
+        let share_used = self.stated_level.map_or(0.0, |level| started / level.max(1.0));
+        CustomerStanding { tier, share_used }
     }
 
     /// Returns this router's counts, for its report.
@@ -153,30 +188,17 @@
         total
     }
 
-    /// Returns the level at which the customers' shares add up to what the fleet produces.
-    ///
-    /// The fleet produces what it has really started where that is more than what is stated.
-    fn fair_share(&self, tokens_per_second: u64) -> Option<f64> {
-        let mut asked = Vec::new();
-        let mut started = 0.0;
-        for customer in self.customers() {
-            let total = self.total(customer);
-            // A request may be asked for before and started within the window.
-            asked.push(total.asked.max(total.started) as f64);
-            started += total.started as f64;
-        }
-        asked.sort_by(f64::total_cmp);
+    fn update_levels(&mut self, tokens_per_second: u64) {
+        let totals: Vec<UseCount> =
+            self.customers().into_iter().map(|customer| self.total(customer)).collect();
         let stated = tokens_per_second as f64 * self.window.as_secs_f64();
-        let mut left = stated.max(started);
-        let count = asked.len();
-        for (index, amount) in asked.into_iter().enumerate() {
-            let even = left / (count - index) as f64;
-            if amount > even {
-                return Some(even);
-            }
-            left -= amount;
-        }
-        None
+        let started = totals.iter().map(|total| total.started as f64).sum();
+        // A request may have been asked for before the window and started within it.
+        let asked = totals.iter().map(|total| total.asked.max(total.started) as f64);
+        let mut asked: Vec<f64> = asked.collect();
+        asked.sort_by(f64::total_cmp);
+        self.stated_level = max_min_level(&asked, stated);
+        self.started_level = max_min_level(&asked, started);
     }
 
     fn customers(&self) -> Vec<CustomerId> {
@@ -212,3 +234,17 @@
         }
     }
 }
+
+/// Returns the level at which amounts, each cut there, add up to a total; `None` where they do
+/// not reach it uncut. The amounts are in rising order.
+fn max_min_level(amounts: &[f64], total: f64) -> ShareLevel {
+    let mut left = total;
+    for (index, amount) in amounts.iter().enumerate() {
+        let even = left / (amounts.len() - index) as f64;
+        if *amount > even {
+            return Some(even);
+        }
+        left -= amount;
+    }
+    None
+}
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -240,7 +240,7 @@
         customer: Option<CustomerId>,
     ) -> CustomerStanding {
         let Some(customer) = customer else {
-            return CustomerStanding { share_used: 0.0 };
+            return CustomerStanding::UNCOUNTED;
         };
         let limits = self.table.as_ref().map(|table| &table.config().limits);
         let tokens_per_second = limits.map_or(0, |limits| limits.tokens_per_second);
@@ -429,9 +429,7 @@
         let entries = self.targets.ready_targets(call.service);
         let entries = entries.filter(|entry| candidates.contains(&entry.id()));
         let home = candidates.first().copied();
-        entries
-            .map(|entry| self.placement_target(now, call, entry, memory_tokens, home))
-            .collect()
+        entries.map(|entry| self.placement_target(now, call, entry, memory_tokens, home)).collect()
     }
 
     fn placement_target(
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -8,7 +8,7 @@
 
 use jackdaw_base::plain_data;
 
-use crate::direct::customer_ledger::CustomerStanding;
+use crate::direct::customer_ledger::{CustomerStanding, ShareTier};
 use crate::direct::load_book::TargetLoad;
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::target_book::TargetId;
@@ -28,15 +28,11 @@
 /// Part of a target's memory that runs may need.
 const MEMORY_PART: f64 = 0.9;
 
-/// Part of the service's shortest latency objective that requests within their customer's share
-/// may wait at a target.
-const WAIT_PART: f64 = 0.55;
-
-/// The same for customers far beyond their share.
-const EXCESS_WAIT_PART: f64 = 0.15;
-
-/// Use of the share from which the wait shrinks, and at which it is the shortest.
-const EXCESS_RANGE: (f64, f64) = (1.0, 1.4);
+/// Parts of the service's shortest latency objective that requests may wait at a target, by the
+/// tier of their customer.
+const OWED_WAIT_PART: f64 = 0.4;
+const SURPLUS_WAIT_PART: f64 = 0.15;
+const EXCESS_WAIT_PART: f64 = 0.02;
 
 /// Factor of the wait for each rank below the first.
 const RANK_FACTOR: f64 = 0.8;
@@ -177,7 +173,7 @@
         return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after: longest / 4 };
     };
     let limit = wait_limit(request);
-    let tried = if request.standing.share_used > 1.0 { 1 } else { 2 };
+    let tried = if request.standing.tier != ShareTier::Owed { 1 } else { 2 };
     for target in ranked.iter().take(tried) {
         let fits_time = target.expected() < request.time_left;
         if target.has_room(request) && fits_time && target.wait() <= limit {
@@ -193,19 +189,18 @@
 
 /// Returns how long a request may wait at a target.
 fn wait_limit(request: &PlacementRequest<'_>) -> Duration {
-    let (from, to) = EXCESS_RANGE;
-    let excess = ((request.standing.share_used - from) / (to - from)).clamp(0.0, 1.0);
-    let mut part = WAIT_PART + (EXCESS_WAIT_PART - WAIT_PART) * excess;
-    if request.is_return {
-        part = part.max(WAIT_PART);
-    }
+    let part = match request.standing.tier {
+        ShareTier::Owed => OWED_WAIT_PART,
+        ShareTier::Surplus => SURPLUS_WAIT_PART,
+        ShareTier::Excess => EXCESS_WAIT_PART,
+    };
     let factor = part * RANK_FACTOR.powi(request.rank.min(8) as i32);
     request.service_objective.mul_f64(factor)
 }
 
 fn refuse(request: &PlacementRequest<'_>, best: &PlacementTarget, limit: Duration) -> Placement {
     let (shortest, longest) = RETRY_RANGE;
-    if request.standing.share_used > 1.0 {
+    if request.standing.tier != ShareTier::Owed {
         let after = Duration::from_secs(1).mul_f64(request.standing.share_used.min(4.0));
         let retry_after = after.clamp(shortest, longest);
         return Placement::Refuse { reason: RefusalReason::OverShare, retry_after };
--- a/crates/jackdaw-policy/src/direct/prompt_shape.rs
+++ b/crates/jackdaw-policy/src/direct/prompt_shape.rs
@@ -49,9 +49,10 @@
         self.prompt_tokens.saturating_sub(self.shared_tokens())
     }
 
-    /// Returns the service that the request asks for, in tokens.
+    /// Returns the service that the request asks for, in tokens: shared parts are read once for
+    /// many requests and charged to none.
     pub fn charge(&self) -> u64 {
-        u64::from(self.prompt_tokens) + WRITTEN_TOKEN_WEIGHT * u64::from(self.output_tokens)
+        u64::from(self.own_tokens()) + WRITTEN_TOKEN_WEIGHT * u64::from(self.output_tokens)
     }
 
     /// Returns the memory that a run needs, in tokens.
