Keep callers' connections within the process's descriptors; let pressure decide what waits

Refused callers open a new connection for each retry and leave the old one idle for 15 s, so connections waited unaccepted until their callers had left.

Change: the oldest callers' connections are recalled beyond half of the descriptors; a lack of descriptors is not held against the target; a request is sent only after its connection has seen whether the caller left. Tiers, second places and spills to other targets go by the mean wait of the last 1.5 s. The model crate plays patterns of load against the decision code.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -92,8 +92,13 @@
         .keep_alive(state.stage() == EdgeStage::Serving);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let ticket = state.callers.add();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = ticket.wait_recalled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
         () = state.wait_closing() => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -9,6 +9,7 @@
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::watch;
 
+use crate::caller_connections::CallerConnections;
 use crate::edge_metrics::EdgeMetrics;
 use crate::target_pool::TargetPool;
 
@@ -31,6 +32,8 @@
     pub metrics: EdgeMetrics,
     /// The connections to targets.
     pub pool: TargetPool,
+    /// The connections of callers.
+    pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
     stage: watch::Sender<EdgeStage>,
     open_calls: Cell<usize>,
@@ -49,13 +52,14 @@
         };
         let router = DirectRouter::new(MonotonicTime(0), policy, ProcessIncarnation::random());
         Rc::new(EdgeState {
-            settings,
             metrics: EdgeMetrics::open(),
             pool: TargetPool::default(),
+            callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
             open_calls: Cell::new(0),
             origin: Instant::now(),
+            settings,
         })
     }
 
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -217,6 +217,8 @@
 
 /// Sends an admitted request and builds the answer to its caller.
 async fn answer_call(context: &CallContext) -> Response<AnswerBody> {
+    // The connection sees first whether its caller has left while the request waited unread.
+    tokio::task::yield_now().await;
     context.note_arrival();
     let deadline = context.deadline_at();
     let answer = match tokio::time::timeout_at(deadline, obtain_answer(context, None)).await {
@@ -463,13 +465,14 @@
             router.begin_run(inner.state.now(), &self.arrived(), target, read_tokens)
         };
         let mut guard = RunGuard::new(&inner.state, run);
-        let connection = self.connect(target, address).await;
-        let Some(connection) = connection else {
-            guard.end(RunEnd::Unreachable);
-            inner.unrun_sends.set(inner.unrun_sends.get() + 1);
-            return SendOutcome::NotRun;
-        };
-        guard.attach(connection);
+        match self.connect(target, address).await {
+            Ok(connection) => guard.attach(connection),
+            Err(end) => {
+                guard.end(end);
+                inner.unrun_sends.set(inner.unrun_sends.get() + 1);
+                return SendOutcome::NotRun;
+            }
+        }
         let call = TargetCall {
             target: &name,
             customer: inner.customer.as_ref().map(|customer| customer.name.as_str()),
@@ -501,11 +504,15 @@
         }
     }
 
-    /// Returns an idle connection or a new one; `None` where the target cannot be reached.
-    async fn connect(&self, target: TargetId, address: SocketAddr) -> Option<TargetConnection> {
+    /// Returns an idle connection or a new one, or how the run ends without one.
+    async fn connect(
+        &self,
+        target: TargetId,
+        address: SocketAddr,
+    ) -> Result<TargetConnection, RunEnd> {
         let state = &self.inner.state;
         if let Some(connection) = state.pool.take_idle(target) {
-            return Some(connection);
+            return Ok(connection);
         }
         self.connect_anew(target, address).await
     }
@@ -514,21 +521,24 @@
         &self,
         target: TargetId,
         address: SocketAddr,
-    ) -> Option<TargetConnection> {
+    ) -> Result<TargetConnection, RunEnd> {
         let state = &self.inner.state;
         state.metrics.connections.inc();
-        match state.pool.connect(target, address).await {
-            Ok(connection) => Some(connection),
-            Err(error) => {
-                log::info!(
-                    request:% = self.inner.head.id,
-                    address:% = address,
-                    error:% = error;
-                    "no connection to the target"
-                );
-                None
-            }
+        let error = match state.pool.connect(target, address).await {
+            Ok(connection) => return Ok(connection),
+            Err(error) => error,
+        };
+        log::info!(
+            request:% = self.inner.head.id,
+            address:% = address,
+            error:% = error;
+            "no connection to the target"
+        );
+        if is_local_shortage(&error) {
+            state.callers.recall_some();
+            return Err(RunEnd::Abandoned);
         }
+        Err(RunEnd::Unreachable)
     }
 
     /// Sends on the guard's connection, and once more on a new one where nothing was sent.
@@ -548,7 +558,7 @@
             Err(SendFault::NotSent(request)) => request,
         };
         let connection = self.connect_anew(target, address).await;
-        guard.attach(connection.ok_or(TransferFault::NotSent)?);
+        guard.attach(connection.map_err(|_| TransferFault::NotSent)?);
         let Some(connection) = guard.connection() else {
             return Err(TransferFault::NotSent);
         };
@@ -667,6 +677,12 @@
     Broken(hyper::Error),
 }
 
+/// Returns whether this process lacks descriptors; the target is not to blame then.
+fn is_local_shortage(error: &std::io::Error) -> bool {
+    const TOO_MANY_OPEN_FILES: [i32; 2] = [23, 24];
+    error.raw_os_error().is_some_and(|code| TOO_MANY_OPEN_FILES.contains(&code))
+}
+
 impl Drop for CallState {
     fn drop(&mut self) {
         if !self.is_finished.get() {
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! routers, and [`peer_snapshot`] brings what only they know while the store is away.
 
 pub mod answer_relay;
+pub mod caller_connections;
 pub mod caller_server;
 pub mod edge_daemon;
 pub mod edge_metrics;
--- /dev/null
+++ b/crates/jackdaw-model/examples/patterns.rs
@@ -0,0 +1,52 @@
+//! Plays load patterns with the product's placement and with the baseline, side by side.
+//!
+//! Usage: `cargo run --release -p jackdaw-model --example patterns -- [SEED]`
+
+use std::time::Duration;
+
+use jackdaw_model::load_pattern::assistant_mix;
+use jackdaw_model::{FleetShape, LoadPattern, ModelFleet, PlacementRule};
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(1);
+    println!("seed {seed}; shares of requests; tokens in thousands");
+    println!("pattern          rule     on time  late  refused  worst customer  read  shared read");
+    for (name, rate, customers, clump) in patterns() {
+        let mix = assistant_mix();
+        let length = Duration::from_secs(20);
+        let pattern = LoadPattern { length, rate, mix, customers, clump };
+        let rules = match std::env::args().nth(2).as_deref() {
+            Some("product") => vec![PlacementRule::Product],
+            _ => vec![PlacementRule::Product, PlacementRule::Random],
+        };
+        for rule in rules {
+            let shape = FleetShape { rule, ..FleetShape::default() };
+            let report = ModelFleet::play(shape, pattern.draw(seed), seed);
+            let all = report.all;
+            println!(
+                "{name:16} {:8} {:7.3} {:5.3} {:8.3} {:15.3} {:5} {:12}",
+                format!("{rule:?}").to_lowercase(),
+                all.on_time_share(),
+                all.late as f64 / all.requests.max(1) as f64,
+                all.refused_share(),
+                report.worst_customer(),
+                report.tokens_read / 1000,
+                report.shared_tokens_read / 1000,
+            );
+        }
+    }
+}
+
+/// Returns name, rate, customers' parts and clump of each pattern.
+fn patterns() -> Vec<(&'static str, f64, Vec<f64>, u32)> {
+    let even = vec![1.0; 16];
+    let mut hot = even.clone();
+    hot[0] = 9.0;
+    hot[1] = 7.0;
+    vec![
+        ("calm", 200.0, even.clone(), 3),
+        ("busy", 280.0, even.clone(), 3),
+        ("overload", 420.0, even, 3),
+        ("hot customers", 420.0, hot, 3),
+    ]
+}
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod customer_ledger;
 pub mod direct_router;
 pub mod fleet_config;
+pub mod fleet_wait;
 pub mod load_book;
 pub mod peer_report;
 pub mod placement;
@@ -25,6 +26,7 @@
 pub use fleet_config::{
     CallerLimits, CustomerKeys, FleetConfig, RequestKind, RouteRecord, ServiceShape, ServiceSplit,
 };
+pub use fleet_wait::FleetWait;
 pub use load_book::{LoadBook, TargetLoad};
 pub use peer_report::{CustomerUse, PeerReport, RefusedCall, TargetUse};
 pub use placement::{Placement, PlacementRequest, RefusalReason};
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -9,6 +9,7 @@
 use crate::crash_suspects::{CrashSuspects, SuspectStanding};
 use crate::direct::customer_ledger::{CustomerLedger, CustomerStanding};
 use crate::direct::fleet_config::FleetConfig;
+use crate::direct::fleet_wait::FleetWait;
 use crate::direct::load_book::LoadBook;
 use crate::direct::peer_report::PeerReport;
 use crate::direct::placement::{
@@ -130,6 +131,7 @@
     prefixes: PrefixMap,
     ledger: CustomerLedger,
     budgets: HashMap<String, RepeatBudget>,
+    fleet_waits: HashMap<String, FleetWait>,
     suspects: CrashSuspects,
     evidence: Vec<(CrashEvidence, MonotonicTime)>,
     broken: Vec<BrokenRun>,
@@ -157,6 +159,7 @@
             health: TargetHealth::default(),
             prefixes: PrefixMap::default(),
             budgets: HashMap::new(),
+            fleet_waits: HashMap::new(),
             suspects: CrashSuspects::default(),
             evidence: Vec::new(),
             broken: Vec::new(),
@@ -224,8 +227,9 @@
             let reason = RefusalReason::Quarantined;
             return Placement::Refuse { reason, retry_after: QUARANTINE_RETRY };
         }
-        let request = self.placement_request(now, call);
         let targets = self.placement_targets(now, call, tried);
+        let fleet_wait = self.observe_wait(now, call.service, &targets);
+        let request = self.placement_request(now, call, fleet_wait);
         let placement = choose_target(&request, &targets);
         if let Placement::Refuse { retry_after, .. } = placement {
             self.returns.note_refused(now, call.fingerprint, retry_after);
@@ -399,6 +403,7 @@
         &mut self,
         now: MonotonicTime,
         call: &ArrivedCall<'a>,
+        fleet_wait: Duration,
     ) -> PlacementRequest<'a> {
         let standing = self.standing(now, call.customer);
         let table = self.table.as_ref();
@@ -410,6 +415,25 @@
             standing,
             rank: call.rank,
             is_return: self.returns.is_return(now, call.fingerprint),
+            fleet_wait,
+        }
+    }
+
+    /// Takes in the waits at a service's targets; returns their mean over the last seconds.
+    fn observe_wait(
+        &mut self,
+        now: MonotonicTime,
+        service: &str,
+        targets: &[PlacementTarget],
+    ) -> Duration {
+        let total: Duration = targets.iter().map(PlacementTarget::wait).sum();
+        let mean = total / targets.len().max(1) as u32;
+        match self.fleet_waits.get_mut(service) {
+            Some(wait) => wait.observe(now, mean),
+            None => {
+                let wait = self.fleet_waits.entry(service.to_owned()).or_default();
+                wait.observe(now, mean)
+            }
         }
     }
 
@@ -425,11 +449,12 @@
         let usable: Vec<TargetId> = usable
             .filter(|target| !tried.contains(target) && self.health.is_usable(now, *target))
             .collect();
-        let candidates = candidate_targets(call.prompt, usable);
+        let candidates = candidate_targets(call.prompt, usable.clone());
         let entries = self.targets.ready_targets(call.service);
-        let entries = entries.filter(|entry| candidates.contains(&entry.id()));
-        let home = candidates.first().copied();
-        entries.map(|entry| self.placement_target(now, call, entry, memory_tokens, home)).collect()
+        entries
+            .filter(|entry| usable.contains(&entry.id()))
+            .map(|entry| self.placement_target(now, call, entry, memory_tokens, &candidates))
+            .collect()
     }
 
     fn placement_target(
@@ -438,13 +463,14 @@
         call: &ArrivedCall<'_>,
         entry: &TargetEntry,
         memory_tokens: Option<u64>,
-        home: Option<TargetId>,
+        candidates: &[TargetId],
     ) -> PlacementTarget {
         let target = entry.id();
+        let is_home = candidates.first() == Some(&target);
         let load = self.loads.load(target);
-        let missing = call.prompt.map_or(0, |prompt| {
-            self.prefixes.missing_tokens(now, target, prompt, home == Some(target))
-        });
+        let missing = call
+            .prompt
+            .map_or(0, |prompt| self.prefixes.missing_tokens(now, target, prompt, is_home));
         let own = call.prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
         let base_time = match memory_tokens {
             Some(_) => self.speeds.first_event_overhead(),
@@ -462,6 +488,7 @@
             base_time,
             failure_share: self.health.failure_share(now, target),
             is_near: entry.domain == self.policy.domain,
+            is_candidate: candidates.contains(&target),
         }
     }
 
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -34,6 +34,17 @@
 const SURPLUS_WAIT_PART: f64 = 0.15;
 const EXCESS_WAIT_PART: f64 = 0.02;
 
+/// The same at targets where the request's shared parts do not lie: only such as are all but
+/// idle read them once more.
+const SPILL_WAIT_PART: f64 = 0.06;
+
+/// Mean wait over all targets and some seconds, in parts of the objective, from which the fleet
+/// counts as under pressure, and at which the pressure is full.
+const PRESSURE_RANGE: (f64, f64) = (0.05, 0.15);
+
+/// Pressure up to which requests go to targets where their shared parts do not lie.
+const SPILL_PRESSURE: f64 = 0.5;
+
 /// Factor of the wait for each rank below the first.
 const RANK_FACTOR: f64 = 0.8;
 
@@ -55,6 +66,8 @@
     pub rank: u32,
     /// Whether the request comes back after a refusal.
     pub is_return: bool,
+    /// The mean wait at the service's targets over the last seconds.
+    pub fleet_wait: Duration,
 }
 
 /// A target as the choice sees it.
@@ -82,6 +95,8 @@
     pub failure_share: f64,
     /// Whether it is in the router's failure domain.
     pub is_near: bool,
+    /// Whether requests with the same shared part are brought together here.
+    pub is_candidate: bool,
 }
 
 plain_data! {
@@ -123,7 +138,7 @@
 
 impl PlacementTarget {
     /// Returns the time that a request waits before the target begins to read it.
-    fn wait(&self) -> Duration {
+    pub fn wait(&self) -> Duration {
         if self.memory_tokens.is_some() {
             return self.queue_time;
         }
@@ -167,14 +182,22 @@
 /// Chooses a target for a request among those that are usable.
 pub fn choose_target(request: &PlacementRequest<'_>, targets: &[PlacementTarget]) -> Placement {
     let mut ranked: Vec<&PlacementTarget> = targets.iter().collect();
-    ranked.sort_by(|a, b| a.cost().total_cmp(&b.cost()));
+    ranked.sort_by(|a, b| b.is_candidate.cmp(&a.is_candidate).then(a.cost().total_cmp(&b.cost())));
     let Some(best) = ranked.first() else {
         let (_, longest) = RETRY_RANGE;
         return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after: longest / 4 };
     };
-    let limit = wait_limit(request);
-    let tried = if request.standing.tier != ShareTier::Owed { 1 } else { 2 };
+    let pressure = pressure(request);
+    let limit = wait_limit(request, pressure);
+    let spill_limit = request.service_objective.mul_f64(SPILL_WAIT_PART).min(limit);
+    // Under pressure only what is owed may take the second place of its shared part.
+    let is_first_only = pressure >= SPILL_PRESSURE && request.standing.tier != ShareTier::Owed;
+    let tried = if is_first_only { 1 } else { ranked.len() };
     for target in ranked.iter().take(tried) {
+        if !target.is_candidate && pressure >= SPILL_PRESSURE {
+            break;
+        }
+        let limit = if target.is_candidate { limit } else { spill_limit };
         let fits_time = target.expected() < request.time_left;
         if target.has_room(request) && fits_time && target.wait() <= limit {
             return Placement::Send {
@@ -187,13 +210,23 @@
     refuse(request, best, limit)
 }
 
-/// Returns how long a request may wait at a target.
-fn wait_limit(request: &PlacementRequest<'_>) -> Duration {
-    let part = match request.standing.tier {
+/// Returns how busy the fleet has been for some seconds, from 0 to 1.
+fn pressure(request: &PlacementRequest<'_>) -> f64 {
+    let objective = request.service_objective.as_secs_f64().max(f64::MIN_POSITIVE);
+    let wait = request.fleet_wait.as_secs_f64() / objective;
+    let (from, to) = PRESSURE_RANGE;
+    ((wait - from) / (to - from)).clamp(0.0, 1.0)
+}
+
+/// Returns how long a request may wait at a target: the same for all while the fleet has room,
+/// and by the tier of its customer under pressure.
+fn wait_limit(request: &PlacementRequest<'_>, pressure: f64) -> Duration {
+    let tier_part = match request.standing.tier {
         ShareTier::Owed => OWED_WAIT_PART,
         ShareTier::Surplus => SURPLUS_WAIT_PART,
         ShareTier::Excess => EXCESS_WAIT_PART,
     };
+    let part = OWED_WAIT_PART + pressure * (tier_part - OWED_WAIT_PART);
     let factor = part * RANK_FACTOR.powi(request.rank.min(8) as i32);
     request.service_objective.mul_f64(factor)
 }
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -43,6 +43,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// The address of the platform's store.
     pub store_address: SocketAddr,
+    /// The descriptors that the process may have open.
+    pub descriptors: usize,
     /// The time from SIGTERM to SIGKILL.
     pub shutdown_grace: Duration,
     /// The window in which customers' shares are kept.
@@ -94,6 +96,7 @@
         let metrics_port = reader.number("listen", "metrics_port", 1..=65_535, 7401);
         let seeds = reader.optional("peers", "seeds", &SEEDS);
         let store_address = reader.required("store", "address", &ADDRESS);
+        let descriptors = reader.number("limits", "descriptors", 256..=10_000_000, 4096);
         let grace = reader.optional("limits", "shutdown_grace_s", &SECONDS);
         let share_window = reader.optional("limits", "share_window_s", &SECONDS);
         let repeat_window = reader.optional("limits", "repeat_window_s", &SECONDS);
@@ -114,6 +117,7 @@
             metrics_port: metrics_port? as u16,
             seeds: seeds?.unwrap_or_default(),
             store_address: store_address?,
+            descriptors: descriptors? as usize,
             shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
             share_window: share_window?.unwrap_or(Duration::from_secs(4)),
             repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)),
