Let requests that can still be on time go before late returns

Change: a request that comes back beyond its customer's share waits for an idle target under pressure; owed requests may wait 0.6 of the objective, excess ones 0.05. The log names the tier. Memory of shared parts counts once for all runs.

--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -13,7 +13,8 @@
 use jackdaw_base::{CustomerId, ErrorKind};
 use jackdaw_platform::{AnswerHead, AnswerSource, CallHead, TargetCall, target_request};
 use jackdaw_policy::direct::{
-    ArrivedCall, KeyFault, Placement, RequestKind, RouteRecord, RouteTable, RunEnd, TargetId,
+    ArrivedCall, CustomerStanding, KeyFault, Placement, RequestKind, RouteRecord, RouteTable,
+    RunEnd, TargetId,
 };
 use xxhash_rust::xxh3::Xxh3;
 
@@ -56,7 +57,7 @@
     tried: std::cell::RefCell<Vec<TargetId>>,
     last_target: Cell<u64>,
     expected: Cell<Duration>,
-    share_used: Cell<f64>,
+    standing: Cell<CustomerStanding>,
     first_byte: Cell<Option<Duration>>,
     last_byte: Cell<Duration>,
     longest_pause: Cell<Duration>,
@@ -165,7 +166,7 @@
         tried: std::cell::RefCell::default(),
         last_target: Cell::new(0),
         expected: Cell::new(Duration::ZERO),
-        share_used: Cell::new(0.0),
+        standing: Cell::new(CustomerStanding::UNCOUNTED),
         first_byte: Cell::new(None),
         last_byte: Cell::new(Duration::ZERO),
         longest_pause: Cell::new(Duration::ZERO),
@@ -355,7 +356,8 @@
             first_ms = inner.first_byte.get().map_or(0, |first| first.as_millis() as u64),
             pause_ms = inner.longest_pause.get().as_millis() as u64,
             total_ms = elapsed.as_millis() as u64,
-            share_used = inner.share_used.get(),
+            tier:? = inner.standing.get().tier,
+            share_used = inner.standing.get().share_used,
             config = inner.config_version;
             "request ended"
         );
@@ -398,7 +400,7 @@
         let mut router = inner.state.router();
         let now = inner.state.now();
         let customer = inner.customer.as_ref().map(|customer| customer.customer);
-        inner.share_used.set(router.standing(now, customer).share_used);
+        inner.standing.set(router.standing(now, customer));
         router.place(now, &self.arrived(), &inner.tried.borrow())
     }
 
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -29,10 +29,10 @@
 const MEMORY_PART: f64 = 0.9;
 
 /// Parts of the service's shortest latency objective that requests may wait at a target, by the
-/// tier of their customer.
-const OWED_WAIT_PART: f64 = 0.4;
+/// tier of their customer; what is owed leaves the rest of the objective for its own reading.
+const OWED_WAIT_PART: f64 = 0.6;
 const SURPLUS_WAIT_PART: f64 = 0.15;
-const EXCESS_WAIT_PART: f64 = 0.02;
+const EXCESS_WAIT_PART: f64 = 0.05;
 
 /// The same at targets where the request's shared parts do not lie: only such as are all but
 /// idle read them once more.
@@ -223,6 +223,8 @@
 fn wait_limit(request: &PlacementRequest<'_>, pressure: f64) -> Duration {
     let tier_part = match request.standing.tier {
         ShareTier::Owed => OWED_WAIT_PART,
+        // It is late already; requests that can still be on time go first.
+        ShareTier::Surplus | ShareTier::Excess if request.is_return => 0.0,
         ShareTier::Surplus => SURPLUS_WAIT_PART,
         ShareTier::Excess => EXCESS_WAIT_PART,
     };
--- a/crates/jackdaw-policy/src/direct/prompt_shape.rs
+++ b/crates/jackdaw-policy/src/direct/prompt_shape.rs
@@ -55,8 +55,9 @@
         u64::from(self.own_tokens()) + WRITTEN_TOKEN_WEIGHT * u64::from(self.output_tokens)
     }
 
-    /// Returns the memory that a run needs, in tokens.
+    /// Returns the memory that a run needs for itself, in tokens; shared parts lie there once
+    /// for all runs.
     pub fn memory_tokens(&self) -> u64 {
-        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
+        u64::from(self.own_tokens()) + u64::from(self.output_tokens)
     }
 }
--- /dev/null
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -0,0 +1,112 @@
+//! Values that several tests need.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_policy::direct::{
+    ArrivedCall, CallerLimits, CustomerKeys, DirectPolicy, DirectRouter, FleetConfig, PromptPart,
+    PromptShape, RequestKind, RouteRecord, ServiceShape, ServiceSplit, TargetChange, TargetEntry,
+    TargetState,
+};
+use smallvec::smallvec;
+
+pub(crate) const SERVICE: &str = "engines";
+
+pub(crate) fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime(millis * 1000)
+}
+
+pub(crate) fn route(name: &str, host: &str, prefix: &str) -> RouteRecord {
+    RouteRecord {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Stream { resumable: false },
+        timeout: Duration::from_secs(15),
+        latency_objective: Duration::from_millis(500),
+        priority: 0,
+        max_attempts: 1,
+        is_public: false,
+        services: vec![ServiceSplit { service: SERVICE.to_owned(), weight: 1 }],
+    }
+}
+
+pub(crate) fn config(version: u64) -> FleetConfig {
+    FleetConfig {
+        version,
+        routes: vec![route("all", "a.example", "/")],
+        services: vec![ServiceShape {
+            name: SERVICE.to_owned(),
+            connection_limit: 1000,
+            memory_tokens: Some(800_000),
+        }],
+        customers: vec![CustomerKeys {
+            customer: CustomerId::from_name("north"),
+            name: "north".to_owned(),
+            keys: vec!["key-of-north".to_owned()],
+            priority: None,
+        }],
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+            tokens_per_second: 100_000,
+        },
+    }
+}
+
+pub(crate) fn entry(name: &str, revision: u64) -> TargetEntry {
+    TargetEntry {
+        name: name.to_owned(),
+        service: SERVICE.to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
+        domain: "a".to_owned(),
+        slots: 64,
+        state: TargetState::Ready,
+        started_unix_ms: 1,
+        revision,
+    }
+}
+
+/// A router that knows a configuration and some targets.
+pub(crate) fn router(incarnation: u64, targets: usize) -> DirectRouter {
+    let policy = DirectPolicy {
+        domain: "a".to_owned(),
+        share_window: Duration::from_secs(4),
+        repeat_window: Duration::from_secs(10),
+        repeat_ratio: 0.2,
+        repeat_allowance: 100,
+    };
+    let mut router = DirectRouter::new(at(0), policy, ProcessIncarnation(incarnation));
+    router.install_config(config(1));
+    for index in 0..targets {
+        let entry = entry(&format!("target-{index}"), 1 + index as u64);
+        router.targets.apply(at(0), TargetChange::Present(entry));
+    }
+    router
+}
+
+/// A prompt with one shared part and some tokens of its own.
+pub(crate) fn prompt(shared: u64, shared_tokens: u32, own_tokens: u32) -> PromptShape {
+    PromptShape {
+        parts: smallvec![
+            PromptPart { id: shared, tokens: shared_tokens },
+            PromptPart { id: 999, tokens: own_tokens },
+        ],
+        prompt_tokens: shared_tokens + own_tokens,
+        output_tokens: 100,
+    }
+}
+
+pub(crate) fn call(prompt: Option<&PromptShape>, fingerprint: u64) -> ArrivedCall<'_> {
+    ArrivedCall {
+        customer: Some(CustomerId(1)),
+        rank: 0,
+        service: SERVICE,
+        prompt,
+        time_left: Duration::from_secs(15),
+        fingerprint,
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -0,0 +1,13 @@
+//! Decisions of a router that sends requests to targets itself.
+
+mod common;
+mod crash_quarantine;
+mod customer_shares;
+mod load_reports;
+mod prefix_homes;
+mod random_beliefs;
+mod repeat_limit;
+mod route_lookup;
+mod target_belief;
+mod target_faults;
+mod wait_tiers;
