--- a/crates/jackdaw-policy/src/direct/fleet_wait.rs
+++ b/crates/jackdaw-policy/src/direct/fleet_wait.rs
@@ -7,8 +7,8 @@
 
 use jackdaw_base::MonotonicTime;
 
-/// Time over which waits are averaged; long against bursts, short against surges.
-const AVERAGING_TIME: Duration = Duration::from_millis(1500);
+/// Time over which waits are averaged: the window in which customers' shares are kept.
+const AVERAGING_TIME: Duration = Duration::from_millis(4000);
 
 /// Running mean of the wait at a service's targets.
 #[derive(Debug, Clone, Copy, Default)]
