--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -61,6 +61,7 @@
         let housekeeping = tokio::task::spawn_local(keep_house(Rc::clone(&state)));
         log::info!(
             node:% = settings.name,
+            incarnation:% = state.router().incarnation(),
             domain:% = settings.domain,
             callers:% = settings.caller_address,
             store:% = settings.store_address,
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -75,9 +75,9 @@
 /// What a target answered.
 enum TargetAnswer {
     /// A whole answer.
-    Whole(response::Parts, Bytes),
+    Whole(Box<response::Parts>, Bytes),
     /// A stream of events.
-    Stream(response::Parts, RelaySource),
+    Stream(Box<response::Parts>, RelaySource),
 }
 
 /// How one send ended.
@@ -592,7 +592,7 @@
                 guard.end(RunEnd::Broken);
                 SendOutcome::MayHaveRun
             }
-            AnswerSource::Ran => self.take_run(guard, head, parts, body).await,
+            AnswerSource::Ran => self.take_run(guard, head, Box::new(parts), body).await,
         }
     }
 
@@ -614,7 +614,7 @@
         &self,
         guard: RunGuard,
         head: AnswerHead,
-        parts: response::Parts,
+        parts: Box<response::Parts>,
         body: Incoming,
     ) -> SendOutcome {
         let inner = &self.inner;
@@ -659,7 +659,7 @@
     }
 
     /// Tries a further target after a failure; returns the first failure where that fails too.
-    async fn repeat_failed(&self, parts: response::Parts, body: Bytes) -> SendOutcome {
+    async fn repeat_failed(&self, parts: Box<response::Parts>, body: Bytes) -> SendOutcome {
         match self.place() {
             Placement::Refuse { .. } => SendOutcome::Answered(TargetAnswer::Whole(parts, body)),
             Placement::Send { target, expected, read_tokens } => {
--- /dev/null
+++ b/crates/jackdaw-edge/tests/edge/connection_limit.rs
@@ -0,0 +1,54 @@
+//! Callers' connections stay within the descriptors.
+
+use std::time::Duration;
+
+use jackdaw_edge::caller_connections::{CallerConnections, CallerTicket};
+
+/// Returns the positions of the connections that are told to close.
+async fn recalled(tickets: &[CallerTicket]) -> Vec<usize> {
+    let mut found = Vec::new();
+    for (position, ticket) in tickets.iter().enumerate() {
+        // A recall is kept until somebody waits for it.
+        if tokio::time::timeout(Duration::ZERO, ticket.wait_recalled()).await.is_ok() {
+            found.push(position);
+        }
+    }
+    found
+}
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    runtime.expect("a runtime").block_on(future)
+}
+
+#[test]
+fn oldest_connections_go_first() {
+    block_on(async {
+        let connections = CallerConnections::new(20);
+        let tickets: Vec<_> = (0..13).map(|_| connections.add()).collect();
+        assert_eq!(recalled(&tickets).await, [0, 1, 2]);
+    });
+}
+
+#[test]
+fn closed_connections_make_room() {
+    block_on(async {
+        let connections = CallerConnections::new(20);
+        for _ in 0..1000 {
+            let ticket = connections.add();
+            assert!(recalled(std::slice::from_ref(&ticket)).await.is_empty());
+        }
+        assert_eq!(connections.open(), 0);
+    });
+}
+
+#[test]
+fn shortage_recalls_some_at_once() {
+    block_on(async {
+        let connections = CallerConnections::new(1000);
+        let tickets: Vec<_> = (0..100).map(|_| connections.add()).collect();
+        connections.recall_some();
+        let count = recalled(&tickets).await.len();
+        assert!((1..100).contains(&count), "{count}");
+    });
+}
--- /dev/null
+++ b/crates/jackdaw-edge/tests/edge/main.rs
@@ -0,0 +1,5 @@
+//! Parts of the edge router.
+
+mod command_line;
+mod connection_limit;
+mod event_bounds;
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Returns the incarnation of this router.
+    pub fn incarnation(&self) -> ProcessIncarnation {
+        self.incarnation
+    }
+
     /// Returns the configuration in force; `None` before the first is known.
     pub fn table(&self) -> Option<&Rc<RouteTable>> {
         self.table.as_ref()
--- a/crates/jackdaw-settings/tests/settings/example_files.rs
+++ b/crates/jackdaw-settings/tests/settings/example_files.rs
@@ -5,7 +5,7 @@
 
 use jackdaw_base::{ServiceId, ServiceKind, VmId};
 use jackdaw_policy::SharePolicy;
-use jackdaw_settings::{AgentSettings, LogOutput, RouterSettings};
+use jackdaw_settings::{AgentSettings, EdgeSettings, LogOutput, RouterSettings};
 
 fn example(name: &str) -> PathBuf {
     [env!("CARGO_MANIFEST_DIR"), "../../examples", name].iter().collect()
@@ -29,6 +29,14 @@
     assert_eq!(settings.target.share_policy, SharePolicy::Fleet);
 }
 
+#[test]
+fn edge_example_is_allowed() {
+    let settings = EdgeSettings::open(&example("edge.ini")).expect("allowed");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.shutdown_grace, Duration::from_secs(8));
+    assert_eq!(settings.log.output, LogOutput::StandardOutput);
+}
+
 /// Each commented-out setting of the examples must be a real one with its real default.
 #[test]
 fn commented_defaults_are_real() {
@@ -46,6 +54,8 @@
     assert_eq!(router.requests, defaults.requests);
     assert_eq!(router.log, defaults.log);
     assert_eq!(router.platform.calls_per_second, defaults.platform.calls_per_second);
+    let edge = EdgeSettings::parse("edge.ini", &uncomment("edge.ini")).expect("allowed");
+    assert_eq!(edge, EdgeSettings::open(&example("edge.ini")).expect("allowed"));
     let agent = AgentSettings::parse("agent.ini", &uncomment("agent.ini")).expect("allowed");
     assert_eq!(agent.target, AgentSettings::open(&example("agent.ini")).expect("allowed").target);
 }
