Send owed requests to an all but idle target also under pressure

Cause: about a tenth of what customers are owed was refused because both targets of its shared part were busy, while others idled. Change: under pressure too an owed request may read its part again at a target with next to no queue.

--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -42,7 +42,8 @@
 /// counts as under pressure, and at which the pressure is full.
 const PRESSURE_RANGE: (f64, f64) = (0.05, 0.15);
 
-/// Pressure up to which requests go to targets where their shared parts do not lie.
+/// Pressure up to which requests beyond their customer's share go to other targets than the first
+/// of their shared part.
 const SPILL_PRESSURE: f64 = 0.5;
 
 /// Factor of the wait for each rank below the first.
@@ -190,13 +191,10 @@
     let pressure = pressure(request);
     let limit = wait_limit(request, pressure);
     let spill_limit = request.service_objective.mul_f64(SPILL_WAIT_PART).min(limit);
-    // Under pressure only what is owed may take the second place of its shared part.
+    // Under pressure only what is owed may go to other targets than its first.
     let is_first_only = pressure >= SPILL_PRESSURE && request.standing.tier != ShareTier::Owed;
     let tried = if is_first_only { 1 } else { ranked.len() };
     for target in ranked.iter().take(tried) {
-        if !target.is_candidate && pressure >= SPILL_PRESSURE {
-            break;
-        }
         let limit = if target.is_candidate { limit } else { spill_limit };
         let fits_time = target.expected() < request.time_left;
         if target.has_room(request) && fits_time && target.wait() <= limit {
