--- a/crates/jackdaw-edge/src/answer_relay.rs
+++ b/crates/jackdaw-edge/src/answer_relay.rs
@@ -11,9 +11,10 @@
 use jackdaw_policy::direct::RunEnd;
 use tokio::time::Sleep;
 
+use crate::call_context::CallContext;
 use crate::event_cutter::EventCutter;
-use crate::exchange::{CallContext, resume_stream};
 use crate::run_guard::RunGuard;
+use crate::target_send::resume_stream;
 
 /// Body of an answer to a caller.
 pub enum AnswerBody {
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -1,12 +1,13 @@
 //! Edge router: takes callers' requests and sends them to targets itself.
 //!
 //! Stages of a request: [`caller_server`] takes the connection; [`exchange`] reads the request,
-//! asks [`jackdaw_policy::direct`] where it goes and sends it; [`target_pool`] keeps the
-//! connections to targets; [`answer_relay`] passes the answer on. Beside them [`store_watch`]
+//! asks [`jackdaw_policy::direct`] where it goes; [`target_send`] sends it on a connection of the
+//! [`target_pool`]; [`answer_relay`] passes the answer on. Beside them [`store_watch`]
 //! follows configuration and targets, [`peer_reports`] exchanges load and shares with the other
 //! routers, and [`peer_snapshot`] brings what only they know while the store is away.
 
 pub mod answer_relay;
+pub mod call_context;
 pub mod caller_connections;
 pub mod caller_server;
 pub mod edge_daemon;
@@ -21,3 +22,4 @@
 pub mod service_server;
 pub mod store_watch;
 pub mod target_pool;
+pub mod target_send;
--- /dev/null
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -0,0 +1,326 @@
+//! Sending a request to targets, and what their answers mean for it.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use jackdaw_base::ErrorKind;
+use jackdaw_platform::{AnswerHead, AnswerSource, TargetCall, target_request};
+use jackdaw_policy::direct::{Placement, RequestKind, RunEnd, TargetId};
+
+use crate::answer_relay::RelaySource;
+use crate::call_context::CallContext;
+use crate::own_answer::OwnAnswer;
+use crate::run_guard::RunGuard;
+use crate::target_pool::{SendFault, TargetConnection};
+
+/// The most bytes of an answer that is read whole before it is passed on.
+const WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// What a target answered.
+pub(crate) enum TargetAnswer {
+    /// A whole answer.
+    Whole(Box<response::Parts>, Bytes),
+    /// A stream of events.
+    Stream(Box<response::Parts>, RelaySource),
+}
+
+/// How one send ended.
+enum SendOutcome {
+    Answered(TargetAnswer),
+    /// No target ran the request; another may be tried.
+    NotRun,
+    /// A target may have run the request.
+    MayHaveRun,
+}
+
+/// How a request failed on its way to a target.
+enum TransferFault {
+    NotSent,
+    Broken(hyper::Error),
+}
+
+/// Goes on with a stream at another target after an event; `None` where it may not.
+pub(crate) async fn resume_stream(context: CallContext, after: Option<u64>) -> Option<RelaySource> {
+    if !context.may_repeat() {
+        return None;
+    }
+    match obtain_answer(&context, after).await {
+        Ok(TargetAnswer::Stream(_, source)) => Some(source),
+        Ok(TargetAnswer::Whole(parts, _)) => {
+            context.note_no_resumption(parts.status.as_str());
+            None
+        }
+        Err(answer) => {
+            context.note_no_resumption(answer.kind.slug());
+            None
+        }
+    }
+}
+
+/// Sends a request to targets until one answers or none may be tried.
+pub(crate) async fn obtain_answer(
+    context: &CallContext,
+    resume_after: Option<u64>,
+) -> Result<TargetAnswer, OwnAnswer> {
+    loop {
+        match context.place() {
+            Placement::Refuse { reason, retry_after } => {
+                if context.inner.runs.get() > 0 {
+                    return Err(OwnAnswer::new(ErrorKind::Interrupted, "the target broke off"));
+                }
+                return Err(OwnAnswer::refusal(reason, retry_after));
+            }
+            Placement::Send { target, expected, read_tokens } => {
+                context.note_placement(target, expected);
+                match context.send(target, read_tokens, resume_after).await {
+                    SendOutcome::Answered(answer) => return Ok(answer),
+                    SendOutcome::NotRun => context.check_unrun_sends()?,
+                    SendOutcome::MayHaveRun => {
+                        if !context.may_repeat() {
+                            let detail = "the target broke off";
+                            return Err(OwnAnswer::new(ErrorKind::Interrupted, detail));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl CallContext {
+    /// Sends the request to a target.
+    async fn send(
+        &self,
+        target: TargetId,
+        read_tokens: u64,
+        resume_after: Option<u64>,
+    ) -> SendOutcome {
+        let inner = &self.inner;
+        let entry = inner
+            .state
+            .router()
+            .targets
+            .find(target)
+            .map(|entry| (entry.name.clone(), entry.address));
+        let Some((name, address)) = entry else {
+            return SendOutcome::NotRun;
+        };
+        let run = {
+            let mut router = inner.state.router();
+            router.begin_run(inner.state.now(), &self.arrived(), target, read_tokens)
+        };
+        let mut guard = RunGuard::new(&inner.state, run);
+        match self.connect(target, address).await {
+            Ok(connection) => guard.attach(connection),
+            Err(end) => {
+                guard.end(end);
+                inner.unrun_sends.set(inner.unrun_sends.get() + 1);
+                return SendOutcome::NotRun;
+            }
+        }
+        let call = TargetCall {
+            target: &name,
+            customer: inner.request.customer.as_ref().map(|customer| customer.name.as_str()),
+            time_left: self.time_left(),
+            resume_after,
+        };
+        let request = target_request(&inner.request.parts, inner.request.body.clone(), &call);
+        inner.runs.set(inner.runs.get() + 1);
+        inner.state.metrics.sends.inc();
+        let answer = self.transfer(&mut guard, request, target, address).await;
+        match answer {
+            Ok(answer) => self.take_answer(guard, answer).await,
+            Err(TransferFault::NotSent) => {
+                inner.runs.set(inner.runs.get() - 1);
+                inner.unrun_sends.set(inner.unrun_sends.get() + 1);
+                guard.end(RunEnd::Unreachable);
+                SendOutcome::NotRun
+            }
+            Err(TransferFault::Broken(error)) => {
+                log::info!(
+                    request:% = inner.request.head.id,
+                    target:% = name,
+                    error:% = error;
+                    "the target broke off before its answer"
+                );
+                guard.end(RunEnd::Broken);
+                SendOutcome::MayHaveRun
+            }
+        }
+    }
+
+    /// Returns an idle connection or a new one, or how the run ends without one.
+    async fn connect(
+        &self,
+        target: TargetId,
+        address: SocketAddr,
+    ) -> Result<TargetConnection, RunEnd> {
+        let state = &self.inner.state;
+        if let Some(connection) = state.pool.take_idle(target) {
+            return Ok(connection);
+        }
+        self.connect_anew(target, address).await
+    }
+
+    async fn connect_anew(
+        &self,
+        target: TargetId,
+        address: SocketAddr,
+    ) -> Result<TargetConnection, RunEnd> {
+        let state = &self.inner.state;
+        state.metrics.connections.inc();
+        let error = match state.pool.connect(target, address).await {
+            Ok(connection) => return Ok(connection),
+            Err(error) => error,
+        };
+        log::info!(
+            request:% = self.inner.request.head.id,
+            address:% = address,
+            error:% = error;
+            "no connection to the target"
+        );
+        if is_local_shortage(&error) {
+            state.callers.recall_some();
+            return Err(RunEnd::Abandoned);
+        }
+        Err(RunEnd::Unreachable)
+    }
+
+    /// Sends on the guard's connection, and once more on a new one where nothing was sent.
+    async fn transfer(
+        &self,
+        guard: &mut RunGuard,
+        request: Request<Full<Bytes>>,
+        target: TargetId,
+        address: SocketAddr,
+    ) -> Result<Response<Incoming>, TransferFault> {
+        let Some(connection) = guard.connection() else {
+            return Err(TransferFault::NotSent);
+        };
+        let request = match connection.send(request).await {
+            Ok(answer) => return Ok(answer),
+            Err(SendFault::Broken(error)) => return Err(TransferFault::Broken(error)),
+            Err(SendFault::NotSent(request)) => request,
+        };
+        let connection = self.connect_anew(target, address).await;
+        guard.attach(connection.map_err(|_| TransferFault::NotSent)?);
+        let Some(connection) = guard.connection() else {
+            return Err(TransferFault::NotSent);
+        };
+        match connection.send(*request).await {
+            Ok(answer) => Ok(answer),
+            Err(SendFault::Broken(error)) => Err(TransferFault::Broken(error)),
+            Err(SendFault::NotSent(_)) => Err(TransferFault::NotSent),
+        }
+    }
+
+    /// Decides what an answer's head means for the request.
+    async fn take_answer(&self, guard: RunGuard, answer: Response<Incoming>) -> SendOutcome {
+        let inner = &self.inner;
+        let (parts, body) = answer.into_parts();
+        let head = AnswerHead::read(&parts, &inner.request.head.id);
+        match head.source {
+            AnswerSource::NotRun => self.note_unrun(guard, RunEnd::Rejected),
+            AnswerSource::OtherTarget => self.note_unrun(guard, RunEnd::Replaced),
+            AnswerSource::OtherRequest => {
+                log::warn!(
+                    request:% = inner.request.head.id,
+                    target_id = inner.last_target.get(),
+                    status = head.status.as_u16();
+                    "an answer to another request, dropped with its connection"
+                );
+                if let Some(connection) = inner.tried.borrow().last() {
+                    inner.state.pool.note_stray_answer(*connection);
+                }
+                guard.end(RunEnd::Broken);
+                SendOutcome::MayHaveRun
+            }
+            AnswerSource::Ran => self.take_run(guard, head, Box::new(parts), body).await,
+        }
+    }
+
+    fn note_unrun(&self, guard: RunGuard, end: RunEnd) -> SendOutcome {
+        let inner = &self.inner;
+        log::info!(
+            request:% = inner.request.head.id,
+            target_id = inner.last_target.get(),
+            reason:? = end;
+            "the target did not run the request"
+        );
+        inner.runs.set(inner.runs.get() - 1);
+        inner.unrun_sends.set(inner.unrun_sends.get() + 1);
+        guard.end(end);
+        SendOutcome::NotRun
+    }
+
+    async fn take_run(
+        &self,
+        guard: RunGuard,
+        head: AnswerHead,
+        parts: Box<response::Parts>,
+        body: Incoming,
+    ) -> SendOutcome {
+        let inner = &self.inner;
+        let is_stream = matches!(inner.request.route.kind, RequestKind::Stream { .. });
+        if is_stream && head.is_signed_success() {
+            return SendOutcome::Answered(TargetAnswer::Stream(parts, RelaySource { guard, body }));
+        }
+        guard.note_started();
+        let body = Limited::new(body, WHOLE_ANSWER_BYTES).collect().await;
+        let body = match body {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                log::info!(
+                    request:% = inner.request.head.id,
+                    target_id = inner.last_target.get(),
+                    error:% = error;
+                    "the target's answer is not whole"
+                );
+                guard.end(RunEnd::Broken);
+                return SendOutcome::MayHaveRun;
+            }
+        };
+        if head.status.is_success() && !head.is_sealed {
+            log::warn!(request:% = inner.request.head.id, target_id = inner.last_target.get(); "an answer without a signature, dropped");
+            guard.end(RunEnd::Broken);
+            return SendOutcome::MayHaveRun;
+        }
+        if head.status.is_success() || !head.status.is_server_error() {
+            guard.end(RunEnd::Whole);
+        } else {
+            guard.end(RunEnd::Failed);
+        }
+        // A status that promises no run would be false here.
+        if head.promises_no_run() {
+            return SendOutcome::MayHaveRun;
+        }
+        if head.status == StatusCode::INTERNAL_SERVER_ERROR && self.may_repeat() {
+            // The failed answer is kept back: a further target may do better.
+            return self.repeat_failed(parts, body).await;
+        }
+        SendOutcome::Answered(TargetAnswer::Whole(parts, body))
+    }
+
+    /// Tries a further target after a failure; returns the first failure where that fails too.
+    async fn repeat_failed(&self, parts: Box<response::Parts>, body: Bytes) -> SendOutcome {
+        match self.place() {
+            Placement::Refuse { .. } => SendOutcome::Answered(TargetAnswer::Whole(parts, body)),
+            Placement::Send { target, expected, read_tokens } => {
+                self.note_placement(target, expected);
+                match Box::pin(self.send(target, read_tokens, None)).await {
+                    SendOutcome::Answered(answer) => SendOutcome::Answered(answer),
+                    _ => SendOutcome::Answered(TargetAnswer::Whole(parts, body)),
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether this process lacks descriptors; the target is not to blame then.
+fn is_local_shortage(error: &std::io::Error) -> bool {
+    const TOO_MANY_OPEN_FILES: [i32; 2] = [23, 24];
+    error.raw_os_error().is_some_and(|code| TOO_MANY_OPEN_FILES.contains(&code))
+}
