Hash a target's name without copying it

Cause: direct_slopes shows 42 us a decision at 12 targets, most of it copies of names for hashes. Change: the start of the target is the seed of the hash. 42 -> 12 us a request at 12 targets, 434 -> 171 us at 200 (one machine, release, beside other load).

--- /dev/null
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -0,0 +1,110 @@
+//! What the decisions of a router without agents cost, by the size of the fleet.
+//!
+//! Usage: `cargo run --release -p jackdaw-policy --example direct_slopes`
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_policy::direct::{
+    ArrivedCall, DirectPolicy, DirectRouter, Placement, PromptPart, PromptShape, RunEnd,
+    TargetChange, TargetEntry, TargetState,
+};
+use smallvec::smallvec;
+
+const SERVICE: &str = "engines";
+const REQUESTS: u64 = 20_000;
+
+fn main() {
+    println!("targets customers routers | us a request | us a report taken in | bytes a report");
+    for (targets, customers, routers) in
+        [(12, 16, 8), (48, 32, 40), (200, 100, 40), (200, 1000, 40), (933, 1000, 300)]
+    {
+        measure(targets, customers, routers);
+    }
+}
+
+fn measure(targets: usize, customers: u64, routers: usize) {
+    let mut fleet: Vec<DirectRouter> =
+        (0..routers).map(|index| router(index as u64 + 1, targets)).collect();
+    let reports: Vec<_> = fleet
+        .iter_mut()
+        .map(|router| {
+            load(router, customers, 200);
+            router.report(MonotonicTime(400_000))
+        })
+        .collect();
+    let bytes = postcard::to_stdvec(&reports[0]).expect("plain data").len();
+    let first = &mut fleet[0];
+    let start = Instant::now();
+    for report in &reports[1..] {
+        first.learn_report(MonotonicTime(500_000), report);
+    }
+    let report_micros = start.elapsed().as_secs_f64() * 1e6 / (routers - 1) as f64;
+    let start = Instant::now();
+    load(first, customers, REQUESTS);
+    let micros = start.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64;
+    println!(
+        "{targets:7} {customers:9} {routers:7} | {micros:12.2} | {report_micros:20.2} | {bytes:14}"
+    );
+}
+
+/// Takes requests as they come and ends each when forty others have begun.
+fn load(router: &mut DirectRouter, customers: u64, requests: u64) {
+    let mut runs = std::collections::VecDeque::new();
+    for number in 0..requests {
+        let now = MonotonicTime(500_000 + number * 2_000);
+        let prompt = PromptShape {
+            parts: smallvec![
+                PromptPart { id: number % 300, tokens: 400 },
+                PromptPart { id: number, tokens: 600 },
+            ],
+            prompt_tokens: 1000,
+            output_tokens: 100,
+        };
+        let call = ArrivedCall {
+            customer: Some(CustomerId(number % customers)),
+            rank: 0,
+            service: SERVICE,
+            prompt: Some(&prompt),
+            time_left: Duration::from_secs(15),
+            fingerprint: number,
+        };
+        router.note_arrival(now, &call);
+        if let Placement::Send { target, read_tokens, .. } = router.place(now, &call, &[]) {
+            runs.push_back(router.begin_run(now, &call, target, read_tokens));
+        }
+        if runs.len() > 40
+            && let Some(run) = runs.pop_front()
+        {
+            router.note_started(now, run);
+            router.end_run(now, run, RunEnd::Whole);
+        }
+    }
+}
+
+fn router(incarnation: u64, targets: usize) -> DirectRouter {
+    let policy = DirectPolicy {
+        domain: "a".to_owned(),
+        share_window: Duration::from_secs(4),
+        repeat_window: Duration::from_secs(10),
+        repeat_ratio: 0.2,
+        repeat_allowance: 100,
+    };
+    let now = MonotonicTime(0);
+    let mut router = DirectRouter::new(now, policy, ProcessIncarnation(incarnation));
+    for index in 0..targets {
+        let entry = TargetEntry {
+            name: format!("target-{index}"),
+            service: SERVICE.to_owned(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
+            domain: "a".to_owned(),
+            slots: 128,
+            state: TargetState::Ready,
+            started_unix_ms: 1,
+            revision: 1 + index as u64,
+        };
+        router.targets.apply(now, TargetChange::Present(entry));
+    }
+    router
+}
--- a/crates/jackdaw-policy/src/direct/target_book.rs
+++ b/crates/jackdaw-policy/src/direct/target_book.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time after the store's return within which live targets have registered again, as the
 /// platform states it.
@@ -61,10 +61,8 @@
 impl TargetEntry {
     /// Returns the identifier of this start of the target.
     pub fn id(&self) -> TargetId {
-        let mut bytes = self.name.clone().into_bytes();
-        bytes.extend_from_slice(&self.started_unix_ms.to_le_bytes());
         // Half of the hash tells a fleet's targets apart and keeps reports short.
-        TargetId(xxh3_64(&bytes) >> 32)
+        TargetId(xxh3_64_with_seed(self.name.as_bytes(), self.started_unix_ms) >> 32)
     }
 }
 
