--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -18,7 +18,8 @@
 use crate::edge_state::EdgeState;
 use crate::peer_snapshot::fetch_snapshot;
 
-/// Pause between two reports while the fleet is small.
+/// Pause between two reports while the fleet is small: a fifth of the shortest latency objectives,
+/// so that a choice sees most of the others' sends.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 
 /// Pause for each known router, where that is longer: it bounds the datagrams a second.
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -11,7 +11,8 @@
 
 use crate::edge_state::EdgeState;
 
-/// Time for which the store may hold a watch; a connection gone silent is noticed after it.
+/// Time for which the store may hold a watch. A connection gone silent is noticed after it, within
+/// the three seconds after which the platform expects a calm machine to act again.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
 /// Bounds of the pause after a failed call.
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -18,7 +18,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// The longest time in which a connection to a target is made.
+/// The longest time in which a connection to a target is made: within the shortest latency
+/// objectives, far above the way between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The time for which an idle connection is kept where the target states none.
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -3,6 +3,8 @@
 //! A prompt's shared parts lie where requests with them were sent before. The choice weighs the
 //! wait at each target against the reading that a target without the parts would repeat, and
 //! refuses at once where the wait would grow beyond what the customer may cause.
+//!
+//! The weights and parts come from the comparison in `docs/HEAVY-DAYS.md`.
 
 use std::time::Duration;
 
@@ -31,7 +33,9 @@
 /// Parts of the service's shortest latency objective that requests may wait at a target, by the
 /// tier of their customer; what is owed leaves the rest of the objective for its own reading.
 const OWED_WAIT_PART: f64 = 0.6;
+/// As [`OWED_WAIT_PART`], for surplus.
 const SURPLUS_WAIT_PART: f64 = 0.15;
+/// As [`OWED_WAIT_PART`], for excess.
 const EXCESS_WAIT_PART: f64 = 0.05;
 
 /// The same at targets where the request's shared parts do not lie: only such as are all but
@@ -49,7 +53,8 @@
 /// Factor of the wait for each rank below the first.
 const RANK_FACTOR: f64 = 0.8;
 
-/// Bounds of the time after which a refused caller may come back.
+/// Bounds of the time after which a refused caller may come back: a queue's length, and the window
+/// in which customers' shares are kept.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
 
 /// What a request needs of a target.
--- a/crates/jackdaw-policy/src/direct/target_health.rs
+++ b/crates/jackdaw-policy/src/direct/target_health.rs
@@ -7,7 +7,8 @@
 
 use crate::direct::target_book::TargetId;
 
-/// Time for which a target is left out after its first failed connection.
+/// Time for which a target is left out after its first failed connection; some connection timeouts
+/// of a crashed process that starts again.
 const FIRST_EXCLUSION: Duration = Duration::from_millis(250);
 
 /// Longest time for which a target is left out.
