--- a/crates/jackdaw-model/tests/patterns/calm_bursts.rs
+++ b/crates/jackdaw-model/tests/patterns/calm_bursts.rs
@@ -21,7 +21,8 @@
         let worst = report.worst_customer();
         assert!(worst >= ON_TIME_TARGET - 0.05, "seed {seed}: customer {worst:.3}");
         for (kind, result) in &report.kinds {
-            assert!(result.on_time_share() >= ON_TIME_TARGET - 0.05, "seed {seed}: kind {kind}");
+            let share = result.on_time_share();
+            assert!(share >= ON_TIME_TARGET - 0.05, "seed {seed}: kind {kind}: {share:.3}");
         }
     }
 }
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -44,7 +44,7 @@
 
 /// Mean wait over all targets and some seconds, in parts of the objective, from which the fleet
 /// counts as under pressure, and at which the pressure is full.
-const PRESSURE_RANGE: (f64, f64) = (0.05, 0.15);
+const PRESSURE_RANGE: (f64, f64) = (0.05, 0.2);
 
 /// Pressure up to which requests beyond their customer's share go to other targets than the first
 /// of their shared part.
