--- a/crates/jackdaw-edge/src/call_context.rs
+++ b/crates/jackdaw-edge/src/call_context.rs
@@ -19,6 +19,9 @@
 /// The least time left for which a request is sent to a further target.
 const REPEAT_TIME: Duration = Duration::from_millis(30);
 
+/// Stands in the log for the status of a request without an answer.
+const NO_STATUS: u16 = 0;
+
 /// An admitted request.
 pub(crate) struct CallRequest {
     /// The head as the caller sent it.
@@ -136,33 +139,7 @@
 
     /// Logs and counts the end of the request, the first time it is told.
     pub fn finish(&self, outcome: &str, status: u16) {
-        let inner = &self.inner;
-        if inner.is_finished.replace(true) {
-            return;
-        }
-        let elapsed = inner.request.received.elapsed();
-        let metrics = &inner.state.metrics;
-        let route = inner.request.route.name.as_str();
-        metrics.answers.add(&[("route", route), ("outcome", outcome)], 1);
-        metrics.whole_answer.observe(&[("route", route)], elapsed.as_secs_f64());
-        log::info!(
-            request:% = inner.request.head.id,
-            route,
-            customer = inner.request.customer.as_ref().map_or("", |customer| customer.name.as_str()),
-            outcome,
-            status,
-            target_id = inner.last_target.get(),
-            runs = inner.runs.get(),
-            unrun_sends = inner.unrun_sends.get(),
-            expected_ms = inner.expected.get().as_millis() as u64,
-            first_ms = inner.first_byte.get().map_or(0, |first| first.as_millis() as u64),
-            pause_ms = inner.longest_pause.get().as_millis() as u64,
-            total_ms = elapsed.as_millis() as u64,
-            tier:? = inner.standing.get().tier,
-            share_used = inner.standing.get().share_used,
-            config = inner.request.config_version;
-            "request ended"
-        );
+        self.inner.finish(outcome, status);
     }
 
     /// Notes that the request has come, once.
@@ -238,7 +215,7 @@
             return Ok(());
         }
         if self.inner.runs.get() > 0 {
-            return Err(OwnAnswer::new(ErrorKind::Interrupted, "the target broke off"));
+            return Err(OwnAnswer::interrupted());
         }
         Err(OwnAnswer {
             kind: ErrorKind::NoCapacity,
@@ -256,20 +233,41 @@
     }
 }
 
+impl CallState {
+    /// Logs and counts the end of the request, the first time it is told.
+    fn finish(&self, outcome: &str, status: u16) {
+        if self.is_finished.replace(true) {
+            return;
+        }
+        let elapsed = self.request.received.elapsed();
+        let metrics = &self.state.metrics;
+        let route = self.request.route.name.as_str();
+        metrics.answers.add(&[("route", route), ("outcome", outcome)], 1);
+        metrics.whole_answer.observe(&[("route", route)], elapsed.as_secs_f64());
+        log::info!(
+            request:% = self.request.head.id,
+            route,
+            customer = self.request.customer.as_ref().map_or("", |customer| customer.name.as_str()),
+            outcome,
+            status,
+            target_id = self.last_target.get(),
+            runs = self.runs.get(),
+            unrun_sends = self.unrun_sends.get(),
+            expected_ms = self.expected.get().as_millis() as u64,
+            first_ms = self.first_byte.get().map_or(0, |first| first.as_millis() as u64),
+            pause_ms = self.longest_pause.get().as_millis() as u64,
+            total_ms = elapsed.as_millis() as u64,
+            tier:? = self.standing.get().tier,
+            share_used = self.standing.get().share_used,
+            config = self.request.config_version;
+            "request ended"
+        );
+    }
+}
+
 impl Drop for CallState {
+    /// A request that nobody waits for any more ends without an answer.
     fn drop(&mut self) {
-        if !self.is_finished.get() {
-            log::info!(
-                request:% = self.request.head.id,
-                route = self.request.route.name.as_str(),
-                outcome = "caller-left",
-                target_id = self.last_target.get(),
-                runs = self.runs.get(),
-                total_ms = self.request.received.elapsed().as_millis() as u64;
-                "request ended"
-            );
-            let labels = [("route", self.request.route.name.as_str()), ("outcome", "caller-left")];
-            self.state.metrics.answers.add(&labels, 1);
-        }
+        self.finish("caller-left", NO_STATUS);
     }
 }
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -58,7 +58,7 @@
         let reports = PeerReports::bind(&state).await?;
         let watch = StoreWatch::spawn(&state);
         let callers = CallerServer::bind(&state).await?;
-        let housekeeping = tokio::task::spawn_local(keep_house(Rc::clone(&state)));
+        let housekeeping = tokio::task::spawn_local(run_housekeeping(Rc::clone(&state)));
         log::info!(
             node:% = settings.name,
             incarnation:% = state.router().incarnation(),
@@ -128,7 +128,7 @@
     }
 }
 
-async fn keep_house(state: Rc<EdgeState>) {
+async fn run_housekeeping(state: Rc<EdgeState>) {
     loop {
         tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
         let now = state.now();
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -69,7 +69,8 @@
         retry_after: Duration::from_millis(500),
     })?;
     let route = table.find_route(&head.host, &head.path);
-    let route = route.ok_or(OwnAnswer::new(ErrorKind::NotFound, "no route leads there"))?;
+    let route =
+        route.ok_or(OwnAnswer::new(ErrorKind::NotFound, "no route matches host and path"))?;
     let customer = authorize(&table, route, &head)?;
     let service = table.pick_service(route, &head.id);
     let service =
@@ -103,7 +104,7 @@
     let customer = table.authorize(route, head.key.as_deref()).map_err(|fault| {
         let detail = match fault {
             KeyFault::Missing => "a key is needed",
-            KeyFault::Unknown => "the key is nobody's",
+            KeyFault::Unknown => "no customer has the key",
         };
         OwnAnswer::new(ErrorKind::Unauthorized, detail)
     })?;
--- a/crates/jackdaw-edge/src/own_answer.rs
+++ b/crates/jackdaw-edge/src/own_answer.rs
@@ -29,6 +29,11 @@
         OwnAnswer { kind, detail, retry_after: Duration::ZERO }
     }
 
+    /// Creates the answer to a request that a target may have run before its connection broke.
+    pub fn interrupted() -> OwnAnswer {
+        OwnAnswer::new(ErrorKind::Interrupted, "the target broke off")
+    }
+
     /// Creates the answer to a request that was refused before it was sent.
     pub fn refusal(reason: RefusalReason, retry_after: Duration) -> OwnAnswer {
         let (kind, detail) = match reason {
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -131,7 +131,7 @@
         let (config_version, targets_revision) = self.own_versions();
         if let Some(record) = self.peers.borrow_mut().get_mut(&sender) {
             if record.heard.is_none() {
-                log::info!(peer:% = sender; "router heard");
+                log::info!(peer:% = sender; "router reports");
             }
             let is_ahead = report.config_version > config_version
                 || report.targets_revision > targets_revision;
@@ -154,7 +154,7 @@
         self.peers.borrow_mut().retain(|ip, record| {
             let is_silent = record.heard.is_some_and(|heard| heard.elapsed() > PEER_LIFETIME);
             if is_silent {
-                log::info!(peer:% = ip; "router fell silent");
+                log::info!(peer:% = ip; "router no longer reports");
                 record.heard = None;
                 record.ahead_since = None;
             }
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to targets, kept while they are idle.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -60,7 +60,6 @@
 pub struct TargetPool {
     idle: RefCell<HashMap<TargetId, Vec<TargetConnection>>>,
     distrusted: RefCell<HashMap<TargetId, Instant>>,
-    opened: Cell<u64>,
 }
 
 impl TargetPool {
@@ -79,7 +78,6 @@
         target: TargetId,
         address: SocketAddr,
     ) -> io::Result<TargetConnection> {
-        self.opened.set(self.opened.get() + 1);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let probes = TcpKeepalive::new().with_time(PROBE_IDLE).with_interval(PROBE_INTERVAL);
@@ -126,11 +124,6 @@
         self.distrusted.borrow_mut().retain(|_, since| since.elapsed() < DISTRUST_SPAN);
     }
 
-    /// Returns the connections made so far, failed ones included.
-    pub fn opened(&self) -> u64 {
-        self.opened.get()
-    }
-
     fn is_distrusted(&self, target: TargetId) -> bool {
         let distrusted = self.distrusted.borrow();
         distrusted.get(&target).is_some_and(|since| since.elapsed() < DISTRUST_SPAN)
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -6,7 +6,6 @@
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use jackdaw_base::ErrorKind;
 use jackdaw_platform::{AnswerHead, AnswerSource, TargetCall, target_request};
 use jackdaw_policy::direct::{Placement, RequestKind, RunEnd, TargetId};
 
@@ -69,7 +68,7 @@
         match context.place() {
             Placement::Refuse { reason, retry_after } => {
                 if context.inner.runs.get() > 0 {
-                    return Err(OwnAnswer::new(ErrorKind::Interrupted, "the target broke off"));
+                    return Err(OwnAnswer::interrupted());
                 }
                 return Err(OwnAnswer::refusal(reason, retry_after));
             }
@@ -80,8 +79,7 @@
                     SendOutcome::NotRun => context.check_unrun_sends()?,
                     SendOutcome::MayHaveRun => {
                         if !context.may_repeat() {
-                            let detail = "the target broke off";
-                            return Err(OwnAnswer::new(ErrorKind::Interrupted, detail));
+                            return Err(OwnAnswer::interrupted());
                         }
                     }
                 }
@@ -232,9 +230,7 @@
                     status = head.status.as_u16();
                     "an answer to another request, dropped with its connection"
                 );
-                if let Some(connection) = inner.tried.borrow().last() {
-                    inner.state.pool.note_stray_answer(*connection);
-                }
+                inner.state.pool.note_stray_answer(TargetId(inner.last_target.get()));
                 guard.end(RunEnd::Broken);
                 SendOutcome::MayHaveRun
             }
@@ -288,11 +284,7 @@
             guard.end(RunEnd::Broken);
             return SendOutcome::MayHaveRun;
         }
-        if head.status.is_success() || !head.status.is_server_error() {
-            guard.end(RunEnd::Whole);
-        } else {
-            guard.end(RunEnd::Failed);
-        }
+        guard.end(if head.status.is_server_error() { RunEnd::Failed } else { RunEnd::Whole });
         // A status that promises no run would be false here.
         if head.promises_no_run() {
             return SendOutcome::MayHaveRun;
--- a/crates/jackdaw-model/src/model_report.rs
+++ b/crates/jackdaw-model/src/model_report.rs
@@ -7,7 +7,7 @@
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallOutcome {
-    /// Its first event came within the objective and no pause was too long.
+    /// First event and pauses were within their limits.
     OnTime,
     /// It was answered, but late.
     Late,
--- a/crates/jackdaw-policy/tests/support/fleet.rs
+++ b/crates/jackdaw-policy/tests/support/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "faults.rs"]
 mod faults;
+#[path = "links.rs"]
+mod links;
 #[path = "plan.rs"]
 pub(crate) mod plan;
 
@@ -9,13 +11,14 @@
 use std::time::Duration;
 
 use jackdaw_base::{
-    CustomerId, CustomerShare, DomainId, ErrorKind, MonotonicTime, NormalService, OfferId,
-    ProcessIncarnation, RequestClass, RequestId, RequestOutcome, ServiceId, VmId, WorkUnits,
+    CustomerShare, DomainId, ErrorKind, MonotonicTime, NormalService, OfferId, ProcessIncarnation,
+    RequestClass, RequestId, RequestOutcome, ServiceId, VmId, WorkUnits,
 };
 use jackdaw_policy::{
     AgentCommand, AgentCore, AgentEvent, ArrivedRequest, GapMonitor, RouterCommand, RouterCore,
-    RouterEvent, RunFault, SubsetNode, SubsetPolicy, gap_bound, linked_agents,
+    RouterEvent, RunFault, gap_bound,
 };
+use links::{AGENT_BASE, DOMAINS, ROUTER_BASE, agent_vm, customer_id, links, router_vm};
 use plan::{COST_MAX, FleetFault, FleetPlan, HintError, PLACE_RATE};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,13 +28,8 @@
 const STEP: u64 = SECOND / 4;
 /// Time from the start or end of a run until the other side knows, in microseconds.
 const RUN_DELAY: u64 = 700;
-const DOMAINS: u64 = 3;
-/// Routers that an agent chooses, beside the routers that choose it.
-const ROUTERS_PER_AGENT: u32 = 2;
 // Identifiers are as long on the wire as hashed names are.
 const SERVICE: ServiceId = ServiceId(1 << 63);
-const ROUTER_BASE: u64 = 1 << 63;
-const AGENT_BASE: u64 = 3 << 62;
 
 /// What a run of the fleet has shown; gap, bound and service in tokens.
 #[derive(Debug, Clone, Default)]
@@ -107,34 +105,6 @@
     result: FleetResult,
 }
 
-fn customer_id(index: usize) -> CustomerId {
-    CustomerId((1 << 63) + index as u64)
-}
-
-fn router_vm(index: usize) -> VmId {
-    VmId(ROUTER_BASE + index as u64)
-}
-
-fn agent_vm(index: usize) -> VmId {
-    VmId(AGENT_BASE + index as u64)
-}
-
-/// Returns the agents that each router is linked to.
-fn links(plan: &FleetPlan) -> Vec<Vec<usize>> {
-    let node = |vm, index| SubsetNode { vm, domain: DomainId(index as u64 % DOMAINS) };
-    let routers: Vec<SubsetNode> =
-        (0..plan.routers).map(|index| node(router_vm(index), index)).collect();
-    let agents: Vec<SubsetNode> =
-        (0..plan.agents).map(|index| node(agent_vm(index), index)).collect();
-    let policy = SubsetPolicy {
-        agents_per_router: plan.subset as u32,
-        routers_per_agent: ROUTERS_PER_AGENT,
-    };
-    let index = |agent: VmId| (agent.0 - AGENT_BASE) as usize;
-    let linked = |router: &SubsetNode| linked_agents(*router, &routers, &agents, &policy);
-    routers.iter().map(|router| linked(router).into_iter().map(index).collect()).collect()
-}
-
 impl Fleet {
     pub(crate) fn new(plan: FleetPlan) -> Fleet {
         let mut fleet = Fleet {
