Let two routers of each failure domain watch the store for all

Cause: on the grown sites the store's calls are the largest price.

Change: a router watches while fewer than two routers of its failure domain with lower incarnations are heard that reach the store. A router that cannot ask another one watches for itself. Watches pause 100 ms after news.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -36,6 +36,7 @@
     pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
     stage: watch::Sender<EdgeStage>,
+    watches_store: watch::Sender<bool>,
     open_calls: Cell<usize>,
     origin: Instant,
 }
@@ -57,6 +58,7 @@
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
+            watches_store: watch::Sender::new(true),
             open_calls: Cell::new(0),
             origin: Instant::now(),
             settings,
@@ -90,6 +92,23 @@
         let _ = stage.wait_for(|stage| *stage == EdgeStage::Closing).await;
     }
 
+    /// Tells the watches of the store whether they are wanted.
+    pub fn set_store_watch(&self, is_wanted: bool) {
+        self.watches_store.send_replace(is_wanted);
+    }
+
+    /// Returns whether this router watches the store.
+    pub fn watches_store(&self) -> bool {
+        *self.watches_store.borrow()
+    }
+
+    /// Waits until this router is to watch the store.
+    pub async fn wait_store_watch(&self) {
+        let mut watches_store = self.watches_store.subscribe();
+        // The sender lives as long as this state.
+        let _ = watches_store.wait_for(|watches| *watches).await;
+    }
+
     /// Returns whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
         self.stage() == EdgeStage::Serving && self.router.borrow().is_ready()
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -3,8 +3,9 @@
 //! Stages of a request: [`caller_server`] takes the connection; [`exchange`] reads the request,
 //! asks [`jackdaw_policy::direct`] where it goes; [`target_send`] sends it on a connection of the
 //! [`target_pool`]; [`answer_relay`] passes the answer on. Beside them [`store_watch`]
-//! follows configuration and targets, [`peer_reports`] exchanges load and shares with the other
-//! routers, and [`peer_snapshot`] brings what only they know while the store is away.
+//! follows configuration and targets in a few routers of each failure domain, [`peer_reports`]
+//! exchanges load and shares with the other routers, and [`peer_snapshot`] brings what they know
+//! to routers that do not watch or cannot.
 
 pub mod answer_relay;
 pub mod call_context;
@@ -18,6 +19,7 @@
 pub mod own_answer;
 pub mod peer_reports;
 pub mod peer_snapshot;
+mod peer_table;
 pub mod run_guard;
 pub mod service_server;
 pub mod store_watch;
--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -1,4 +1,4 @@
-//! Configuration and targets fetched from another router, while the store cannot be read.
+//! Configuration and targets fetched from another router.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -9,12 +9,13 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::{FleetConfig, TargetSnapshot};
+use jackdaw_policy::direct::{FleetConfig, StoreStanding, TargetSnapshot};
 use tokio::net::TcpStream;
 
 use crate::edge_state::EdgeState;
 
-/// The path of the snapshot at the routers' own addresses.
+/// The path of the snapshot at the routers' own addresses. Its query is the version of the
+/// configuration that the asking router has; an older one is not sent again.
 pub const SNAPSHOT_PATH: &str = "/fleet-snapshot";
 
 /// The longest time for fetching a snapshot.
@@ -27,19 +28,22 @@
     /// What one router knows of configuration and targets.
     #[derive(Default)]
     pub struct FleetSnapshot {
-        /// The configuration in force there.
+        /// The configuration in force there, where the asking router has an older one.
         pub config: Option<FleetConfig>,
         /// The targets.
         pub targets: TargetSnapshot,
     }
 }
 
-/// Returns what this router knows, for another.
-pub fn encode_snapshot(state: &EdgeState) -> Vec<u8> {
+/// Returns what this router knows, for another that has a version of the configuration.
+pub fn encode_snapshot(state: &EdgeState, query: Option<&str>) -> Vec<u8> {
+    let known_version = query.and_then(|query| query.parse().ok()).unwrap_or(0);
     let router = state.router();
+    let config = router.table().map(|table| table.config());
+    let is_complete = router.store_standing(state.now()) == StoreStanding::Settled;
     let snapshot = FleetSnapshot {
-        config: router.table().map(|table| table.config().clone()),
-        targets: router.targets.snapshot(),
+        config: config.filter(|config| config.version > known_version).cloned(),
+        targets: router.targets.snapshot(is_complete),
     };
     postcard::to_stdvec(&snapshot).unwrap_or_else(|error| {
         log::error!(error:% = error; "the snapshot cannot be written");
@@ -47,13 +51,17 @@
     })
 }
 
-/// Fetches what another router knows.
+/// Fetches what another router knows; `known_version` is this one's version of the configuration.
 ///
 /// # Errors
 ///
 /// `LinkFailed` without an answer in time, `ProtocolViolation` for one of unknown form.
-pub async fn fetch_snapshot(peer: SocketAddrV4) -> Result<FleetSnapshot, Report<ErrorKind>> {
-    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_bytes(peer)).await;
+pub async fn fetch_snapshot(
+    peer: SocketAddrV4,
+    known_version: u64,
+) -> Result<FleetSnapshot, Report<ErrorKind>> {
+    let path = format!("{SNAPSHOT_PATH}?{known_version}");
+    let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_bytes(peer, &path)).await;
     let bytes = fetched
         .map_err(|_| Report::new(ErrorKind::LinkFailed).attach("no answer in time"))
         .and_then(|fetched| fetched)
@@ -61,13 +69,13 @@
     postcard::from_bytes(&bytes).change_context(ErrorKind::ProtocolViolation)
 }
 
-async fn fetch_bytes(peer: SocketAddrV4) -> Result<Bytes, Report<ErrorKind>> {
+async fn fetch_bytes(peer: SocketAddrV4, path: &str) -> Result<Bytes, Report<ErrorKind>> {
     let stream = TcpStream::connect(peer).await.change_context(ErrorKind::LinkFailed)?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.change_context(ErrorKind::LinkFailed)?;
     let driver = tokio::task::spawn_local(connection);
     let mut request = Request::new(Empty::<Bytes>::new());
-    if let Ok(uri) = SNAPSHOT_PATH.parse() {
+    if let Ok(uri) = path.parse() {
         *request.uri_mut() = uri;
     }
     let answer = sender.send_request(request).await.change_context(ErrorKind::LinkFailed)?;
--- a/crates/jackdaw-edge/src/service_server.rs
+++ b/crates/jackdaw-edge/src/service_server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -64,7 +64,7 @@
         };
         let state = Rc::clone(&state);
         let service = service_fn(move |request: Request<Incoming>| {
-            let answer = answer_path(&state, request.uri().path());
+            let answer = answer_path(&state, request.uri());
             async move { Ok::<_, Infallible>(answer) }
         });
         let mut builder = http1::Builder::new();
@@ -78,8 +78,8 @@
     }
 }
 
-fn answer_path(state: &EdgeState, path: &str) -> Response<Full<Bytes>> {
-    match path {
+fn answer_path(state: &EdgeState, uri: &Uri) -> Response<Full<Bytes>> {
+    match uri.path() {
         READINESS_PATH if state.is_ready() => plain(StatusCode::OK, "ready\n"),
         READINESS_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         METRICS_PATH => match state.metrics.registry.encode() {
@@ -89,7 +89,7 @@
                 plain(StatusCode::INTERNAL_SERVER_ERROR, "no metrics\n")
             }
         },
-        SNAPSHOT_PATH => Response::new(Full::new(Bytes::from(encode_snapshot(state)))),
+        SNAPSHOT_PATH => Response::new(Full::new(Bytes::from(encode_snapshot(state, uri.query())))),
         _ => plain(StatusCode::NOT_FOUND, "nothing here\n"),
     }
 }
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -1,4 +1,4 @@
-//! Follows configuration and targets in the platform's store.
+//! Follows configuration and targets in the platform's store, while this router is to watch it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +15,10 @@
 /// the three seconds after which the platform expects a calm machine to act again.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
+/// Pause after news, so that changes in quick succession arrive with one call; short beside the
+/// report period by which news reaches routers that do not watch.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
+
 /// Bounds of the pause after a failed call.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
@@ -70,6 +74,11 @@
     let mut pause = RetryPause::new();
     let mut revision = None;
     loop {
+        if !state.watches_store() {
+            state.wait_store_watch().await;
+            revision = None;
+            pause.reset();
+        }
         let calls = client.calls();
         let outcome = config_step(&state, &mut client, &mut revision).await;
         state.metrics.store_calls.inc_by(client.calls() - calls);
@@ -81,6 +90,7 @@
                 pause.reset();
             }
             Err(report) => {
+                note_failure(&state);
                 log_failure("configuration", &report, pause.failures);
                 pause.wait().await;
             }
@@ -102,8 +112,12 @@
     };
     match client.watch_config(after, WATCH_WAIT).await? {
         ConfigWatch::Current { config, revision: next } => {
+            let has_news = config.is_some();
             install(state, config);
             *revision = Some(next);
+            if has_news {
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
         }
         ConfigWatch::HistoryLost => {
             log::info!(revision = after; "the store's history is gone, configuration read again");
@@ -131,12 +145,21 @@
     let mut pause = RetryPause::new();
     let mut revision = None;
     loop {
+        if !state.watches_store() {
+            // What comes and goes meanwhile is not seen.
+            let now = state.now();
+            state.router().targets.note_contact(now, false);
+            state.wait_store_watch().await;
+            revision = None;
+            pause.reset();
+        }
         let calls = client.calls();
         let outcome = targets_step(&state, &mut client, &mut revision).await;
         state.metrics.store_calls.inc_by(client.calls() - calls);
         match outcome {
             Ok(()) => pause.reset(),
             Err(report) => {
+                note_failure(&state);
                 let now = state.now();
                 if state.router().targets.note_contact(now, false) || pause.failures == 0 {
                     log_failure("targets", &report, pause.failures);
@@ -165,11 +188,15 @@
     match client.watch_targets(after, WATCH_WAIT).await? {
         TargetWatch::Changes { changes, revision: next } => {
             note_contact(state);
+            let has_news = !changes.is_empty();
             for change in changes {
                 log::info!(change:? = change; "target changed");
                 state.router().targets.apply(state.now(), change);
             }
             *revision = Some(next);
+            if has_news {
+                tokio::time::sleep(NEWS_PAUSE).await;
+            }
         }
         TargetWatch::HistoryLost => {
             log::info!(revision = after; "the store's history is gone, targets listed again");
@@ -180,11 +207,19 @@
 }
 
 fn note_contact(state: &Rc<EdgeState>) {
-    if state.router().targets.note_contact(state.now(), true) {
+    let now = state.now();
+    let mut router = state.router();
+    router.watch.note_store(now, true);
+    if router.targets.note_contact(now, true) {
         log::info!("store regained, targets");
     }
 }
 
+fn note_failure(state: &Rc<EdgeState>) {
+    let now = state.now();
+    state.router().watch.note_store(now, false);
+}
+
 /// Logs the first failure in a row, and then every tenth.
 fn log_failure(subject: &str, report: &Report<ErrorKind>, failures: u32) {
     if failures.is_multiple_of(10) {
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -20,6 +20,7 @@
 pub mod target_book;
 pub mod target_health;
 pub mod target_speed;
+pub mod watch_duty;
 
 pub use customer_ledger::{CustomerLedger, CustomerStanding, ShareTier};
 pub use direct_router::{ArrivedCall, DirectPolicy, DirectRouter, RunEnd, RunId};
@@ -40,3 +41,6 @@
 };
 pub use target_health::{FaultKind, TargetHealth};
 pub use target_speed::TargetSpeed;
+pub use watch_duty::{
+    FleetVersions, NewsNeed, StoreStanding, WATCHERS_PER_DOMAIN, WatchDuty, WatchPeer,
+};
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -20,9 +20,10 @@
 use crate::direct::repeat_budget::RepeatBudget;
 use crate::direct::return_book::ReturnBook;
 use crate::direct::route_table::RouteTable;
-use crate::direct::target_book::{TargetBook, TargetEntry, TargetId};
+use crate::direct::target_book::{LAPSE_GRACE, StoreContact, TargetBook, TargetEntry, TargetId};
 use crate::direct::target_health::{FaultKind, TargetHealth};
 use crate::direct::target_speed::TargetSpeed;
+use crate::direct::watch_duty::{FleetVersions, StoreStanding, WatchDuty};
 
 /// Time within which broken connections and a refused one are of the same crash.
 const CRASH_SPAN: Duration = Duration::from_millis(1500);
@@ -118,6 +119,8 @@
     table: Option<Rc<RouteTable>>,
     /// What is believed of the targets.
     pub targets: TargetBook,
+    /// Whether this router watches the store.
+    pub watch: WatchDuty,
     loads: LoadBook,
     speeds: TargetSpeed,
     health: TargetHealth,
@@ -147,6 +150,7 @@
             incarnation,
             table: None,
             targets: TargetBook::new(now),
+            watch: WatchDuty::default(),
             loads: LoadBook::default(),
             speeds: TargetSpeed::default(),
             health: TargetHealth::default(),
@@ -350,8 +354,9 @@
         PeerReport {
             incarnation: self.incarnation,
             sequence: self.next_report,
-            config_version: self.config_version(),
-            targets_revision: self.targets.change_revision(),
+            versions: self.versions(),
+            domain: self.policy.domain.clone(),
+            standing: self.store_standing(now),
             targets: self.loads.own_uses(),
             customers: self.ledger.own_uses(now),
             crashes: self.evidence.iter().map(|(evidence, _)| *evidence).collect(),
@@ -359,6 +364,29 @@
         }
     }
 
+    /// Returns how new configuration and targets are.
+    pub fn versions(&self) -> FleetVersions {
+        FleetVersions {
+            config: self.config_version(),
+            targets_revision: self.targets.change_revision(),
+            targets_digest: self.targets.digest(),
+        }
+    }
+
+    /// Returns what this router has of the store.
+    pub fn store_standing(&self, now: MonotonicTime) -> StoreStanding {
+        if self.watch.is_away(now) {
+            return StoreStanding::Away;
+        }
+        match self.targets.contact() {
+            StoreContact::Absent(_) => StoreStanding::Idle,
+            StoreContact::Present(since) if now.since(since) < LAPSE_GRACE => {
+                StoreStanding::Returning
+            }
+            StoreContact::Present(_) => StoreStanding::Settled,
+        }
+    }
+
     /// Takes in another router's report; returns whether it is newer than the last.
     pub fn learn_report(&mut self, now: MonotonicTime, report: &PeerReport) -> bool {
         let PeerReport { incarnation, sequence, .. } = *report;
--- a/crates/jackdaw-policy/src/direct/peer_report.rs
+++ b/crates/jackdaw-policy/src/direct/peer_report.rs
@@ -3,6 +3,7 @@
 use jackdaw_base::{CrashEvidence, CustomerId, ProcessIncarnation, plain_data};
 
 use crate::direct::target_book::TargetId;
+use crate::direct::watch_duty::{FleetVersions, StoreStanding};
 
 plain_data! {
     /// The state of one router; replaces every earlier report of the same incarnation.
@@ -11,10 +12,12 @@
         pub incarnation: ProcessIncarnation,
         /// The position among the incarnation's reports.
         pub sequence: u64,
-        /// The version of the configuration in force there; zero for none.
-        pub config_version: u64,
-        /// The newest revision of the store that changed what it knows of the targets.
-        pub targets_revision: u64,
+        /// How new its configuration and targets are.
+        pub versions: FleetVersions,
+        /// The failure domain of the router.
+        pub domain: String,
+        /// What it has of the store.
+        pub standing: StoreStanding,
         /// Its unfinished runs, by target.
         pub targets: Vec<TargetUse>,
         /// Its customers' service within the share window.
--- a/crates/jackdaw-policy/src/direct/target_book.rs
+++ b/crates/jackdaw-policy/src/direct/target_book.rs
@@ -118,6 +118,8 @@
         pub removals: Vec<(String, u64)>,
         /// The newest revision that changed the book.
         pub change_revision: u64,
+        /// Whether an entry that is neither listed nor removed is gone as well.
+        pub is_complete: bool,
     }
 }
 
@@ -162,18 +164,31 @@
         self.entries().find(|entry| entry.id() == target)
     }
 
-    /// Returns what another router may take over.
-    pub fn snapshot(&self) -> TargetSnapshot {
+    /// Returns a digest of the entries, the same in books that hold the same.
+    pub fn digest(&self) -> u64 {
+        self.entries().fold(0, |digest, entry| {
+            let state = entry.state as u64;
+            digest ^ xxh3_64_with_seed(entry.name.as_bytes(), entry.revision * 2 + state)
+        })
+    }
+
+    /// Returns what another router may take over; `is_complete` where the store's answers have
+    /// been without a gap for longer than entries take to come back.
+    pub fn snapshot(&self, is_complete: bool) -> TargetSnapshot {
         let removals = self.removals.iter().map(|(name, (revision, _))| (name.clone(), *revision));
         TargetSnapshot {
             entries: self.entries().cloned().collect(),
             removals: removals.collect(),
             change_revision: self.change_revision,
+            is_complete,
         }
     }
 
     /// Takes over what another router knows; its removals are certain.
     pub fn adopt(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) {
+        if snapshot.is_complete {
+            self.remove_unlisted(now, &snapshot);
+        }
         for entry in snapshot.entries {
             self.insert(entry);
         }
@@ -223,7 +238,7 @@
         let missing = self.targets.iter().filter(|(_, target)| target.missing_since.is_some());
         let names: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
         for name in &names {
-            self.targets.remove(name);
+            self.remove_for_good(now, name);
         }
         names
     }
@@ -244,6 +259,25 @@
         self.targets.is_empty()
     }
 
+    /// Removes entries that a complete snapshot, no older than they are, lacks.
+    fn remove_unlisted(&mut self, now: MonotonicTime, snapshot: &TargetSnapshot) {
+        let is_listed = |name: &String| snapshot.entries.iter().any(|entry| entry.name == *name);
+        let unlisted = self.targets.iter().filter(|(name, target)| {
+            target.entry.revision <= snapshot.change_revision && !is_listed(name)
+        });
+        let names: Vec<String> = unlisted.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.remove_for_good(now, &name);
+        }
+    }
+
+    /// Removes a target whose removal no statement of the store dates.
+    fn remove_for_good(&mut self, now: MonotonicTime, name: &str) {
+        if let Some(target) = self.targets.remove(name) {
+            self.removals.insert(name.to_owned(), (target.entry.revision, now));
+        }
+    }
+
     fn insert(&mut self, entry: TargetEntry) -> bool {
         if self.removals.get(&entry.name).is_some_and(|(revision, _)| *revision >= entry.revision) {
             return false;
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -11,3 +11,4 @@
 mod target_belief;
 mod target_faults;
 mod wait_tiers;
+mod watch_share;
--- a/crates/jackdaw-policy/tests/direct/target_belief.rs
+++ b/crates/jackdaw-policy/tests/direct/target_belief.rs
@@ -98,17 +98,51 @@
     knowing.apply(at(5000), present("drains", 4));
     knowing.apply(at(5000), present("leaves", 5));
     let mut cut_off = settled();
-    cut_off.adopt(at(5000), knowing.snapshot());
+    cut_off.adopt(at(5000), knowing.snapshot(false));
     assert_eq!(ready(&cut_off), 3);
     cut_off.note_contact(at(6000), false);
     knowing.apply(at(6500), draining("drains", 8));
     knowing.apply(at(6500), removed("leaves", 9));
     assert!(knowing.change_revision() > cut_off.change_revision());
-    cut_off.adopt(at(7000), knowing.snapshot());
+    cut_off.adopt(at(7000), knowing.snapshot(false));
     assert_eq!(ready(&cut_off), 1);
     assert_eq!(knowing.change_revision(), cut_off.change_revision());
 }
 
+/// A router that does not watch itself drops what a watching router no longer lists.
+#[test]
+fn complete_snapshot_ends_what_it_lacks() {
+    let mut watching = settled();
+    watching.apply(at(5000), present("stays", 3));
+    let mut idle = settled();
+    idle.adopt(at(5000), watching.snapshot(true));
+    idle.apply(at(5000), present("missed", 2));
+    idle.apply(at(5000), present("newer", 9));
+    assert_ne!(idle.digest(), watching.digest());
+    idle.adopt(at(5500), watching.snapshot(false));
+    assert_eq!(ready(&idle), 3, "a list during the return of entries ends nothing");
+    idle.adopt(at(6000), watching.snapshot(true));
+    assert_eq!(ready(&idle), 2, "an entry newer than the snapshot stays");
+    assert!(!idle.apply(at(6500), present("missed", 2)));
+}
+
+/// An entry that lapsed for good leaves the routers that do not watch as well.
+#[test]
+fn lapse_for_good_spreads_by_snapshots() {
+    let mut watching = settled();
+    watching.apply(at(5000), present("t", 3));
+    let mut idle = TargetBook::new(at(0));
+    idle.adopt(at(5000), watching.snapshot(true));
+    assert_eq!(idle.digest(), watching.digest());
+    watching.note_contact(at(6000), false);
+    watching.note_contact(at(9000), true);
+    watching.replace(at(9000), Vec::new(), 20);
+    assert_eq!(watching.expire(at(11_000)).len(), 1);
+    assert_ne!(idle.digest(), watching.digest());
+    idle.adopt(at(11_100), watching.snapshot(false));
+    assert!(idle.is_empty());
+}
+
 #[test]
 fn start_under_the_same_name_is_another_target() {
     let before = entry("t", 3);
