Send callers elsewhere while a router is short of processor time

Cause: the platform sends all connections of one client to one front.

Change: the lateness of a 200 ms tick tells how long what is read now has waited. After two late ticks in a row the router says for 5 to 20 s that it is not ready, so that the balancer sends new connections to others, and recalls its connections. A request that has waited longer than its latency objective is refused before its body is read; the lag counts against the deadline of the others.

--- a/crates/jackdaw-edge/src/call_context.rs
+++ b/crates/jackdaw-edge/src/call_context.rs
@@ -38,7 +38,7 @@
     pub(crate) customer: Option<CallCustomer>,
     /// The digest of customer and content.
     pub(crate) fingerprint: u64,
-    /// The time at which the head was read.
+    /// The time at which the head came, as far as the process's lag tells.
     pub(crate) received: Instant,
     /// The version of the configuration that admitted it.
     pub(crate) config_version: u64,
--- a/crates/jackdaw-edge/src/caller_connections.rs
+++ b/crates/jackdaw-edge/src/caller_connections.rs
@@ -58,6 +58,11 @@
         self.recall(RECALL_COUNT);
     }
 
+    /// Recalls all connections.
+    pub fn recall_all(&self) {
+        self.recall(usize::MAX);
+    }
+
     /// Returns the open connections.
     pub fn open(&self) -> usize {
         self.open.get()
--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-use crate::edge_state::{EdgeStage, EdgeState};
+use crate::edge_state::EdgeState;
 use crate::exchange::serve;
 
 /// The idle timeout before a configuration states one.
@@ -89,7 +89,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(header_bytes.max(DEFAULT_HEADER_BYTES))
-        .keep_alive(state.stage() == EdgeStage::Serving);
+        .keep_alive(state.takes_connections());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ticket = state.callers.add();
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::caller_server::CallerServer;
-use crate::edge_state::{EdgeStage, EdgeState};
+use crate::edge_state::{EdgeStage, EdgeState, TICK_PERIOD};
 use crate::peer_reports::PeerReports;
 use crate::service_server::ServiceServer;
 use crate::store_watch::StoreWatch;
@@ -25,9 +25,6 @@
 /// Time before the end of the grace period at which the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
-/// Pause between two looks at what has grown old.
-const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(200);
-
 /// Pause between two looks at open requests while the process ends.
 const END_POLL: Duration = Duration::from_millis(20);
 
@@ -130,7 +127,8 @@
 
 async fn run_housekeeping(state: Rc<EdgeState>) {
     loop {
-        tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
+        tokio::time::sleep(TICK_PERIOD).await;
+        state.note_tick();
         let now = state.now();
         let (gone, known) = {
             let mut router = state.router();
@@ -155,6 +153,7 @@
     levels.set(&[("of", "targets")], targets as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
+    levels.set(&[("of", "lag_ms")], state.lag().as_millis() as i64);
     levels.set(&[("of", "log_lines_dropped")], LogBuffer::shared().dropped_lines() as i64);
 }
 
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -2,10 +2,10 @@
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
-use jackdaw_policy::direct::{DirectPolicy, DirectRouter};
+use jackdaw_policy::direct::{DirectPolicy, DirectRouter, LagGauge};
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::watch;
 
@@ -13,6 +13,9 @@
 use crate::edge_metrics::EdgeMetrics;
 use crate::target_pool::TargetPool;
 
+/// Pause between two looks at what has grown old, by which the process's own lag is told.
+pub const TICK_PERIOD: Duration = Duration::from_millis(200);
+
 /// The stage of the router's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EdgeStage {
@@ -37,6 +40,7 @@
     router: RefCell<DirectRouter>,
     stage: watch::Sender<EdgeStage>,
     watches_store: watch::Sender<bool>,
+    lag: RefCell<LagGauge>,
     open_calls: Cell<usize>,
     origin: Instant,
 }
@@ -59,6 +63,7 @@
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
             watches_store: watch::Sender::new(true),
+            lag: RefCell::new(LagGauge::new(MonotonicTime(0), TICK_PERIOD)),
             open_calls: Cell::new(0),
             origin: Instant::now(),
             settings,
@@ -111,7 +116,32 @@
 
     /// Returns whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        self.stage() == EdgeStage::Serving && self.router.borrow().is_ready()
+        self.takes_connections() && self.router.borrow().is_ready()
+    }
+
+    /// Returns whether callers may keep their connections here: the router neither ends nor is
+    /// short of processor time.
+    pub fn takes_connections(&self) -> bool {
+        self.stage() == EdgeStage::Serving && !self.lag.borrow().sheds(self.now())
+    }
+
+    /// Returns the time for which what is read now may have waited for the processor.
+    pub fn lag(&self) -> Duration {
+        self.lag.borrow().lag(self.now())
+    }
+
+    /// Notes that the pause between two ticks is over; sheds work where it was too long.
+    pub fn note_tick(&self) {
+        let now = self.now();
+        if !self.lag.borrow_mut().tick(now) {
+            return;
+        }
+        log::warn!(
+            lag_ms = self.lag().as_millis() as u64,
+            connections = self.callers.open();
+            "short of processor time, callers are sent to other routers"
+        );
+        self.callers.recall_all();
     }
 
     /// Returns the requests that are not answered yet.
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -15,14 +15,18 @@
 
 use crate::answer_relay::{AnswerBody, AnswerRelay};
 use crate::call_context::{CallContext, CallCustomer, CallRequest};
-use crate::edge_state::{EdgeStage, EdgeState};
+use crate::edge_state::EdgeState;
 use crate::own_answer::OwnAnswer;
 use crate::target_send::{TargetAnswer, obtain_answer};
 
+/// Time after which a caller may come back whose router is short of processor time: another
+/// router takes it, as retries reach others.
+const SHORTAGE_RETRY: Duration = Duration::from_millis(300);
+
 /// Takes a request and returns its answer.
 pub async fn serve(state: Rc<EdgeState>, request: Request<Incoming>) -> Response<AnswerBody> {
     let received = Instant::now();
-    let closes = state.stage() != EdgeStage::Serving;
+    let closes = !state.takes_connections();
     let (parts, body) = request.into_parts();
     let head = match CallHead::read(&parts) {
         Ok(head) => head,
@@ -40,14 +44,15 @@
                 request:% = id,
                 outcome = answer.kind.slug(),
                 status = answer.kind.status(),
-                config = state.router().config_version();
+                config = state.router().config_version(),
+                lag_ms = state.lag().as_millis() as u64;
                 "request refused before it was placed"
             );
             state.metrics.answers.add(&[("route", ""), ("outcome", answer.kind.slug())], 1);
             answer.into_response(Some(&id), closes)
         }
     };
-    if closes || state.stage() != EdgeStage::Serving {
+    if closes || !state.takes_connections() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -71,6 +76,14 @@
     let route = table.find_route(&head.host, &head.path);
     let route =
         route.ok_or(OwnAnswer::new(ErrorKind::NotFound, "no route matches host and path"))?;
+    let lag = state.lag();
+    if lag > route.latency_objective {
+        return Err(OwnAnswer {
+            kind: ErrorKind::NotReady,
+            detail: "the router is short of processor time",
+            retry_after: SHORTAGE_RETRY,
+        });
+    }
     let customer = authorize(&table, route, &head)?;
     let service = table.pick_service(route, &head.id);
     let service =
@@ -90,7 +103,8 @@
         service: service.to_owned(),
         customer,
         fingerprint,
-        received,
+        // The caller's time ran while the request waited to be read.
+        received: received.checked_sub(lag).unwrap_or(received),
         config_version: table.config().version,
     };
     Ok(CallContext::new(state, request, open))
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -9,6 +9,7 @@
 pub mod direct_router;
 pub mod fleet_config;
 pub mod fleet_wait;
+pub mod lag_gauge;
 pub mod load_book;
 pub mod peer_report;
 pub mod placement;
@@ -28,6 +29,7 @@
     CallerLimits, CustomerKeys, FleetConfig, RequestKind, RouteRecord, ServiceShape, ServiceSplit,
 };
 pub use fleet_wait::FleetWait;
+pub use lag_gauge::LagGauge;
 pub use load_book::{LoadBook, TargetLoad};
 pub use peer_report::{CustomerUse, PeerReport, RefusedCall, TargetUse};
 pub use placement::{Placement, PlacementRequest, RefusalReason};
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod customer_shares;
 mod load_reports;
 mod prefix_homes;
+mod processor_shortage;
 mod random_beliefs;
 mod repeat_limit;
 mod route_lookup;
