Add a randomized soak of edge routers as processes

Change: jackdaw-soak draws faults from a seed, in series that overlap: routers killed, stopped, ended and reloaded by signals, connections of callers, store and targets delayed, reset or silenced by a loopback proxy, a store that is away or forgets, garbled objects, targets that crash or are replaced, keys that change. Callers use their connections until these end. What callers saw is compared with what targets ran; after the last fault every router must serve each kind of request with the newest configuration and refuse older keys. The stand-ins gain echoing targets, connections that are kept, and the settings of routers.

What counts as a broken promise has tests of its own.

--- a/crates/jackdaw-proofs/src/lib.rs
+++ b/crates/jackdaw-proofs/src/lib.rs
@@ -17,5 +17,5 @@
 pub use flow_relay::FlowRelay;
 pub use load::{StreamEnd, StreamLoad};
 pub use operator::OperatorClient;
-pub use process::{FleetProcess, ProcessSignal};
+pub use process::{FleetProcess, ProcessSignal, program_path, signal_process};
 pub use seed::{SeededPauses, seed};
--- a/crates/jackdaw-proofs/src/process.rs
+++ b/crates/jackdaw-proofs/src/process.rs
@@ -19,6 +19,8 @@
     Stop,
     /// Wakes a frozen process.
     Continue,
+    /// Tells the process that its settings have changed.
+    Reload,
 }
 
 /// What a process logs where an invariant does not hold.
@@ -69,15 +71,7 @@
 
     /// Sends a signal.
     pub fn signal(&self, signal: ProcessSignal) {
-        let pid = Pid::from_child(&self.child);
-        let signal = match signal {
-            ProcessSignal::Terminate => Signal::TERM,
-            ProcessSignal::Kill => Signal::KILL,
-            ProcessSignal::Stop => Signal::STOP,
-            ProcessSignal::Continue => Signal::CONT,
-        };
-        // The process may have ended already, which the proof sees by its exit status.
-        let _ = kill_process(pid, signal);
+        signal_process(&self.child, signal);
     }
 
     /// Waits for the end of the process without holding up the runtime.
@@ -111,8 +105,25 @@
     }
 }
 
+/// Sends a signal to a process that this one started.
+pub fn signal_process(child: &Child, signal: ProcessSignal) {
+    let signal = match signal {
+        ProcessSignal::Terminate => Signal::TERM,
+        ProcessSignal::Kill => Signal::KILL,
+        ProcessSignal::Stop => Signal::STOP,
+        ProcessSignal::Continue => Signal::CONT,
+        ProcessSignal::Reload => Signal::HUP,
+    };
+    // The process may have ended already, which is seen by its exit status.
+    let _ = kill_process(Pid::from_child(child), signal);
+}
+
 /// Returns the path of a program of the workspace, beside the directory of the running test.
-fn program_path(program: &str) -> PathBuf {
+///
+/// # Panics
+///
+/// Panics where the path of the running program is not known.
+pub fn program_path(program: &str) -> PathBuf {
     let mut path = std::env::current_exe().expect("path of the test is known");
     path.pop();
     if path.ends_with("deps") {
--- /dev/null
+++ b/crates/jackdaw-soak/src/bin/jackdaw-soak.rs
@@ -0,0 +1,106 @@
+//! Program of the soak: plays seeds one after the other and reports what broke.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use jackdaw_soak::{SoakSize, run_soak};
+use tokio::task::LocalSet;
+
+const HELP: &str = "\
+jackdaw-soak: plays random faults on edge routers as processes
+
+    jackdaw-soak [--first SEED] [--count N] [--seconds S] [--routers N] [--targets N]
+                 [--callers N] [--keep FOLDER]
+
+Builds nothing: run `cargo build` with the same profile first. A seed that breaks a promise
+is printed with its findings; --keep leaves the routers' logs in FOLDER/SEED.
+";
+
+/// Exit status where a promise was broken.
+const EXIT_BROKEN: u8 = 1;
+
+/// Exit status for a wrong command line.
+const EXIT_USAGE: u8 = 2;
+
+struct SoakCommand {
+    first: u64,
+    count: u64,
+    size: SoakSize,
+    keep: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let command = match read_command(args) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("{error}\n\n{HELP}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let mut broken_seeds = 0;
+    for seed in command.first..command.first + command.count {
+        broken_seeds += u64::from(!play_seed(seed, &command));
+    }
+    println!("{broken_seeds} of {} seeds with a broken promise", command.count);
+    if broken_seeds > 0 { ExitCode::from(EXIT_BROKEN) } else { ExitCode::SUCCESS }
+}
+
+fn read_command(mut args: pico_args::Arguments) -> Result<SoakCommand, pico_args::Error> {
+    let seconds = args.opt_value_from_str("--seconds")?.unwrap_or(8);
+    let command = SoakCommand {
+        first: args.opt_value_from_str("--first")?.unwrap_or(1),
+        count: args.opt_value_from_str("--count")?.unwrap_or(1),
+        size: SoakSize {
+            routers: args.opt_value_from_str("--routers")?.unwrap_or(4),
+            targets: args.opt_value_from_str("--targets")?.unwrap_or(4),
+            callers: args.opt_value_from_str("--callers")?.unwrap_or(12),
+            fault_span: Duration::from_secs(seconds),
+        },
+        keep: args.opt_value_from_str("--keep")?,
+    };
+    match args.finish().as_slice() {
+        [] => Ok(command),
+        [first, ..] => Err(pico_args::Error::ArgumentParsingFailed {
+            cause: format!("unknown argument {}", first.display()),
+        }),
+    }
+}
+
+/// Plays a seed; returns whether all promises were kept.
+fn play_seed(seed: u64, command: &SoakCommand) -> bool {
+    let folder = tempfile::tempdir().expect("a folder for settings and logs");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let run = run_soak(seed, &command.size, folder.path());
+    let report = LocalSet::new().block_on(&runtime.expect("a runtime"), run);
+    println!(
+        "seed {seed}: {} requests {:?}, all routers back after {:.1} s, {} broken",
+        report.calls,
+        report.ends,
+        report.recovery.as_secs_f64(),
+        report.broken.len()
+    );
+    for broken in &report.broken {
+        println!("    {broken}");
+    }
+    if let Some(keep) = &command.keep {
+        let kept = std::path::Path::new(keep).join(seed.to_string());
+        if let Err(error) = copy_logs(folder.path(), &kept) {
+            eprintln!("the logs of seed {seed} cannot be kept: {error}");
+        }
+    }
+    report.broken.is_empty()
+}
+
+fn copy_logs(from: &std::path::Path, to: &std::path::Path) -> std::io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -0,0 +1,165 @@
+//! What fails and when, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::soak_run::SoakSize;
+
+/// Shortest and longest time for which a fault lasts, in milliseconds.
+const FAULT_SPAN_MS: (u64, u64) = (200, 2500);
+
+/// Mean time between the starts of two faults, in milliseconds; spans overlap.
+const FAULT_GAP_MS: u64 = 500;
+
+/// Faults of a series, one after the other on the same subject.
+const SERIES: (usize, usize) = (1, 3);
+
+/// A fault of the connections through one proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Bytes come later.
+    Delay,
+    /// All connections are reset.
+    Reset,
+    /// Nothing passes from the connecting side.
+    SilentForth,
+    /// Nothing passes to the connecting side.
+    SilentBack,
+    /// Nothing passes.
+    Silent,
+}
+
+/// What fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKind {
+    /// A router is killed and started again.
+    RouterKilled(usize),
+    /// All routers are killed at once and started again.
+    AllKilled,
+    /// A router is stopped and goes on.
+    RouterStopped(usize),
+    /// A router is told to end and started again.
+    RouterEnded(usize),
+    /// A router is told that its settings have changed.
+    RouterReloaded(usize),
+    /// The way of callers to a router.
+    CallerLink(usize, LinkFault),
+    /// The way of a router to the store.
+    StoreLink(usize, LinkFault),
+    /// The way of all routers to a target.
+    TargetLink(usize, LinkFault),
+    /// The store turns all calls away.
+    StoreAway,
+    /// The store forgets its history.
+    StoreForgets,
+    /// An object of the store cannot be read.
+    ObjectGarbled,
+    /// A target ends at once; another comes in its place.
+    TargetCrashed(usize),
+    /// A target leaves as planned; another comes in its place.
+    TargetReplaced(usize),
+    /// The configuration gets another key and loses the one before.
+    KeyChanged,
+}
+
+impl FaultKind {
+    /// Returns whether connections may break by it without a promise being broken.
+    pub fn is_unplanned(self) -> bool {
+        !matches!(
+            self,
+            FaultKind::RouterEnded(_)
+                | FaultKind::RouterReloaded(_)
+                | FaultKind::StoreAway
+                | FaultKind::StoreForgets
+                | FaultKind::ObjectGarbled
+                | FaultKind::TargetReplaced(_)
+                | FaultKind::KeyChanged
+                | FaultKind::StoreLink(..)
+        )
+    }
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy)]
+pub struct PlannedFault {
+    /// What fails.
+    pub kind: FaultKind,
+    /// Its start after the start of the load.
+    pub start: Duration,
+    /// How long it lasts.
+    pub span: Duration,
+}
+
+/// All faults of a run, by their start.
+#[derive(Debug, Clone)]
+pub struct FaultPlan {
+    /// The faults.
+    pub faults: Vec<PlannedFault>,
+}
+
+impl FaultPlan {
+    /// Draws the faults of a run.
+    pub fn draw(seed: u64, size: &SoakSize) -> FaultPlan {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        // Each seed has some kinds only, so that their effects are not drowned by the rest.
+        let kinds: Vec<u32> = (0..4).map(|_| random.random_range(0..KIND_COUNT)).collect();
+        let end = size.fault_span.as_millis() as u64;
+        let mut faults = Vec::new();
+        let mut start = 0;
+        while start < end {
+            start += random.random_range(1..=2 * FAULT_GAP_MS);
+            let kind = draw_kind(&mut random, &kinds, size);
+            let mut time = start;
+            for _ in 0..random.random_range(SERIES.0..=SERIES.1) {
+                let span = random.random_range(FAULT_SPAN_MS.0..=FAULT_SPAN_MS.1);
+                if time + span < end {
+                    let (start, span) = (Duration::from_millis(time), Duration::from_millis(span));
+                    faults.push(PlannedFault { kind, start, span });
+                }
+                time += span + random.random_range(0..FAULT_GAP_MS);
+            }
+        }
+        faults.sort_by_key(|fault| fault.start);
+        FaultPlan { faults }
+    }
+
+    /// Returns whether an unplanned fault lasts at some time of a span, or did shortly before.
+    pub fn is_disturbed(&self, from: Duration, to: Duration, after: Duration) -> bool {
+        self.faults.iter().any(|fault| {
+            fault.kind.is_unplanned() && fault.start < to && fault.start + fault.span + after > from
+        })
+    }
+}
+
+/// Kinds that [`draw_kind`] tells apart.
+const KIND_COUNT: u32 = 14;
+
+fn draw_kind(random: &mut ChaCha8Rng, kinds: &[u32], size: &SoakSize) -> FaultKind {
+    let router = random.random_range(0..size.routers);
+    let target = random.random_range(0..size.targets);
+    let link = match random.random_range(0..5) {
+        0 => LinkFault::Delay,
+        1 => LinkFault::Reset,
+        2 => LinkFault::SilentForth,
+        3 => LinkFault::SilentBack,
+        _ => LinkFault::Silent,
+    };
+    match kinds[random.random_range(0..kinds.len())] {
+        0 => FaultKind::RouterKilled(router),
+        1 => FaultKind::AllKilled,
+        2 => FaultKind::RouterStopped(router),
+        3 => FaultKind::RouterEnded(router),
+        4 => FaultKind::RouterReloaded(router),
+        5 => FaultKind::CallerLink(router, link),
+        6 => FaultKind::StoreLink(router, link),
+        7 => FaultKind::TargetLink(target, link),
+        8 => FaultKind::StoreAway,
+        9 => FaultKind::StoreForgets,
+        10 => FaultKind::ObjectGarbled,
+        11 => FaultKind::TargetCrashed(target),
+        12 => FaultKind::TargetReplaced(target),
+        _ => FaultKind::KeyChanged,
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-soak/src/router_process.rs
@@ -0,0 +1,128 @@
+//! One router as a process of its own.
+
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use jackdaw_platform_standins::RouterPlace;
+use jackdaw_proofs::{ProcessSignal, program_path, signal_process};
+
+/// Pause between two looks whether a process has ended.
+const END_POLL: Duration = Duration::from_millis(10);
+
+/// A router that is started again after its end.
+pub struct RouterProcess {
+    /// Where it listens.
+    pub place: RouterPlace,
+    settings: PathBuf,
+    log: PathBuf,
+    child: RefCell<Option<Child>>,
+    /// The starts so far.
+    starts: Cell<u32>,
+}
+
+impl RouterProcess {
+    /// Starts a router with a settings file in a folder.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the settings cannot be written or the program cannot be started.
+    pub fn spawn(place: RouterPlace, settings: &str, folder: &Path) -> Rc<RouterProcess> {
+        let path = folder.join(format!("{}.ini", place.ip));
+        std::fs::write(&path, settings).expect("settings can be written");
+        let router = Rc::new(RouterProcess {
+            place,
+            settings: path,
+            log: folder.join(format!("{}.log", place.ip)),
+            child: RefCell::new(None),
+            starts: Cell::new(0),
+        });
+        router.start();
+        router
+    }
+
+    /// Starts the process where it does not run.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program cannot be started.
+    pub fn start(&self) {
+        if self.child.borrow().is_some() {
+            return;
+        }
+        let log = File::options().create(true).append(true).open(&self.log);
+        let log = log.expect("log can be opened");
+        let errors = log.try_clone().expect("log can be opened twice");
+        let child = Command::new(program_path("jackdaw-edge"))
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("the router can be started");
+        self.starts.set(self.starts.get() + 1);
+        self.child.replace(Some(child));
+    }
+
+    /// Returns the starts so far; requests on both sides of a start met different processes.
+    pub fn starts(&self) -> u32 {
+        self.starts.get()
+    }
+
+    /// Sends a signal where the process runs.
+    pub fn signal(&self, signal: ProcessSignal) {
+        if let Some(child) = self.child.borrow().as_ref() {
+            signal_process(child, signal);
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        if let Some(mut child) = self.child.take() {
+            // Both fail only where the process has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until a process that was told to end has done so, and returns what is wrong with
+    /// its end; nothing is where another fault killed it meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process cannot be waited for.
+    pub async fn wait_end(&self) -> Option<String> {
+        let start = self.starts();
+        loop {
+            if self.starts() != start {
+                return None;
+            }
+            let ended = match self.child.borrow_mut().as_mut() {
+                Some(child) => child.try_wait().expect("process can be waited for"),
+                None => return None,
+            };
+            if let Some(status) = ended {
+                self.child.take();
+                let wrong = !status.success();
+                return wrong.then(|| format!("{} ended with {status}", self.place.ip));
+            }
+            tokio::time::sleep(END_POLL).await;
+        }
+    }
+
+    /// Returns lines of the log that tell of a fault of the program itself.
+    pub fn fault_lines(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines().filter(|line| line.contains("panicked")).map(str::to_owned).collect()
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-soak/tests/promise_checks.rs
@@ -0,0 +1,109 @@
+//! What the soak takes as a broken promise.
+
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
+use jackdaw_platform_standins::{CallerAnswer, SeenRequest, echo_text};
+use jackdaw_soak::promise_book::{CallEnd, CallKind, PromiseBook, SentCall};
+use jackdaw_soak::{FaultKind, FaultPlan, PlannedFault, SoakSize};
+
+const BODY: &str = "body";
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn run(id: &str, path: &str) -> SeenRequest {
+    let mut headers = HeaderMap::new();
+    headers.insert("attempt-id", id.parse().expect("an identifier"));
+    SeenRequest { path: path.to_owned(), headers, body: BODY.into() }
+}
+
+fn answer(id: &str, status: u16, body: Option<String>) -> CallEnd {
+    let mut headers = HeaderMap::new();
+    headers.insert("attempt-id", id.parse().expect("an identifier"));
+    headers.insert("response-seal", "seal".parse().expect("a seal"));
+    let status = StatusCode::from_u16(status).expect("a status");
+    CallEnd::Answered(CallerAnswer { status, headers, body })
+}
+
+/// Returns what is found wrong with one request of a kind, its end and the runs of targets.
+fn broken(kind: CallKind, end: CallEnd, runs: &[SeenRequest], is_disturbed: bool) -> Vec<String> {
+    let mut book = PromiseBook::default();
+    let (id, body) = ("a".to_owned(), BODY.to_owned());
+    book.add(SentCall { id, kind, body, sent: at(10), ended: at(11), end });
+    book.broken(runs, |_, _, _| is_disturbed)
+}
+
+fn whole() -> CallEnd {
+    answer("a", 200, Some(echo_text("a", BODY)))
+}
+
+#[test]
+fn a_run_with_its_own_answer_is_right() {
+    let runs = [run("a", "/once/x")];
+    assert!(broken(CallKind::Once, whole(), &runs, false).is_empty());
+}
+
+#[test]
+fn second_run_of_what_may_run_once_is_found() {
+    let runs = [run("a", "/once/x"), run("a", "/once/x")];
+    assert_eq!(broken(CallKind::Once, whole(), &runs, true).len(), 1);
+    let runs = [run("a", "/safe/x"), run("a", "/safe/x")];
+    assert!(broken(CallKind::Safe, whole(), &runs, true).is_empty());
+}
+
+#[test]
+fn refusal_of_what_ran_is_found() {
+    let refused = || answer("a", 503, Some(String::new()));
+    assert_eq!(broken(CallKind::Once, refused(), &[run("a", "/once/x")], true).len(), 1);
+    assert!(broken(CallKind::Once, refused(), &[], true).is_empty());
+}
+
+#[test]
+fn wrong_answers_are_found() {
+    let runs = [run("a", "/once/x")];
+    let wrong = [
+        answer("b", 200, Some(echo_text("a", BODY))),
+        answer("a", 200, Some(echo_text("b", BODY))),
+        answer("a", 200, Some(String::new())),
+        answer("a", 404, Some(String::new())),
+    ];
+    for end in wrong {
+        assert_eq!(broken(CallKind::Once, end, &runs, true).len(), 1);
+    }
+    assert_eq!(broken(CallKind::Once, whole(), &[], true).len(), 1);
+}
+
+#[test]
+fn changed_or_unknown_requests_are_found() {
+    assert_eq!(broken(CallKind::Once, whole(), &[run("a", "/safe/x")], true).len(), 1);
+    let runs = [run("a", "/once/x"), run("b", "/once/x")];
+    assert_eq!(broken(CallKind::Once, whole(), &runs, true).len(), 1);
+}
+
+#[test]
+fn cut_answers_need_an_unplanned_fault() {
+    let runs = [run("a", "/once/x")];
+    assert!(broken(CallKind::Once, CallEnd::Broken, &runs, true).is_empty());
+    assert_eq!(broken(CallKind::Once, CallEnd::Broken, &runs, false).len(), 1);
+    assert_eq!(broken(CallKind::Once, answer("a", 200, None), &runs, false).len(), 1);
+    assert!(broken(CallKind::Once, CallEnd::Broken, &[], false).is_empty());
+}
+
+#[test]
+fn plans_follow_from_their_seed() {
+    let size = SoakSize { routers: 4, targets: 4, callers: 1, fault_span: at(8) };
+    let text = |seed| format!("{:?}", FaultPlan::draw(seed, &size).faults);
+    assert_eq!(text(7), text(7));
+    assert_ne!(text(7), text(8));
+}
+
+#[test]
+fn planned_work_excuses_no_cut() {
+    let fault = |kind| FaultPlan { faults: vec![PlannedFault { kind, start: at(5), span: at(2) }] };
+    assert!(fault(FaultKind::RouterKilled(0)).is_disturbed(at(6), at(7), at(0)));
+    assert!(fault(FaultKind::RouterKilled(0)).is_disturbed(at(9), at(10), at(3)));
+    assert!(!fault(FaultKind::RouterKilled(0)).is_disturbed(at(9), at(10), at(1)));
+    assert!(!fault(FaultKind::RouterEnded(0)).is_disturbed(at(6), at(7), at(0)));
+}
--- /dev/null
+++ b/crates/jackdaw-soak/tests/soak.rs
@@ -0,0 +1,26 @@
+//! Short runs of the soak, and the seeds that failed before.
+
+use std::time::Duration;
+
+use jackdaw_soak::{SoakSize, run_soak};
+use tokio::task::LocalSet;
+
+/// Seeds of the short runs; with four kinds of faults each they cover most kinds.
+const SHORT_SEEDS: [u64; 3] = [1, 2, 3];
+
+fn play(seed: u64) {
+    let size = SoakSize { routers: 3, targets: 3, callers: 6, fault_span: Duration::from_secs(4) };
+    let folder = tempfile::tempdir().expect("a folder");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let run = run_soak(seed, &size, folder.path());
+    let report = LocalSet::new().block_on(&runtime.expect("a runtime"), run);
+    assert!(report.broken.is_empty(), "seed {seed}: {:#?}", report.broken);
+    assert!(report.ends.contains_key("200"), "seed {seed}: {:?}", report.ends);
+}
+
+#[test]
+fn short_runs_keep_all_promises() {
+    for seed in SHORT_SEEDS {
+        play(seed);
+    }
+}
