Relay reports between failure domains in a large fleet

Cause: all routers report to all.

Change: beyond 16 others a router sends its report to its own failure domain only. Two relays of each domain pack the domain's reports every third period and send them by turns to the two relays of each other domain, which pass them on. Routers not heard yet get reports directly. The plan of receivers is a decision without network, tested with losses, relays that end together and routers that join late.

What is left between the domains are bodies and answers.

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -1,7 +1,8 @@
 //! Reports between routers, as datagrams.
 //!
-//! Each router sends its whole state to every other it knows. It knows the seeds of its settings
-//! and all that the others name. A lost datagram is made good by the next.
+//! Each router sends its whole state to those that [`jackdaw_policy::direct::plan_reports`] names; relays of a large
+//! fleet pack the reports of their failure domain for the others. A router knows the seeds of its
+//! settings and all that others name. A lost datagram is made good by the next.
 
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -10,19 +11,23 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::PeerReport;
+use jackdaw_policy::direct::uses_relays;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
-use crate::peer_table::PeerTable;
+use crate::peer_table::{PeerTable, RouterReport};
 
 /// Pause between two reports while the fleet is small: a fifth of the shortest latency objectives,
 /// so that a choice sees most of the others' sends.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 
-/// Pause for each known router, where that is longer: it bounds the datagrams a second.
+/// Pause between two reports in a fleet with relays: those wait for the next period of their
+/// relays in any case.
+const RELAYED_PERIOD: Duration = Duration::from_millis(150);
+
+/// Pause for each receiver, where that is longer: it bounds the datagrams a second.
 const PERIOD_PER_PEER: Duration = Duration::from_millis(8);
 
 /// Reports of which one names the routers that the sender knows.
@@ -35,13 +40,18 @@
 /// The largest datagram.
 const DATAGRAM_BYTES: usize = 60 * 1024;
 
+/// Reports in one datagram; at most some 3 KB each.
+const PACK_REPORTS: usize = 16;
+
 plain_data! {
     /// A datagram between routers.
     struct ReportDatagram {
-        /// The state of the sender.
-        report: PeerReport,
+        /// The states of the sender, or of routers of its failure domain.
+        reports: Vec<RouterReport>,
         /// Routers that the sender has heard.
         known: Vec<Ipv4Addr>,
+        /// Whether the receiver passes the reports on in its failure domain.
+        is_pack: bool,
     }
 }
 
@@ -97,27 +107,55 @@
     }
 
     /// Takes in a datagram.
-    fn learn(&self, sender: Ipv4Addr, datagram: &ReportDatagram) {
+    fn learn(&self, sender: Ipv4Addr, datagram: ReportDatagram) {
         self.add(sender);
         for ip in &datagram.known {
             self.add(*ip);
         }
         let now = self.state.now();
-        let is_new = self.state.router().learn_report(now, &datagram.report);
-        if is_new {
-            self.peers.borrow_mut().learn(&self.state, sender, &datagram.report);
+        for RouterReport { address, report } in &datagram.reports {
+            let is_new = self.state.router().learn_report(now, report);
+            if is_new {
+                self.peers.borrow_mut().learn(&self.state, *address, report);
+            }
+        }
+        if datagram.is_pack {
+            let near = self.peers.borrow().near();
+            self.send(&near, &ReportDatagram { is_pack: false, ..datagram });
         }
     }
 
-    async fn send_to_all(&self, sequence: u64) {
+    /// Sends the reports of one period; returns the time until the next.
+    fn send_period(&self, period: u64) -> Duration {
         let report = self.state.router().report(self.state.now());
-        let peers = self.peers.borrow().addresses();
-        let known = match sequence % NAMING_INTERVAL {
-            0 => self.peers.borrow().heard(),
-            _ => Vec::new(),
+        let own = RouterReport { address: self.state.settings.ip(), report };
+        let (plan, known, is_relayed) = {
+            let peers = self.peers.borrow();
+            let known = match period % NAMING_INTERVAL {
+                0 => peers.heard(),
+                _ => Vec::new(),
+            };
+            (peers.plan(&self.state, period), known, uses_relays(peers.len()))
         };
-        let datagram = ReportDatagram { report, known };
-        let bytes = match postcard::to_stdvec(&datagram) {
+        self.send(
+            &plan.direct,
+            &ReportDatagram { reports: vec![own.clone()], known, is_pack: false },
+        );
+        if !plan.packs.is_empty() {
+            let mut reports = self.peers.borrow().near_reports();
+            reports.push(own);
+            for reports in reports.chunks(PACK_REPORTS) {
+                let reports = reports.to_vec();
+                let datagram = ReportDatagram { reports, known: Vec::new(), is_pack: true };
+                self.send(&plan.packs, &datagram);
+            }
+        }
+        let shortest = if is_relayed { RELAYED_PERIOD } else { REPORT_PERIOD };
+        shortest.max(PERIOD_PER_PEER * plan.direct.len() as u32)
+    }
+
+    fn send(&self, receivers: &[Ipv4Addr], datagram: &ReportDatagram) {
+        let bytes = match postcard::to_stdvec(datagram) {
             Ok(bytes) if bytes.len() <= DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "a report is too large to be sent");
@@ -128,8 +166,8 @@
                 return;
             }
         };
-        for peer in peers {
-            let address = SocketAddrV4::new(peer, self.state.settings.report_port);
+        for peer in receivers {
+            let address = SocketAddrV4::new(*peer, self.state.settings.report_port);
             // A report that cannot be sent now is replaced by the next.
             match self.socket.try_send_to(&bytes, SocketAddr::V4(address)) {
                 Ok(_) => {
@@ -139,24 +177,22 @@
             }
         }
     }
-
-    fn period(&self) -> Duration {
-        let peers = self.peers.borrow().len() as u32;
-        REPORT_PERIOD.max(PERIOD_PER_PEER * peers)
-    }
 }
 
 async fn send_reports(exchange: Rc<ReportExchange>) {
     let seeds: Vec<Ipv4Addr> =
         exchange.state.settings.seeds.iter().map(|seed| *seed.ip()).collect();
-    let mut sequence = 0;
+    let mut period = 0;
     loop {
-        exchange.send_to_all(sequence).await;
-        exchange.peers.borrow_mut().expire(&seeds);
-        let period = exchange.period();
-        exchange.peers.borrow().review_watch(&exchange.state, period);
-        sequence += 1;
-        tokio::time::sleep(period).await;
+        let pause = exchange.send_period(period);
+        {
+            let mut peers = exchange.peers.borrow_mut();
+            peers.set_report_period(pause);
+            peers.expire(&seeds);
+            peers.review_watch(&exchange.state);
+        }
+        period += 1;
+        tokio::time::sleep(pause).await;
     }
 }
 
@@ -177,7 +213,7 @@
         match postcard::from_bytes::<ReportDatagram>(&bytes[..length]) {
             Ok(datagram) => {
                 exchange.state.metrics.reports_heard.inc();
-                exchange.learn(*sender.ip(), &datagram);
+                exchange.learn(*sender.ip(), datagram);
             }
             Err(error) => {
                 log::warn!(peer:% = sender, error:% = error; "a report cannot be read");
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -4,7 +4,10 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use jackdaw_policy::direct::{FleetVersions, NewsNeed, PeerReport, StoreStanding, WatchPeer};
+use jackdaw_base::plain_data;
+use jackdaw_policy::direct::{
+    HeardPeer, NewsNeed, PeerReport, PlanPeer, ReportPlan, WatchPeer, plan_reports,
+};
 use rand::seq::IteratorRandom;
 
 use crate::edge_state::EdgeState;
@@ -16,13 +19,23 @@
 /// watches the store; the watch brings the same news within this time where it works.
 const AHEAD_SPAN: Duration = Duration::from_millis(350);
 
-/// The shortest silence after which a router is not counted on to watch the store: with the time
-/// for taking over, news stays within the two seconds of the strictest known deployment.
-const WATCHER_SILENCE: Duration = Duration::from_secs(1);
+/// The shortest silence after which a router is not counted on to watch the store or to relay reports: with the
+/// time for taking over, news stays within the two seconds of the strictest known deployment.
+const PEER_SILENCE: Duration = Duration::from_secs(1);
 
-/// Report periods of silence after which a router is not counted on, where that is longer.
+/// Report periods of silence after which it is not counted on, where that is longer.
 const SILENT_PERIODS: u32 = 3;
 
+plain_data! {
+    /// The report of a router with its address.
+    pub(crate) struct RouterReport {
+        /// The address.
+        pub(crate) address: Ipv4Addr,
+        /// The report.
+        pub(crate) report: PeerReport,
+    }
+}
+
 /// What is known of another router.
 #[derive(Debug, Clone, Default)]
 struct PeerRecord {
@@ -30,20 +43,31 @@
     ahead_since: Option<Instant>,
 }
 
-/// The last report of another router, without the loads.
+/// The last report of another router.
 #[derive(Debug, Clone)]
 struct HeardReport {
     time: Instant,
-    versions: FleetVersions,
-    standing: StoreStanding,
-    watch_peer: WatchPeer,
+    report: PeerReport,
     is_near: bool,
 }
 
+impl HeardReport {
+    fn is_recent(&self, silence: Duration) -> bool {
+        self.time.elapsed() < silence
+    }
+}
+
 /// The other routers, by address.
 #[derive(Debug, Default)]
 pub(crate) struct PeerTable {
     peers: BTreeMap<Ipv4Addr, PeerRecord>,
+    report_period: Duration,
+}
+
+impl PeerRecord {
+    fn is_near(&self) -> bool {
+        self.last.as_ref().is_some_and(|last| last.is_near)
+    }
 }
 
 impl PeerTable {
@@ -52,16 +76,42 @@
         self.peers.entry(ip).or_default();
     }
 
-    /// Returns the routers that get reports.
-    pub(crate) fn addresses(&self) -> Vec<Ipv4Addr> {
-        self.peers.keys().copied().collect()
-    }
-
     /// Returns the routers that have been heard.
     pub(crate) fn heard(&self) -> Vec<Ipv4Addr> {
         self.peers.iter().filter(|(_, record)| record.last.is_some()).map(|(ip, _)| *ip).collect()
     }
 
+    /// Returns the routers of the same failure domain.
+    pub(crate) fn near(&self) -> Vec<Ipv4Addr> {
+        let near = self.peers.iter().filter(|(_, record)| record.is_near());
+        near.map(|(ip, _)| *ip).collect()
+    }
+
+    /// Returns the last reports of the routers of the same failure domain.
+    pub(crate) fn near_reports(&self) -> Vec<RouterReport> {
+        let last = self.peers.iter().filter_map(|(ip, record)| Some((ip, record.last.as_ref()?)));
+        let near = last.filter(|(_, last)| last.is_near && last.is_recent(self.silence()));
+        near.map(|(ip, last)| RouterReport { address: *ip, report: last.report.clone() }).collect()
+    }
+
+    /// Returns the receivers of one period.
+    pub(crate) fn plan(&self, state: &EdgeState, period: u64) -> ReportPlan {
+        let peers: Vec<PlanPeer<'_>> = self
+            .peers
+            .iter()
+            .map(|(ip, record)| PlanPeer {
+                address: *ip,
+                heard: record.last.as_ref().map(|last| HeardPeer {
+                    incarnation: last.report.incarnation,
+                    domain: &last.report.domain,
+                    is_recent: last.is_recent(self.silence()),
+                }),
+            })
+            .collect();
+        let incarnation = state.router().incarnation();
+        plan_reports(incarnation, &state.settings.domain, &peers, period)
+    }
+
     /// Returns how many routers get reports.
     pub(crate) fn len(&self) -> usize {
         self.peers.len()
@@ -74,22 +124,28 @@
             log::info!(peer:% = sender, domain:% = report.domain; "router reports");
         }
         let now = Instant::now();
-        let standing = report.standing;
         record.last = Some(HeardReport {
             time: now,
-            versions: report.versions,
-            standing,
-            watch_peer: WatchPeer { incarnation: report.incarnation, standing },
+            report: report.clone(),
             is_near: report.domain == state.settings.domain,
         });
         let router = state.router();
         record.ahead_since =
-            match router.watch.news_need(&router.versions(), &report.versions, standing) {
+            match router.watch.news_need(&router.versions(), &report.versions, report.standing) {
                 NewsNeed::None => None,
                 NewsNeed::Later | NewsNeed::Now => Some(record.ahead_since.unwrap_or(now)),
             };
     }
 
+    /// Notes the pause between two reports of a router.
+    pub(crate) fn set_report_period(&mut self, period: Duration) {
+        self.report_period = period;
+    }
+
+    fn silence(&self) -> Duration {
+        PEER_SILENCE.max(self.report_period * SILENT_PERIODS)
+    }
+
     /// Drops routers that fell silent, but for the seeds.
     pub(crate) fn expire(&mut self, seeds: &[Ipv4Addr]) {
         self.peers.retain(|ip, record| {
@@ -104,11 +160,15 @@
     }
 
     /// Decides anew whether this router watches the store.
-    pub(crate) fn review_watch(&self, state: &EdgeState, report_period: Duration) {
-        let silence = WATCHER_SILENCE.max(report_period * SILENT_PERIODS);
+    pub(crate) fn review_watch(&self, state: &EdgeState) {
+        let silence = self.silence();
         let near = self.peers.values().filter_map(|record| record.last.as_ref());
-        let near = near.filter(|last| last.is_near && last.time.elapsed() < silence);
-        let near: Vec<WatchPeer> = near.map(|last| last.watch_peer).collect();
+        let near = near.filter(|last| last.is_near && last.is_recent(silence));
+        let watch_peer = |last: &HeardReport| WatchPeer {
+            incarnation: last.report.incarnation,
+            standing: last.report.standing,
+        };
+        let near: Vec<WatchPeer> = near.map(watch_peer).collect();
         let mut router = state.router();
         let own = router.incarnation();
         let heard = near.len();
@@ -128,7 +188,7 @@
         let wanted = self.peers.iter().filter(|(_, record)| {
             let since = record.ahead_since.map_or(Duration::ZERO, |since| since.elapsed());
             record.last.as_ref().is_some_and(|last| {
-                match router.watch.news_need(&own, &last.versions, last.standing) {
+                match router.watch.news_need(&own, &last.report.versions, last.report.standing) {
                     NewsNeed::None => false,
                     NewsNeed::Later => since >= AHEAD_SPAN,
                     NewsNeed::Now => true,
@@ -137,9 +197,7 @@
         });
         // At random, so that routers in need do not all ask the same one.
         let wanted: Vec<_> = wanted.collect();
-        let near = wanted
-            .iter()
-            .filter(|(_, record)| record.last.as_ref().is_some_and(|last| last.is_near));
+        let near = wanted.iter().filter(|(_, record)| record.is_near());
         let chosen =
             near.choose(&mut rand::rng()).or_else(|| wanted.iter().choose(&mut rand::rng()));
         chosen.map(|(ip, _)| **ip)
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -16,6 +16,7 @@
 pub mod prefix_map;
 pub mod prompt_shape;
 pub mod repeat_budget;
+pub mod report_plan;
 pub mod return_book;
 pub mod route_table;
 pub mod target_book;
@@ -36,6 +37,7 @@
 pub use prefix_map::PrefixMap;
 pub use prompt_shape::{PromptPart, PromptShape};
 pub use repeat_budget::RepeatBudget;
+pub use report_plan::{HeardPeer, PlanPeer, ReportPlan, plan_reports, uses_relays};
 pub use return_book::ReturnBook;
 pub use route_table::{KeyFault, RouteTable};
 pub use target_book::{
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod processor_shortage;
 mod random_beliefs;
 mod repeat_limit;
+mod report_relays;
 mod route_lookup;
 mod target_belief;
 mod target_faults;
