Reload the edge router's settings while it runs

Change: on SIGHUP, and where the file's time or length has changed at a look every two seconds, the settings are read again. Limits, windows, seeds and the store's address take effect at once; name, failure domain, addresses and log stay those of the process and are named in the log. A file with faults changes nothing. The time for which a flooded router sheds work is 20 to 60 s instead of 5 to 20 s, as the flood of a hot client comes back as soon as it is over.

--- a/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
+++ b/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
@@ -9,6 +9,7 @@
     DaemonCommand, EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, daemon_help, parse_daemon_args,
 };
 use jackdaw_edge::edge_daemon::EdgeDaemon;
+use jackdaw_edge::settings_file::SettingsFile;
 use jackdaw_platform::settings_path;
 use jackdaw_settings::EdgeSettings;
 use jackdaw_telemetry::open_log;
@@ -66,7 +67,7 @@
     let tasks = LocalSet::new();
     let ended = tasks.block_on(&runtime, async {
         let daemon = EdgeDaemon::bind(settings).await?;
-        daemon.run().await
+        daemon.run(SettingsFile::open(path)).await
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/jackdaw-edge/src/caller_connections.rs
+++ b/crates/jackdaw-edge/src/caller_connections.rs
@@ -19,7 +19,7 @@
 /// The callers' connections, the oldest first.
 #[derive(Debug)]
 pub struct CallerConnections {
-    limit: usize,
+    limit: Cell<usize>,
     open: Rc<Cell<usize>>,
     oldest: RefCell<VecDeque<Weak<Notify>>>,
 }
@@ -34,11 +34,18 @@
 impl CallerConnections {
     /// Creates an empty set within a number of descriptors.
     pub fn new(descriptors: usize) -> CallerConnections {
-        CallerConnections {
-            limit: (descriptors as f64 * CALLER_PART) as usize,
+        let connections = CallerConnections {
+            limit: Cell::new(0),
             open: Rc::default(),
             oldest: RefCell::default(),
-        }
+        };
+        connections.set_limit(descriptors);
+        connections
+    }
+
+    /// Sets the number of descriptors that the process may have open.
+    pub fn set_limit(&self, descriptors: usize) {
+        self.limit.set((descriptors as f64 * CALLER_PART) as usize);
     }
 
     /// Adds a connection; beyond the limit the oldest one is recalled.
@@ -46,7 +53,7 @@
         let recall = Rc::new(Notify::new());
         self.oldest.borrow_mut().push_back(Rc::downgrade(&recall));
         self.open.set(self.open.get() + 1);
-        if self.open.get() > self.limit {
+        if self.open.get() > self.limit.get() {
             self.recall(1);
         }
         self.forget_closed();
--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -36,7 +36,7 @@
     ///
     /// `LocalResource` where the address cannot be bound.
     pub async fn bind(state: &Rc<EdgeState>) -> Result<CallerServer, Report<ErrorKind>> {
-        let address = state.settings.caller_address;
+        let address = state.settings().caller_address;
         let listener = TcpListener::bind(address).await;
         let listener = listener
             .change_context(ErrorKind::LocalResource)
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -16,6 +16,7 @@
 use crate::edge_state::{EdgeStage, EdgeState, TICK_PERIOD};
 use crate::peer_reports::PeerReports;
 use crate::service_server::ServiceServer;
+use crate::settings_file::SettingsFile;
 use crate::store_watch::StoreWatch;
 
 /// Time from SIGTERM for which new connections are still taken: the balancer asks once a second
@@ -25,6 +26,9 @@
 /// Time before the end of the grace period at which the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Pause between two looks whether the settings file has changed without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+
 /// Pause between two looks at open requests while the process ends.
 const END_POLL: Duration = Duration::from_millis(20);
 
@@ -46,7 +50,7 @@
     /// `LocalResource` where an address cannot be bound.
     pub async fn bind(settings: EdgeSettings) -> Result<EdgeDaemon, Report<ErrorKind>> {
         let state = EdgeState::open(settings);
-        let settings = &state.settings;
+        let settings = state.settings();
         let metrics = SocketAddr::from((settings.ip(), settings.metrics_port));
         let mut services = Vec::new();
         for address in [settings.readiness_address, settings.peer_address.into(), metrics] {
@@ -73,12 +77,12 @@
         &self.state
     }
 
-    /// Serves until a signal ends the router.
+    /// Serves until a signal ends the router; follows changes of its settings file.
     ///
     /// # Errors
     ///
     /// `LocalResource` where signals cannot be received.
-    pub async fn run(self) -> Result<(), Report<ErrorKind>> {
+    pub async fn run(self, mut file: SettingsFile) -> Result<(), Report<ErrorKind>> {
         let mut terminate = open_signal(SignalKind::terminate())?;
         let mut interrupt = open_signal(SignalKind::interrupt())?;
         let mut reload = open_signal(SignalKind::hangup())?;
@@ -86,9 +90,8 @@
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = reload.recv() => {
-                    log::info!("SIGHUP received; settings take effect at the next start");
-                }
+                _ = reload.recv() => file.reload(&self.state),
+                () = tokio::time::sleep(SETTINGS_POLL) => file.reload_changed(&self.state),
             }
         }
         self.close().await;
@@ -101,7 +104,7 @@
         let state = &self.state;
         log::info!(open_requests = state.open_calls(); "edge router leaving");
         state.enter_stage(EdgeStage::Leaving);
-        let limit = state.settings.shutdown_grace.saturating_sub(EXIT_MARGIN);
+        let limit = state.settings().shutdown_grace.saturating_sub(EXIT_MARGIN);
         tokio::time::sleep(LEAVE_DELAY.min(limit / 2)).await;
         state.enter_stage(EdgeStage::Closing);
         self.callers.close().await;
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -29,8 +29,7 @@
 
 /// State of one router.
 pub struct EdgeState {
-    /// The settings.
-    pub settings: EdgeSettings,
+    settings: RefCell<Rc<EdgeSettings>>,
     /// The metrics.
     pub metrics: EdgeMetrics,
     /// The connections to targets.
@@ -48,13 +47,7 @@
 impl EdgeState {
     /// Creates the state of a router that knows nothing yet.
     pub fn open(settings: EdgeSettings) -> Rc<EdgeState> {
-        let policy = DirectPolicy {
-            domain: settings.domain.clone(),
-            share_window: settings.share_window,
-            repeat_window: settings.repeat_window,
-            repeat_ratio: settings.repeat_ratio,
-            repeat_allowance: settings.repeat_allowance,
-        };
+        let policy = direct_policy(&settings);
         let router = DirectRouter::new(MonotonicTime(0), policy, ProcessIncarnation::random());
         Rc::new(EdgeState {
             metrics: EdgeMetrics::open(),
@@ -66,10 +59,25 @@
             lag: RefCell::new(LagGauge::new(MonotonicTime(0), TICK_PERIOD)),
             open_calls: Cell::new(0),
             origin: Instant::now(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         })
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<EdgeSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts changed settings in force, but for those that only a new process can take up; returns
+    /// the names of these.
+    pub fn reload(&self, mut settings: EdgeSettings) -> Vec<&'static str> {
+        let fixed = settings.keep_fixed(&self.settings());
+        self.callers.set_limit(settings.descriptors);
+        self.router().set_policy(direct_policy(&settings));
+        self.settings.replace(Rc::new(settings));
+        fixed
+    }
+
     /// Returns the time on this process's clock.
     pub fn now(&self) -> MonotonicTime {
         MonotonicTime(self.origin.elapsed().as_micros() as u64)
@@ -156,6 +164,16 @@
     }
 }
 
+fn direct_policy(settings: &EdgeSettings) -> DirectPolicy {
+    DirectPolicy {
+        domain: settings.domain.clone(),
+        share_window: settings.share_window,
+        repeat_window: settings.repeat_window,
+        repeat_ratio: settings.repeat_ratio,
+        repeat_allowance: settings.repeat_allowance,
+    }
+}
+
 /// A request that is not answered yet.
 pub struct OpenCall {
     state: Rc<EdgeState>,
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer_table;
 pub mod run_guard;
 pub mod service_server;
+pub mod settings_file;
 pub mod store_watch;
 pub mod target_pool;
 pub mod target_send;
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -74,15 +74,12 @@
     ///
     /// `LocalResource` where the port cannot be bound.
     pub async fn bind(state: &Rc<EdgeState>) -> Result<PeerReports, Report<ErrorKind>> {
-        let address = SocketAddrV4::new(state.settings.ip(), state.settings.report_port);
+        let address = SocketAddrV4::new(state.settings().ip(), state.settings().report_port);
         let socket = UdpSocket::bind(address).await;
         let socket =
             socket.change_context(ErrorKind::LocalResource).attach_with(|| address.to_string())?;
         let peers = RefCell::default();
         let exchange = Rc::new(ReportExchange { state: Rc::clone(state), socket, peers });
-        for seed in &state.settings.seeds {
-            exchange.add(*seed.ip());
-        }
         let tasks = vec![
             tokio::task::spawn_local(send_reports(Rc::clone(&exchange))),
             tokio::task::spawn_local(hear_reports(Rc::clone(&exchange))),
@@ -101,11 +98,15 @@
 
 impl ReportExchange {
     fn add(&self, ip: Ipv4Addr) {
-        if ip != self.state.settings.ip() {
+        if ip != self.state.settings().ip() {
             self.peers.borrow_mut().add(ip);
         }
     }
 
+    fn seeds(&self) -> Vec<Ipv4Addr> {
+        self.state.settings().seeds.iter().map(|seed| *seed.ip()).collect()
+    }
+
     /// Takes in a datagram.
     fn learn(&self, sender: Ipv4Addr, datagram: ReportDatagram) {
         self.add(sender);
@@ -128,7 +129,7 @@
     /// Sends the reports of one period; returns the time until the next.
     fn send_period(&self, period: u64) -> Duration {
         let report = self.state.router().report(self.state.now());
-        let own = RouterReport { address: self.state.settings.ip(), report };
+        let own = RouterReport { address: self.state.settings().ip(), report };
         let (plan, known, is_relayed) = {
             let peers = self.peers.borrow();
             let known = match period % NAMING_INTERVAL {
@@ -167,7 +168,7 @@
             }
         };
         for peer in receivers {
-            let address = SocketAddrV4::new(*peer, self.state.settings.report_port);
+            let address = SocketAddrV4::new(*peer, self.state.settings().report_port);
             // A report that cannot be sent now is replaced by the next.
             match self.socket.try_send_to(&bytes, SocketAddr::V4(address)) {
                 Ok(_) => {
@@ -180,10 +181,13 @@
 }
 
 async fn send_reports(exchange: Rc<ReportExchange>) {
-    let seeds: Vec<Ipv4Addr> =
-        exchange.state.settings.seeds.iter().map(|seed| *seed.ip()).collect();
     let mut period = 0;
     loop {
+        // Read each time, as a reload may change them.
+        let seeds = exchange.seeds();
+        for seed in &seeds {
+            exchange.add(*seed);
+        }
         let pause = exchange.send_period(period);
         {
             let mut peers = exchange.peers.borrow_mut();
@@ -230,7 +234,7 @@
         let Some(peer) = exchange.peers.borrow().news_source(state) else {
             continue;
         };
-        let address = SocketAddrV4::new(peer, state.settings.peer_address.port());
+        let address = SocketAddrV4::new(peer, state.settings().peer_address.port());
         let known_version = state.router().config_version();
         match fetch_snapshot(address, known_version).await {
             Ok(snapshot) => take_over(state, peer, snapshot),
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -109,7 +109,7 @@
             })
             .collect();
         let incarnation = state.router().incarnation();
-        plan_reports(incarnation, &state.settings.domain, &peers, period)
+        plan_reports(incarnation, &state.settings().domain, &peers, period)
     }
 
     /// Returns how many routers get reports.
@@ -127,7 +127,7 @@
         record.last = Some(HeardReport {
             time: now,
             report: report.clone(),
-            is_near: report.domain == state.settings.domain,
+            is_near: report.domain == state.settings().domain,
         });
         let router = state.router();
         record.ahead_since =
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -70,7 +70,7 @@
 }
 
 async fn follow_config(state: Rc<EdgeState>) {
-    let mut client = StoreClient::open(state.settings.store_address);
+    let mut client = StoreClient::open(state.settings().store_address);
     let mut pause = RetryPause::new();
     let mut revision = None;
     loop {
@@ -79,6 +79,9 @@
             revision = None;
             pause.reset();
         }
+        if reopen_moved(&state, &mut client) {
+            revision = None;
+        }
         let calls = client.calls();
         let outcome = config_step(&state, &mut client, &mut revision).await;
         state.metrics.store_calls.inc_by(client.calls() - calls);
@@ -98,6 +101,16 @@
     }
 }
 
+/// Opens the client anew where the settings name another store since; returns whether they do.
+fn reopen_moved(state: &EdgeState, client: &mut StoreClient) -> bool {
+    let address = state.settings().store_address;
+    let is_moved = client.address() != address;
+    if is_moved {
+        *client = StoreClient::open(address);
+    }
+    is_moved
+}
+
 /// Reads the configuration, or waits for its next change.
 async fn config_step(
     state: &Rc<EdgeState>,
@@ -141,7 +154,7 @@
 }
 
 async fn follow_targets(state: Rc<EdgeState>) {
-    let mut client = StoreClient::open(state.settings.store_address);
+    let mut client = StoreClient::open(state.settings().store_address);
     let mut pause = RetryPause::new();
     let mut revision = None;
     loop {
@@ -153,6 +166,9 @@
             revision = None;
             pause.reset();
         }
+        if reopen_moved(&state, &mut client) {
+            revision = None;
+        }
         let calls = client.calls();
         let outcome = targets_step(&state, &mut client, &mut revision).await;
         state.metrics.store_calls.inc_by(client.calls() - calls);
--- a/crates/jackdaw-policy/src/direct/customer_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/customer_ledger.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Sets the window anew.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
     /// Notes that a customer asks for service.
     pub fn note_asked(&mut self, now: MonotonicTime, customer: CustomerId, tokens: u64) {
         self.note(now, customer, UseCount { asked: tokens, started: 0 });
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -172,6 +172,15 @@
         self.incarnation
     }
 
+    /// Sets the fixed parameters anew; what was counted so far stays.
+    pub fn set_policy(&mut self, policy: DirectPolicy) {
+        self.ledger.set_window(policy.share_window);
+        for budget in self.budgets.values_mut() {
+            budget.set_limits(policy.repeat_window, policy.repeat_ratio, policy.repeat_allowance);
+        }
+        self.policy = policy;
+    }
+
     /// Returns the configuration in force; `None` before the first is known.
     pub fn table(&self) -> Option<&Rc<RouteTable>> {
         self.table.as_ref()
--- a/crates/jackdaw-policy/src/direct/lag_gauge.rs
+++ b/crates/jackdaw-policy/src/direct/lag_gauge.rs
@@ -15,11 +15,11 @@
 const SHED_TICKS: u32 = 2;
 
 /// Bounds of the time for which a router sheds work; it doubles while callers come back in the
-/// same number. The first leaves the balancer time to send them elsewhere.
-const SHED_RANGE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(20));
+/// same number. The first outlasts the bursts of single customers, which last up to eight seconds.
+const SHED_RANGE: (Duration, Duration) = (Duration::from_secs(20), Duration::from_secs(60));
 
 /// Time without shedding after which the next time for it is the shortest again.
-const CALM_SPAN: Duration = Duration::from_secs(30);
+const CALM_SPAN: Duration = Duration::from_secs(60);
 
 /// State of one router's process.
 #[derive(Debug, Clone)]
--- a/crates/jackdaw-policy/src/direct/repeat_budget.rs
+++ b/crates/jackdaw-policy/src/direct/repeat_budget.rs
@@ -38,6 +38,13 @@
         RepeatBudget { window, ratio, allowance: f64::from(allowance), parts: VecDeque::new() }
     }
 
+    /// Sets the limits anew; what was taken so far stays taken.
+    pub fn set_limits(&mut self, window: Duration, ratio: f64, allowance: u32) {
+        self.window = window;
+        self.ratio = ratio;
+        self.allowance = f64::from(allowance);
+    }
+
     /// Notes a first send.
     pub fn note_request(&mut self, now: MonotonicTime) {
         self.part(now).requests += 1;
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -86,6 +86,21 @@
         *self.peer_address.ip()
     }
 
+    /// Puts back what a running process cannot change; returns the names of those that differed.
+    pub fn keep_fixed(&mut self, running: &EdgeSettings) -> Vec<&'static str> {
+        let mut kept = Vec::new();
+        keep(&mut self.name, &running.name, "process.name", &mut kept);
+        keep(&mut self.domain, &running.domain, "process.domain", &mut kept);
+        keep(&mut self.caller_address, &running.caller_address, "listen.callers", &mut kept);
+        let readiness = &running.readiness_address;
+        keep(&mut self.readiness_address, readiness, "listen.readiness", &mut kept);
+        keep(&mut self.peer_address, &running.peer_address, "listen.peers", &mut kept);
+        keep(&mut self.report_port, &running.report_port, "listen.report_port", &mut kept);
+        keep(&mut self.metrics_port, &running.metrics_port, "listen.metrics_port", &mut kept);
+        keep(&mut self.log, &running.log, "log", &mut kept);
+        kept
+    }
+
     fn read(reader: &mut SettingsReader<'_>) -> Option<EdgeSettings> {
         let name = reader.required("process", "name", &NAME);
         let domain = reader.required("process", "domain", &NAME);
@@ -128,6 +143,18 @@
     }
 }
 
+fn keep<T: Clone + PartialEq>(
+    value: &mut T,
+    running: &T,
+    name: &'static str,
+    kept: &mut Vec<&'static str>,
+) {
+    if value != running {
+        value.clone_from(running);
+        kept.push(name);
+    }
+}
+
 fn parse_seeds(text: &str) -> Option<Vec<SocketAddrV4>> {
     let words = text.split(',').map(str::trim).filter(|word| !word.is_empty());
     words.map(|word| word.parse().ok()).collect()
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -20,6 +20,9 @@
 use crate::soak_load::{LoadSetting, SoakLoad};
 use crate::target_fleet::TargetFleet;
 
+/// Routers that all know from their settings.
+const SEEDS: usize = 2;
+
 /// Pause between two looks at whether a router serves.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -128,7 +131,7 @@
         };
         for place in &places {
             let store_link = FaultProxy::spawn(fleet.store.address).await;
-            let settings = place.settings(&places[..2], store_link.address);
+            let settings = place.settings(&places[..size.routers.min(SEEDS)], store_link.address);
             fleet.routers.push(RouterProcess::spawn(*place, &settings, folder));
             fleet.store_links.push(store_link);
             fleet.caller_links.push(FaultProxy::spawn(place.callers()).await);
