Serve what is at hand before further connections, and shed when crowded

Cause: a flooded front with 0.063 of a core took up to 1,024 connections at once and spent its time on callers who left before they were served: some 50 requests a second, seconds late. Closing all connections when the router began to shed made callers come back to it at once, as the balancer acts only on the second miss. Some requests were sent to targets whose callers had left (GONE).

Change: connections are taken one at a time from a queue of 64, requests at hand go first. A router at which connections wait without a break for 0.4 s sheds as one whose ticks are late. Callers' connections are closed 2.6 s after it began. While behind, a router asks the socket whether the caller has left, which the connection's events tell only later.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -1,18 +1,22 @@
 //! Callers' connections.
 
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
+use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jackdaw_base::ErrorKind;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
-use crate::edge_state::EdgeState;
+use crate::caller_stream::CallerStream;
+use crate::edge_state::{EdgeStage, EdgeState};
 use crate::exchange::serve;
 
 /// The idle timeout before a configuration states one.
@@ -21,6 +25,10 @@
 /// The limit of a request's head before a configuration states one, and the least one.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 
+/// Connections that wait to be taken: a router that is short of processor time takes some 50 a
+/// second, and those beyond a second would be served too late.
+const ACCEPT_QUEUE: u32 = 64;
+
 /// Pause after a failure to accept, such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -37,7 +45,7 @@
     /// `LocalResource` where the address cannot be bound.
     pub async fn bind(state: &Rc<EdgeState>) -> Result<CallerServer, Report<ErrorKind>> {
         let address = state.settings().caller_address;
-        let listener = TcpListener::bind(address).await;
+        let listener = listen(address);
         let listener = listener
             .change_context(ErrorKind::LocalResource)
             .attach_with(|| address.to_string())?;
@@ -53,15 +61,33 @@
     }
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // As the library does by itself: a restarted router takes its address at once.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 async fn accept_callers(state: Rc<EdgeState>, listener: TcpListener) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = state.wait_closing() => return,
+        let at_hand = listener.accept().now_or_never();
+        state.note_accept(at_hand.is_some());
+        let accepted = match at_hand {
+            Some(accepted) => accepted,
+            None => tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = state.wait_closing() => return,
+            },
         };
         match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
+                // Requests at hand go before further connections.
+                tokio::task::yield_now().await;
+                if state.stage() == EdgeStage::Closing {
+                    return;
+                }
             }
             Err(error) => {
                 log::warn!(error:% = error; "a connection cannot be taken");
@@ -78,10 +104,11 @@
     let limits = state.router().table().map(|table| table.config().limits.clone());
     let idle_timeout = limits.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.as_ref().map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
-    let service_state = Rc::clone(&state);
+    let stream = CallerStream::new(stream);
+    let (service_state, caller) = (Rc::clone(&state), stream.clone());
     let service = service_fn(move |request| {
-        let state = Rc::clone(&service_state);
-        async move { Ok::<_, Infallible>(serve(state, request).await) }
+        let (state, caller) = (Rc::clone(&service_state), caller.clone());
+        async move { Ok::<_, Infallible>(serve(state, &caller, request).await) }
     });
     let mut builder = http1::Builder::new();
     // The time for a head runs from the end of the last answer, so it covers idle time too.
--- /dev/null
+++ b/crates/jackdaw-edge/src/caller_stream.rs
@@ -0,0 +1,86 @@
+//! A caller's connection that can be asked whether the caller has left.
+
+use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A connection; clones share it.
+#[derive(Debug, Clone)]
+pub struct CallerStream {
+    stream: Rc<TcpStream>,
+}
+
+impl CallerStream {
+    /// Takes over a connection.
+    pub fn new(stream: TcpStream) -> CallerStream {
+        CallerStream { stream: Rc::new(stream) }
+    }
+
+    /// Returns whether the caller has closed the connection, which its events tell only later.
+    pub fn has_left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.stream).peek(&mut byte) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                outcome => return Poll::Ready(outcome.map(|_| ())),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                outcome => return Poll::Ready(outcome),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
-use jackdaw_policy::direct::{DirectPolicy, DirectRouter, LagGauge};
+use jackdaw_policy::direct::{DirectPolicy, DirectRouter, LagGauge, ShedStep};
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::watch;
 
@@ -124,13 +124,14 @@
 
     /// Returns whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        self.takes_connections() && self.router.borrow().is_ready()
+        let is_serving = self.stage() == EdgeStage::Serving;
+        is_serving && !self.lag.borrow().sheds(self.now()) && self.router.borrow().is_ready()
     }
 
     /// Returns whether callers may keep their connections here: the router neither ends nor is
     /// short of processor time.
     pub fn takes_connections(&self) -> bool {
-        self.stage() == EdgeStage::Serving && !self.lag.borrow().sheds(self.now())
+        self.stage() == EdgeStage::Serving && !self.lag.borrow().moves_callers(self.now())
     }
 
     /// Returns the time for which what is read now may have waited for the processor.
@@ -138,18 +139,32 @@
         self.lag.borrow().lag(self.now())
     }
 
+    /// Returns whether requests may have waited unread.
+    pub fn is_behind(&self) -> bool {
+        let (lag, now) = (self.lag.borrow(), self.now());
+        !lag.lag(now).is_zero() || lag.is_crowded(now)
+    }
+
+    /// Notes whether a connection was waiting when the server was free to take one.
+    pub fn note_accept(&self, is_at_hand: bool) {
+        self.lag.borrow_mut().note_accept(self.now(), is_at_hand);
+    }
+
     /// Notes that the pause between two ticks is over; sheds work where it was too long.
     pub fn note_tick(&self) {
         let now = self.now();
-        if !self.lag.borrow_mut().tick(now) {
-            return;
+        let step = self.lag.borrow_mut().tick(now);
+        let (lag_ms, connections) = (self.lag().as_millis() as u64, self.callers.open());
+        match step {
+            ShedStep::None => {}
+            ShedStep::Start => {
+                log::warn!(lag_ms, connections; "short of processor time, no longer ready");
+            }
+            ShedStep::MoveCallers => {
+                log::warn!(lag_ms, connections; "callers are sent to other routers");
+                self.callers.recall_all();
+            }
         }
-        log::warn!(
-            lag_ms = self.lag().as_millis() as u64,
-            connections = self.callers.open();
-            "short of processor time, callers are sent to other routers"
-        );
-        self.callers.recall_all();
     }
 
     /// Returns the requests that are not answered yet.
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -15,6 +15,7 @@
 
 use crate::answer_relay::{AnswerBody, AnswerRelay};
 use crate::call_context::{CallContext, CallCustomer, CallRequest};
+use crate::caller_stream::CallerStream;
 use crate::edge_state::EdgeState;
 use crate::own_answer::OwnAnswer;
 use crate::target_send::{TargetAnswer, obtain_answer};
@@ -24,7 +25,11 @@
 const SHORTAGE_RETRY: Duration = Duration::from_millis(300);
 
 /// Takes a request and returns its answer.
-pub async fn serve(state: Rc<EdgeState>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn serve(
+    state: Rc<EdgeState>,
+    caller: &CallerStream,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let received = Instant::now();
     let closes = !state.takes_connections();
     let (parts, body) = request.into_parts();
@@ -38,7 +43,7 @@
     };
     let id = head.id.clone();
     let mut response = match admit(&state, parts, head, body, received).await {
-        Ok(context) => answer_call(&context).await,
+        Ok(context) => answer_call(&context, caller).await,
         Err(answer) => {
             log::info!(
                 request:% = id,
@@ -151,9 +156,14 @@
 }
 
 /// Sends an admitted request and builds the answer to its caller.
-async fn answer_call(context: &CallContext) -> Response<AnswerBody> {
+async fn answer_call(context: &CallContext, caller: &CallerStream) -> Response<AnswerBody> {
     // The connection sees first whether its caller has left while the request waited unread.
     tokio::task::yield_now().await;
+    if context.inner.state.is_behind() && caller.has_left() {
+        let answer = OwnAnswer::new(ErrorKind::NotReady, "the caller has left");
+        context.finish("caller-left", answer.kind.status());
+        return answer.into_response(Some(&context.inner.request.head.id), true);
+    }
     context.note_arrival();
     let deadline = context.deadline_at();
     let answer = match tokio::time::timeout_at(deadline, obtain_answer(context, None)).await {
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call_context;
 pub mod caller_connections;
 pub mod caller_server;
+pub mod caller_stream;
 pub mod edge_daemon;
 pub mod edge_metrics;
 pub mod edge_state;
--- a/crates/jackdaw-policy/src/direct/lag_gauge.rs
+++ b/crates/jackdaw-policy/src/direct/lag_gauge.rs
@@ -1,7 +1,8 @@
 //! How far a router's process is behind its work.
 //!
 //! A process that is short of processor time runs its timers late, and what it reads has waited
-//! unread for as long. It is told by ticks that should come at a fixed pace.
+//! unread for as long. It is told by ticks that should come at a fixed pace. One that puts the
+//! requests at hand first keeps pace, but connections wait to be taken all the while.
 
 use std::time::Duration;
 
@@ -10,7 +11,11 @@
 /// Lateness from which a tick counts as late: a third of the shortest latency objectives.
 const LATE_TICK: Duration = Duration::from_millis(50);
 
-/// Late ticks in a row after which the router sheds work. A single one may be a process that
+/// Time for which connections were waiting without a break, from which the router is crowded:
+/// more than a burst of callers that come at the same moment.
+const CROWDED_SPAN: Duration = Duration::from_millis(400);
+
+/// Late or crowded ticks in a row after which the router sheds work. A single one may be a process that
 /// was stopped and goes on.
 const SHED_TICKS: u32 = 2;
 
@@ -18,6 +23,10 @@
 /// same number. The first outlasts the bursts of single customers, which last up to eight seconds.
 const SHED_RANGE: (Duration, Duration) = (Duration::from_secs(20), Duration::from_secs(60));
 
+/// Time after which callers' connections are closed where the router sheds: before it the balancer
+/// sends those that come back to the same router, as it asks once a second and acts on two misses.
+const MOVE_DELAY: Duration = Duration::from_millis(2600);
+
 /// Time without shedding after which the next time for it is the shortest again.
 const CALM_SPAN: Duration = Duration::from_secs(60);
 
@@ -28,10 +37,30 @@
     last_tick: MonotonicTime,
     lateness: Duration,
     late_ticks: u32,
-    shed_end: Option<MonotonicTime>,
+    crowded_since: Option<MonotonicTime>,
+    shed: Option<ShedSpan>,
     shed_span: Duration,
 }
 
+/// A time for which the router sheds work.
+#[derive(Debug, Clone, Copy)]
+struct ShedSpan {
+    start: MonotonicTime,
+    end: MonotonicTime,
+    has_moved: bool,
+}
+
+/// What a tick brings about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShedStep {
+    /// Nothing changes.
+    None,
+    /// From now on the router sheds work.
+    Start,
+    /// Callers that are still connected are to go to other routers.
+    MoveCallers,
+}
+
 impl LagGauge {
     /// Creates the gauge of a process whose ticks come after each `period`.
     pub fn new(now: MonotonicTime, period: Duration) -> LagGauge {
@@ -40,30 +69,57 @@
             last_tick: now,
             lateness: Duration::ZERO,
             late_ticks: 0,
-            shed_end: None,
+            crowded_since: None,
+            shed: None,
             shed_span: SHED_RANGE.0,
         }
     }
 
-    /// Takes in a tick; returns whether shedding starts with it.
-    pub fn tick(&mut self, now: MonotonicTime) -> bool {
+    /// Notes whether a connection was waiting when the process was free to take one.
+    pub fn note_accept(&mut self, now: MonotonicTime, is_at_hand: bool) {
+        self.crowded_since = is_at_hand.then(|| self.crowded_since.unwrap_or(now));
+    }
+
+    /// Returns whether connections wait to be taken without a break.
+    pub fn is_crowded(&self, now: MonotonicTime) -> bool {
+        self.crowded_since.is_some_and(|since| now.since(since) >= CROWDED_SPAN)
+    }
+
+    /// Takes in a tick.
+    pub fn tick(&mut self, now: MonotonicTime) -> ShedStep {
         self.lateness = self.overdue(now);
         self.last_tick = now;
-        self.late_ticks = if self.lateness < LATE_TICK { 0 } else { self.late_ticks + 1 };
+        let is_behind = self.lateness >= LATE_TICK || self.is_crowded(now);
+        self.late_ticks = if is_behind { self.late_ticks + 1 } else { 0 };
+        if self.moves_callers(now) {
+            return match &mut self.shed {
+                Some(shed) if !shed.has_moved => {
+                    shed.has_moved = true;
+                    ShedStep::MoveCallers
+                }
+                _ => ShedStep::None,
+            };
+        }
         if self.late_ticks < SHED_TICKS || self.sheds(now) {
-            return false;
+            return ShedStep::None;
         }
-        self.shed_span = match self.shed_end {
-            Some(end) if now.since(end) < CALM_SPAN => (self.shed_span * 2).min(SHED_RANGE.1),
+        self.shed_span = match self.shed {
+            Some(shed) if now.since(shed.end) < CALM_SPAN => (self.shed_span * 2).min(SHED_RANGE.1),
             _ => SHED_RANGE.0,
         };
-        self.shed_end = Some(now.after(self.shed_span));
-        true
+        let end = now.after(self.shed_span);
+        self.shed = Some(ShedSpan { start: now, end, has_moved: false });
+        ShedStep::Start
     }
 
     /// Returns whether new work is better sent to other routers.
     pub fn sheds(&self, now: MonotonicTime) -> bool {
-        self.shed_end.is_some_and(|end| now < end)
+        self.shed.is_some_and(|shed| now < shed.end)
+    }
+
+    /// Returns whether callers that are connected are better off at other routers.
+    pub fn moves_callers(&self, now: MonotonicTime) -> bool {
+        self.shed.is_some_and(|shed| now < shed.end && now.since(shed.start) >= MOVE_DELAY)
     }
 
     /// Returns the time for which what is read now may have waited.
