Size the accept queue by the router's processor share

Cause: a queue of 64 is a second's work of a front with 0.063 of a core, but a tenth of that of one with 0.5; a short stall there costs connections that are repeated seconds later.

Change: limits.processor_share, from the platform's settings; the queue holds what a router takes in a second, 1,000 connections a core, 32 to 1,024. The delay with which the balancer acts is one constant for leaving and shedding.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -25,9 +25,12 @@
 /// The limit of a request's head before a configuration states one, and the least one.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 
-/// Connections that wait to be taken: a router that is short of processor time takes some 50 a
-/// second, and those beyond a second would be served too late.
-const ACCEPT_QUEUE: u32 = 64;
+/// Connections that wait to be taken, for each core: what a router takes in a second, measured on
+/// the bench with 0.063 of a core. Those beyond would be served too late.
+const ACCEPT_QUEUE_PER_CORE: f64 = 1000.0;
+
+/// Bounds of the connections that wait to be taken.
+const ACCEPT_QUEUE_RANGE: (f64, f64) = (32.0, 1024.0);
 
 /// Pause after a failure to accept, such as a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -44,8 +47,9 @@
     ///
     /// `LocalResource` where the address cannot be bound.
     pub async fn bind(state: &Rc<EdgeState>) -> Result<CallerServer, Report<ErrorKind>> {
-        let address = state.settings().caller_address;
-        let listener = listen(address);
+        let settings = state.settings();
+        let address = settings.caller_address;
+        let listener = listen(address, accept_queue(settings.processor_share));
         let listener = listener
             .change_context(ErrorKind::LocalResource)
             .attach_with(|| address.to_string())?;
@@ -61,12 +65,17 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn accept_queue(processor_share: f64) -> u32 {
+    let (least, most) = ACCEPT_QUEUE_RANGE;
+    (ACCEPT_QUEUE_PER_CORE * processor_share).clamp(least, most) as u32
+}
+
+fn listen(address: SocketAddr, queue: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // As the library does by itself: a restarted router takes its address at once.
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(ACCEPT_QUEUE)
+    socket.listen(queue)
 }
 
 async fn accept_callers(state: Rc<EdgeState>, listener: TcpListener) {
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::ErrorKind;
-use jackdaw_policy::direct::TargetEntry;
+use jackdaw_policy::direct::{BALANCER_DELAY, TargetEntry};
 use jackdaw_settings::EdgeSettings;
 use jackdaw_telemetry::LogBuffer;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -19,10 +19,6 @@
 use crate::settings_file::SettingsFile;
 use crate::store_watch::StoreWatch;
 
-/// Time from SIGTERM for which new connections are still taken: the balancer asks once a second
-/// and sends none after two misses.
-const LEAVE_DELAY: Duration = Duration::from_millis(2600);
-
 /// Time before the end of the grace period at which the process ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -105,7 +101,7 @@
         log::info!(open_requests = state.open_calls(); "edge router leaving");
         state.enter_stage(EdgeStage::Leaving);
         let limit = state.settings().shutdown_grace.saturating_sub(EXIT_MARGIN);
-        tokio::time::sleep(LEAVE_DELAY.min(limit / 2)).await;
+        tokio::time::sleep(BALANCER_DELAY.min(limit / 2)).await;
         state.enter_stage(EdgeStage::Closing);
         self.callers.close().await;
         while state.open_calls() > 0 && started.elapsed() < limit {
--- a/crates/jackdaw-edge/src/exchange.rs
+++ b/crates/jackdaw-edge/src/exchange.rs
@@ -160,8 +160,8 @@
     // The connection sees first whether its caller has left while the request waited unread.
     tokio::task::yield_now().await;
     if context.inner.state.is_behind() && caller.has_left() {
+        // The context's end logs that the caller has left.
         let answer = OwnAnswer::new(ErrorKind::NotReady, "the caller has left");
-        context.finish("caller-left", answer.kind.status());
         return answer.into_response(Some(&context.inner.request.head.id), true);
     }
     context.note_arrival();
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -19,8 +19,9 @@
 /// watches the store; the watch brings the same news within this time where it works.
 const AHEAD_SPAN: Duration = Duration::from_millis(350);
 
-/// The shortest silence after which a router is not counted on to watch the store or to relay reports: with the
-/// time for taking over, news stays within the two seconds of the strictest known deployment.
+/// The shortest silence after which a router is not counted on to watch the store or to relay
+/// reports: with the time for taking over, news stays within the two seconds of the strictest known
+/// deployment.
 const PEER_SILENCE: Duration = Duration::from_secs(1);
 
 /// Report periods of silence after which it is not counted on, where that is longer.
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -30,7 +30,7 @@
     CallerLimits, CustomerKeys, FleetConfig, RequestKind, RouteRecord, ServiceShape, ServiceSplit,
 };
 pub use fleet_wait::FleetWait;
-pub use lag_gauge::{LagGauge, ShedStep};
+pub use lag_gauge::{BALANCER_DELAY, LagGauge, ShedStep};
 pub use load_book::{LoadBook, TargetLoad};
 pub use peer_report::{CustomerUse, PeerReport, RefusedCall, TargetUse};
 pub use placement::{Placement, PlacementRequest, RefusalReason};
--- a/crates/jackdaw-policy/src/direct/lag_gauge.rs
+++ b/crates/jackdaw-policy/src/direct/lag_gauge.rs
@@ -15,17 +15,17 @@
 /// more than a burst of callers that come at the same moment.
 const CROWDED_SPAN: Duration = Duration::from_millis(400);
 
-/// Late or crowded ticks in a row after which the router sheds work. A single one may be a process that
-/// was stopped and goes on.
+/// Late or crowded ticks in a row after which the router sheds work. A single one may be a process
+/// that was stopped and goes on.
 const SHED_TICKS: u32 = 2;
 
 /// Bounds of the time for which a router sheds work; it doubles while callers come back in the
 /// same number. The first outlasts the bursts of single customers, which last up to eight seconds.
 const SHED_RANGE: (Duration, Duration) = (Duration::from_secs(20), Duration::from_secs(60));
 
-/// Time after which callers' connections are closed where the router sheds: before it the balancer
-/// sends those that come back to the same router, as it asks once a second and acts on two misses.
-const MOVE_DELAY: Duration = Duration::from_millis(2600);
+/// Time from a router's not being ready until the balancer sends it no more connections: it asks
+/// once a second and acts on two misses. Callers whose connections are closed before come back.
+pub const BALANCER_DELAY: Duration = Duration::from_millis(2600);
 
 /// Time without shedding after which the next time for it is the shortest again.
 const CALM_SPAN: Duration = Duration::from_secs(60);
@@ -119,7 +119,7 @@
 
     /// Returns whether callers that are connected are better off at other routers.
     pub fn moves_callers(&self, now: MonotonicTime) -> bool {
-        self.shed.is_some_and(|shed| now < shed.end && now.since(shed.start) >= MOVE_DELAY)
+        self.shed.is_some_and(|shed| now < shed.end && now.since(shed.start) >= BALANCER_DELAY)
     }
 
     /// Returns the time for which what is read now may have waited.
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -19,6 +19,9 @@
 
 const RATIO: ValueRule<f64> = ValueRule { allowed: "a number from 0 to 10", parse: parse_ratio };
 
+const CORES: ValueRule<f64> =
+    ValueRule { allowed: "a number of cores over 0 and up to 1024", parse: parse_cores };
+
 const SECONDS: ValueRule<Duration> =
     ValueRule { allowed: "seconds, more than 0 and at most 3600", parse: parse_seconds };
 
@@ -45,6 +48,8 @@
     pub store_address: SocketAddr,
     /// The descriptors that the process may have open.
     pub descriptors: usize,
+    /// The cores that the process may use.
+    pub processor_share: f64,
     /// The time from SIGTERM to SIGKILL.
     pub shutdown_grace: Duration,
     /// The window in which customers' shares are kept.
@@ -97,6 +102,8 @@
         keep(&mut self.peer_address, &running.peer_address, "listen.peers", &mut kept);
         keep(&mut self.report_port, &running.report_port, "listen.report_port", &mut kept);
         keep(&mut self.metrics_port, &running.metrics_port, "listen.metrics_port", &mut kept);
+        let share = &running.processor_share;
+        keep(&mut self.processor_share, share, "limits.processor_share", &mut kept);
         keep(&mut self.log, &running.log, "log", &mut kept);
         kept
     }
@@ -112,6 +119,7 @@
         let seeds = reader.optional("peers", "seeds", &SEEDS);
         let store_address = reader.required("store", "address", &ADDRESS);
         let descriptors = reader.number("limits", "descriptors", 256..=10_000_000, 4096);
+        let processor_share = reader.optional("limits", "processor_share", &CORES);
         let grace = reader.optional("limits", "shutdown_grace_s", &SECONDS);
         let share_window = reader.optional("limits", "share_window_s", &SECONDS);
         let repeat_window = reader.optional("limits", "repeat_window_s", &SECONDS);
@@ -133,6 +141,7 @@
             seeds: seeds?.unwrap_or_default(),
             store_address: store_address?,
             descriptors: descriptors? as usize,
+            processor_share: processor_share?.unwrap_or(1.0),
             shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
             share_window: share_window?.unwrap_or(Duration::from_secs(4)),
             repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)),
@@ -160,6 +169,10 @@
     words.map(|word| word.parse().ok()).collect()
 }
 
+fn parse_cores(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|cores: &f64| *cores > 0.0 && *cores <= 1024.0)
+}
+
 fn parse_ratio(text: &str) -> Option<f64> {
     let ratio: f64 = text.parse().ok()?;
     (0.0..=10.0).contains(&ratio).then_some(ratio)
