--- a/crates/jackdaw-edge/tests/edge/main.rs
+++ b/crates/jackdaw-edge/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Parts of the edge router.
 
+mod caller_stream;
 mod command_line;
 mod connection_limit;
 mod event_bounds;
