Receive signals before anything else of the edge router starts

Change: signals are opened first. The soak takes an end by a signal as right only where the process had not said yet that it serves.

--- a/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
+++ b/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
@@ -8,7 +8,7 @@
 use jackdaw_daemon::args::{
     DaemonCommand, EXIT_FAILED, EXIT_SETTINGS, EXIT_USAGE, daemon_help, parse_daemon_args,
 };
-use jackdaw_edge::edge_daemon::EdgeDaemon;
+use jackdaw_edge::edge_daemon::{EdgeDaemon, EdgeSignals};
 use jackdaw_edge::settings_file::SettingsFile;
 use jackdaw_platform::settings_path;
 use jackdaw_settings::EdgeSettings;
@@ -66,8 +66,10 @@
     };
     let tasks = LocalSet::new();
     let ended = tasks.block_on(&runtime, async {
-        let daemon = EdgeDaemon::bind(settings).await?;
-        daemon.run(SettingsFile::open(path)).await
+        let signals = EdgeSignals::open()?;
+        let file = SettingsFile::open(path);
+        EdgeDaemon::bind(settings).await?.run(signals, file).await;
+        Ok::<_, Report<ErrorKind>>(())
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -38,6 +38,29 @@
     housekeeping: JoinHandle<()>,
 }
 
+/// The signals of a router. They are opened before anything else: one that came earlier would
+/// end the process at once.
+pub struct EdgeSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl EdgeSignals {
+    /// Receives signals from now on.
+    ///
+    /// # Errors
+    ///
+    /// `LocalResource` where signals cannot be received.
+    pub fn open() -> Result<EdgeSignals, Report<ErrorKind>> {
+        Ok(EdgeSignals {
+            terminate: open_signal(SignalKind::terminate())?,
+            interrupt: open_signal(SignalKind::interrupt())?,
+            reload: open_signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 impl EdgeDaemon {
     /// Starts all parts of a router within the current local task set.
     ///
@@ -74,24 +97,16 @@
     }
 
     /// Serves until a signal ends the router; follows changes of its settings file.
-    ///
-    /// # Errors
-    ///
-    /// `LocalResource` where signals cannot be received.
-    pub async fn run(self, mut file: SettingsFile) -> Result<(), Report<ErrorKind>> {
-        let mut terminate = open_signal(SignalKind::terminate())?;
-        let mut interrupt = open_signal(SignalKind::interrupt())?;
-        let mut reload = open_signal(SignalKind::hangup())?;
+    pub async fn run(self, mut signals: EdgeSignals, mut file: SettingsFile) {
         loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = reload.recv() => file.reload(&self.state),
+                _ = signals.terminate.recv() => break,
+                _ = signals.interrupt.recv() => break,
+                _ = signals.reload.recv() => file.reload(&self.state),
                 () = tokio::time::sleep(SETTINGS_POLL) => file.reload_changed(&self.state),
             }
         }
         self.close().await;
-        Ok(())
     }
 
     /// Ends the router after the work in progress, within the grace period.
--- a/crates/jackdaw-soak/src/router_process.rs
+++ b/crates/jackdaw-soak/src/router_process.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs::File;
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -10,6 +11,9 @@
 use jackdaw_platform_standins::RouterPlace;
 use jackdaw_proofs::{ProcessSignal, program_path, signal_process};
 
+/// What a router logs once it serves.
+const STARTED_TEXT: &str = "edge router started";
+
 /// Pause between two looks whether a process has ended.
 const END_POLL: Duration = Duration::from_millis(10);
 
@@ -22,6 +26,8 @@
     child: RefCell<Option<Child>>,
     /// The starts so far.
     starts: Cell<u32>,
+    /// The length of the log at the last start.
+    log_start: Cell<usize>,
 }
 
 impl RouterProcess {
@@ -39,6 +45,7 @@
             log: folder.join(format!("{}.log", place.ip)),
             child: RefCell::new(None),
             starts: Cell::new(0),
+            log_start: Cell::new(0),
         });
         router.start();
         router
@@ -56,6 +63,8 @@
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("log can be opened");
         let errors = log.try_clone().expect("log can be opened twice");
+        let length = log.metadata().expect("log has a length").len();
+        self.log_start.set(length as usize);
         let child = Command::new(program_path("jackdaw-edge"))
             .arg("--settings")
             .arg(&self.settings)
@@ -107,13 +116,21 @@
             };
             if let Some(status) = ended {
                 self.child.take();
-                let wrong = !status.success();
-                return wrong.then(|| format!("{} ended with {status}", self.place.ip));
+                // A signal that comes before the process receives any ends it at once.
+                let is_early = status.signal().is_some() && !self.has_started();
+                let is_wrong = !status.success() && !is_early;
+                return is_wrong.then(|| format!("{} ended with {status}", self.place.ip));
             }
             tokio::time::sleep(END_POLL).await;
         }
     }
 
+    /// Returns whether the present or last process has said that it serves.
+    fn has_started(&self) -> bool {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.get(self.log_start.get()..).is_some_and(|text| text.contains(STARTED_TEXT))
+    }
+
     /// Returns lines of the log that tell of a fault of the program itself.
     pub fn fault_lines(&self) -> Vec<String> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
