Give excess idle targets only while the fleet is under pressure

With so many tries excess finds each short queue first.

Change: excess may not wait at all at full pressure. The check that a fresh request in excess is sent to a target with a queue of 20 ms stated the old decision; it now states that it is not, and surplus is.

--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -35,8 +35,6 @@
 const OWED_WAIT_PART: f64 = 0.6;
 /// As [`OWED_WAIT_PART`], for surplus.
 const SURPLUS_WAIT_PART: f64 = 0.15;
-/// As [`OWED_WAIT_PART`], for excess.
-const EXCESS_WAIT_PART: f64 = 0.05;
 
 /// The same at targets where the request's shared parts do not lie: only such as are all but
 /// idle read them once more.
@@ -227,9 +225,10 @@
     let tier_part = match request.standing.tier {
         ShareTier::Owed => OWED_WAIT_PART,
         // It is late already; requests that can still be on time go first.
-        ShareTier::Surplus | ShareTier::Excess if request.is_return => 0.0,
+        ShareTier::Surplus if request.is_return => 0.0,
         ShareTier::Surplus => SURPLUS_WAIT_PART,
-        ShareTier::Excess => EXCESS_WAIT_PART,
+        // A customer far beyond its share has so many tries that it would find each short queue.
+        ShareTier::Excess => 0.0,
     };
     let part = OWED_WAIT_PART + pressure * (tier_part - OWED_WAIT_PART);
     let factor = part * RANK_FACTOR.powi(request.rank.min(8) as i32);
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -68,6 +68,17 @@
     assert!(excess.is_some(), "an idle target takes everybody's requests");
 }
 
+/// A customer that asks for many times its share finds, with so many tries, every short queue
+/// before the customers whose surplus it would take; under pressure it gets idle targets only.
+#[test]
+fn excess_gets_idle_targets_only_under_pressure() {
+    let prompt = prompt(1, 5000, 600);
+    let excess = request(&prompt, ShareTier::Excess, BUSY);
+    assert!(!is_sent(&excess, &[target(1, 10)]));
+    assert!(is_sent(&request(&prompt, ShareTier::Surplus, BUSY), &[target(1, 10)]));
+    assert!(is_sent(&excess, &[target(1, 0)]));
+}
+
 #[test]
 fn no_wait_reaches_the_objective() {
     let prompt = prompt(1, 5000, 600);
@@ -97,7 +108,8 @@
     for tier in [ShareTier::Surplus, ShareTier::Excess] {
         let fresh = request(&prompt, tier, BUSY);
         let back = PlacementRequest { is_return: true, ..fresh.clone() };
-        assert!(is_sent(&fresh, &[target(1, 20)]), "{tier:?}");
+        // Excess waits for an idle target from the first.
+        assert_eq!(is_sent(&fresh, &[target(1, 20)]), tier == ShareTier::Surplus, "{tier:?}");
         assert!(!is_sent(&back, &[target(1, 20)]), "{tier:?}");
         assert!(is_sent(&back, &[target(1, 0)]), "{tier:?}");
     }
