--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -1,8 +1,8 @@
 //! Reports between routers, as datagrams.
 //!
-//! Each router sends its whole state to those that [`jackdaw_policy::direct::plan_reports`] names; relays of a large
-//! fleet pack the reports of their failure domain for the others. A router knows the seeds of its
-//! settings and all that others name. A lost datagram is made good by the next.
+//! Each router sends its whole state to those that [`jackdaw_policy::direct::plan_reports`] names;
+//! relays of a large fleet pack the reports of their failure domain for the others. A router knows
+//! the seeds of its settings and all that others name. A lost datagram is made good by the next.
 
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -3,7 +3,9 @@
 //! Stages of a request: [`RouteTable`] finds its route and customer; [`DirectRouter`] chooses a
 //! target for it or refuses it at once; the router sends it and reports its first event and its
 //! end. What routers know of each other's work travels in [`PeerReport`]s, which state absolute
-//! figures, so that a lost or repeated one does no harm.
+//! figures, so that a lost or repeated one does no harm; [`plan_reports`] says who gets them,
+//! [`WatchDuty`] who watches the platform's store for all, and [`LagGauge`] when a router is too
+//! busy to take more.
 
 pub mod customer_ledger;
 pub mod direct_router;
--- a/crates/jackdaw-soak/src/bin/jackdaw-soak.rs
+++ b/crates/jackdaw-soak/src/bin/jackdaw-soak.rs
@@ -63,6 +63,11 @@
         },
         keep: args.opt_value_from_str("--keep")?,
     };
+    let size = &command.size;
+    if size.routers.min(size.targets).min(size.callers) == 0 {
+        let cause = "--routers, --targets and --callers must be 1 or more".to_owned();
+        return Err(pico_args::Error::ArgumentParsingFailed { cause });
+    }
     match args.finish().as_slice() {
         [] => Ok(command),
         [first, ..] => Err(pico_args::Error::ArgumentParsingFailed {
