Keep the platform's names in its folder; say store watches once

The soak read the platform's headers and wrote kinds of its store, which only platform/ should know. Whether a router watches the store was kept twice, in the decisions and beside them. The two watches of the store repeated the same loop. The kinds of faults were numbered in one place and counted in another.

Change: the stand-ins decode identifier, signature and the statuses that state no run, and put configurations and targets by what they are; the soak asks them. The duty to watch is read from the decisions, a notice only wakes the watches. WatchLink holds what both watches share. The check of an unsigned success has a test now; no check was loosened.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -7,7 +7,7 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{DirectPolicy, DirectRouter, LagGauge, ShedStep};
 use jackdaw_settings::EdgeSettings;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::caller_connections::CallerConnections;
 use crate::edge_metrics::EdgeMetrics;
@@ -38,7 +38,7 @@
     pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
     stage: watch::Sender<EdgeStage>,
-    watches_store: watch::Sender<bool>,
+    watch_reviewed: Notify,
     lag: RefCell<LagGauge>,
     open_calls: Cell<usize>,
     origin: Instant,
@@ -55,7 +55,7 @@
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
-            watches_store: watch::Sender::new(true),
+            watch_reviewed: Notify::new(),
             lag: RefCell::new(LagGauge::new(MonotonicTime(0), TICK_PERIOD)),
             open_calls: Cell::new(0),
             origin: Instant::now(),
@@ -105,21 +105,22 @@
         let _ = stage.wait_for(|stage| *stage == EdgeStage::Closing).await;
     }
 
-    /// Tells the watches of the store whether they are wanted.
-    pub fn set_store_watch(&self, is_wanted: bool) {
-        self.watches_store.send_replace(is_wanted);
+    /// Wakes what waits for this router's turn to watch the store.
+    pub fn note_watch_review(&self) {
+        self.watch_reviewed.notify_waiters();
     }
 
     /// Returns whether this router watches the store.
     pub fn watches_store(&self) -> bool {
-        *self.watches_store.borrow()
+        self.router().watch.is_held()
     }
 
     /// Waits until this router is to watch the store.
     pub async fn wait_store_watch(&self) {
-        let mut watches_store = self.watches_store.subscribe();
-        // The sender lives as long as this state.
-        let _ = watches_store.wait_for(|watches| *watches).await;
+        // One thread: nothing is decided between the look and the wait.
+        while !self.watches_store() {
+            self.watch_reviewed.notified().await;
+        }
     }
 
     /// Returns whether the balancer may send new connections.
@@ -150,7 +151,7 @@
         self.lag.borrow_mut().note_accept(self.now(), is_at_hand);
     }
 
-    /// Notes that the pause between two ticks is over; sheds work where it was too long.
+    /// Takes in a tick of the process; sheds work where the process is behind.
     pub fn note_tick(&self) {
         let now = self.now();
         let step = self.lag.borrow_mut().tick(now);
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -167,8 +167,9 @@
                 return;
             }
         };
+        let port = self.state.settings().report_port;
         for peer in receivers {
-            let address = SocketAddrV4::new(*peer, self.state.settings().report_port);
+            let address = SocketAddrV4::new(*peer, port);
             // A report that cannot be sent now is replaced by the next.
             match self.socket.try_send_to(&bytes, SocketAddr::V4(address)) {
                 Ok(_) => {
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -179,7 +179,7 @@
         let is_held = router.watch.is_held();
         log::info!(is_watching = is_held, heard; "watch of the store reviewed");
         drop(router);
-        state.set_store_watch(is_held);
+        state.note_watch_review();
     }
 
     /// Returns a router to be asked for what it knows, one of the same failure domain if possible.
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -27,6 +27,16 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
+/// The state of one watch.
+struct WatchLink {
+    client: StoreClient,
+    pause: RetryPause,
+    /// The revision from which to go on; `None` where all is to be read anew.
+    revision: Option<u64>,
+    /// The client's calls that the metrics count already.
+    counted_calls: u64,
+}
+
 /// Pause between failed calls, doubling up to a limit.
 struct RetryPause {
     next: Duration,
@@ -69,78 +79,80 @@
     }
 }
 
-async fn follow_config(state: Rc<EdgeState>) {
-    let mut client = StoreClient::open(state.settings().store_address);
-    let mut pause = RetryPause::new();
-    let mut revision = None;
-    loop {
+impl WatchLink {
+    fn open(state: &EdgeState) -> WatchLink {
+        let client = StoreClient::open(state.settings().store_address);
+        WatchLink { client, pause: RetryPause::new(), revision: None, counted_calls: 0 }
+    }
+
+    /// Waits until this router is to watch the store that the settings name.
+    async fn prepare(&mut self, state: &EdgeState) {
         if !state.watches_store() {
             state.wait_store_watch().await;
-            revision = None;
-            pause.reset();
+            self.revision = None;
+            self.pause.reset();
         }
-        if reopen_moved(&state, &mut client) {
-            revision = None;
+        if self.client.address() != state.settings().store_address {
+            *self = WatchLink::open(state);
         }
-        let calls = client.calls();
-        let outcome = config_step(&state, &mut client, &mut revision).await;
-        state.metrics.store_calls.inc_by(client.calls() - calls);
+    }
+
+    /// Adds the calls made since the last time to the metrics.
+    fn count_calls(&mut self, state: &EdgeState) {
+        let calls = self.client.calls();
+        state.metrics.store_calls.inc_by(calls - self.counted_calls);
+        self.counted_calls = calls;
+    }
+}
+
+async fn follow_config(state: Rc<EdgeState>) {
+    let mut link = WatchLink::open(&state);
+    loop {
+        link.prepare(&state).await;
+        let outcome = config_step(&state, &mut link).await;
+        link.count_calls(&state);
         match outcome {
             Ok(()) => {
-                if pause.failures > 0 {
-                    log::info!(failures = pause.failures; "store regained, configuration");
+                if link.pause.failures > 0 {
+                    log::info!(failures = link.pause.failures; "store regained, configuration");
                 }
-                pause.reset();
+                link.pause.reset();
             }
             Err(report) => {
                 note_failure(&state);
-                log_failure("configuration", &report, pause.failures);
-                pause.wait().await;
+                log_failure("configuration", &report, link.pause.failures);
+                link.pause.wait().await;
             }
         }
     }
 }
 
-/// Opens the client anew where the settings name another store since; returns whether they do.
-fn reopen_moved(state: &EdgeState, client: &mut StoreClient) -> bool {
-    let address = state.settings().store_address;
-    let is_moved = client.address() != address;
-    if is_moved {
-        *client = StoreClient::open(address);
-    }
-    is_moved
-}
-
 /// Reads the configuration, or waits for its next change.
-async fn config_step(
-    state: &Rc<EdgeState>,
-    client: &mut StoreClient,
-    revision: &mut Option<u64>,
-) -> Result<(), Report<ErrorKind>> {
-    let Some(after) = *revision else {
-        let (config, read) = client.read_config().await?;
+async fn config_step(state: &EdgeState, link: &mut WatchLink) -> Result<(), Report<ErrorKind>> {
+    let Some(after) = link.revision else {
+        let (config, read) = link.client.read_config().await?;
         install(state, config);
-        *revision = Some(read);
+        link.revision = Some(read);
         return Ok(());
     };
-    match client.watch_config(after, WATCH_WAIT).await? {
+    match link.client.watch_config(after, WATCH_WAIT).await? {
         ConfigWatch::Current { config, revision: next } => {
             let has_news = config.is_some();
             install(state, config);
-            *revision = Some(next);
+            link.revision = Some(next);
             if has_news {
                 tokio::time::sleep(NEWS_PAUSE).await;
             }
         }
         ConfigWatch::HistoryLost => {
             log::info!(revision = after; "the store's history is gone, configuration read again");
-            *revision = None;
+            link.revision = None;
         }
     }
     Ok(())
 }
 
-fn install(state: &Rc<EdgeState>, config: Option<FleetConfig>) {
+fn install(state: &EdgeState, config: Option<FleetConfig>) {
     let Some(config) = config else {
         return;
     };
@@ -154,54 +166,43 @@
 }
 
 async fn follow_targets(state: Rc<EdgeState>) {
-    let mut client = StoreClient::open(state.settings().store_address);
-    let mut pause = RetryPause::new();
-    let mut revision = None;
+    let mut link = WatchLink::open(&state);
     loop {
         if !state.watches_store() {
-            // What comes and goes meanwhile is not seen.
+            // What comes and goes until the next watch is not seen.
             let now = state.now();
             state.router().targets.note_contact(now, false);
-            state.wait_store_watch().await;
-            revision = None;
-            pause.reset();
-        }
-        if reopen_moved(&state, &mut client) {
-            revision = None;
         }
-        let calls = client.calls();
-        let outcome = targets_step(&state, &mut client, &mut revision).await;
-        state.metrics.store_calls.inc_by(client.calls() - calls);
+        link.prepare(&state).await;
+        let outcome = targets_step(&state, &mut link).await;
+        link.count_calls(&state);
         match outcome {
-            Ok(()) => pause.reset(),
+            Ok(()) => link.pause.reset(),
             Err(report) => {
                 note_failure(&state);
                 let now = state.now();
-                if state.router().targets.note_contact(now, false) || pause.failures == 0 {
-                    log_failure("targets", &report, pause.failures);
+                let is_lost = state.router().targets.note_contact(now, false);
+                if is_lost || link.pause.failures == 0 {
+                    log_failure("targets", &report, link.pause.failures);
                 }
-                pause.wait().await;
+                link.pause.wait().await;
             }
         }
     }
 }
 
 /// Lists the targets, or waits for their next changes.
-async fn targets_step(
-    state: &Rc<EdgeState>,
-    client: &mut StoreClient,
-    revision: &mut Option<u64>,
-) -> Result<(), Report<ErrorKind>> {
-    let Some(after) = *revision else {
-        let (entries, read) = client.list_targets().await?;
+async fn targets_step(state: &EdgeState, link: &mut WatchLink) -> Result<(), Report<ErrorKind>> {
+    let Some(after) = link.revision else {
+        let (entries, read) = link.client.list_targets().await?;
         note_contact(state);
         let count = entries.len();
         state.router().targets.replace(state.now(), entries, read);
         log::info!(targets = count, revision = read; "targets listed");
-        *revision = Some(read);
+        link.revision = Some(read);
         return Ok(());
     };
-    match client.watch_targets(after, WATCH_WAIT).await? {
+    match link.client.watch_targets(after, WATCH_WAIT).await? {
         TargetWatch::Changes { changes, revision: next } => {
             note_contact(state);
             let has_news = !changes.is_empty();
@@ -209,20 +210,20 @@
                 log::info!(change:? = change; "target changed");
                 state.router().targets.apply(state.now(), change);
             }
-            *revision = Some(next);
+            link.revision = Some(next);
             if has_news {
                 tokio::time::sleep(NEWS_PAUSE).await;
             }
         }
         TargetWatch::HistoryLost => {
             log::info!(revision = after; "the store's history is gone, targets listed again");
-            *revision = None;
+            link.revision = None;
         }
     }
     Ok(())
 }
 
-fn note_contact(state: &Rc<EdgeState>) {
+fn note_contact(state: &EdgeState) {
     let now = state.now();
     let mut router = state.router();
     router.watch.note_store(now, true);
@@ -231,7 +232,7 @@
     }
 }
 
-fn note_failure(state: &Rc<EdgeState>) {
+fn note_failure(state: &EdgeState) {
     let now = state.now();
     state.router().watch.note_store(now, false);
 }
--- a/crates/jackdaw-edge/tests/edge/caller_stream.rs
+++ b/crates/jackdaw-edge/tests/edge/caller_stream.rs
@@ -7,6 +7,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::support::block_on;
+
 /// Looks after which the end of a connection counts as not noticed, and the pause between two.
 const LOOKS: usize = 400;
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
@@ -19,11 +21,6 @@
     (caller.expect("a connection"), CallerStream::new(accepted.expect("a connection").0))
 }
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.expect("a runtime").block_on(future)
-}
-
 #[test]
 fn waiting_caller_is_still_there() {
     block_on(async {
--- a/crates/jackdaw-edge/tests/edge/connection_limit.rs
+++ b/crates/jackdaw-edge/tests/edge/connection_limit.rs
@@ -4,6 +4,8 @@
 
 use jackdaw_edge::caller_connections::{CallerConnections, CallerTicket};
 
+use crate::support::block_on;
+
 /// Returns the positions of the connections that are told to close.
 async fn recalled(tickets: &[CallerTicket]) -> Vec<usize> {
     let mut found = Vec::new();
@@ -16,11 +18,6 @@
     found
 }
 
-fn block_on<F: Future>(future: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
-    runtime.expect("a runtime").block_on(future)
-}
-
 #[test]
 fn oldest_connections_go_first() {
     block_on(async {
--- a/crates/jackdaw-edge/tests/edge/main.rs
+++ b/crates/jackdaw-edge/tests/edge/main.rs
@@ -5,3 +5,4 @@
 mod connection_limit;
 mod event_bounds;
 mod settings_reload;
+mod support;
--- a/crates/jackdaw-soak/src/fault_plan.rs
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -31,6 +31,17 @@
     Silent,
 }
 
+impl LinkFault {
+    /// All faults of connections.
+    const ALL: [LinkFault; 5] = [
+        LinkFault::Delay,
+        LinkFault::Reset,
+        LinkFault::SilentForth,
+        LinkFault::SilentBack,
+        LinkFault::Silent,
+    ];
+}
+
 /// What fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
@@ -104,7 +115,7 @@
     pub fn draw(seed: u64, size: &SoakSize) -> FaultPlan {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         // Each seed has some kinds only, so that their effects are not drowned by the rest.
-        let kinds: Vec<u32> = (0..4).map(|_| random.random_range(0..KIND_COUNT)).collect();
+        let kinds: Vec<usize> = (0..4).map(|_| random.random_range(0..KIND_COUNT)).collect();
         let end = size.fault_span.as_millis() as u64;
         let mut faults = Vec::new();
         let mut start = 0;
@@ -133,33 +144,29 @@
     }
 }
 
-/// Kinds that [`draw_kind`] tells apart.
-const KIND_COUNT: u32 = 14;
+/// Number of kinds of faults.
+const KIND_COUNT: usize = 14;
 
-fn draw_kind(random: &mut ChaCha8Rng, kinds: &[u32], size: &SoakSize) -> FaultKind {
+/// Draws a fault of one of the kinds, which are positions among all kinds.
+fn draw_kind(random: &mut ChaCha8Rng, kinds: &[usize], size: &SoakSize) -> FaultKind {
     let router = random.random_range(0..size.routers);
     let target = random.random_range(0..size.targets);
-    let link = match random.random_range(0..5) {
-        0 => LinkFault::Delay,
-        1 => LinkFault::Reset,
-        2 => LinkFault::SilentForth,
-        3 => LinkFault::SilentBack,
-        _ => LinkFault::Silent,
-    };
-    match kinds[random.random_range(0..kinds.len())] {
-        0 => FaultKind::RouterKilled(router),
-        1 => FaultKind::AllKilled,
-        2 => FaultKind::RouterStopped(router),
-        3 => FaultKind::RouterEnded(router),
-        4 => FaultKind::RouterReloaded(router),
-        5 => FaultKind::CallerLink(router, link),
-        6 => FaultKind::StoreLink(router, link),
-        7 => FaultKind::TargetLink(target, link),
-        8 => FaultKind::StoreAway,
-        9 => FaultKind::StoreForgets,
-        10 => FaultKind::ObjectGarbled,
-        11 => FaultKind::TargetCrashed(target),
-        12 => FaultKind::TargetReplaced(target),
-        _ => FaultKind::KeyChanged,
-    }
+    let link = LinkFault::ALL[random.random_range(0..LinkFault::ALL.len())];
+    let all: [FaultKind; KIND_COUNT] = [
+        FaultKind::RouterKilled(router),
+        FaultKind::AllKilled,
+        FaultKind::RouterStopped(router),
+        FaultKind::RouterEnded(router),
+        FaultKind::RouterReloaded(router),
+        FaultKind::CallerLink(router, link),
+        FaultKind::StoreLink(router, link),
+        FaultKind::TargetLink(target, link),
+        FaultKind::StoreAway,
+        FaultKind::StoreForgets,
+        FaultKind::ObjectGarbled,
+        FaultKind::TargetCrashed(target),
+        FaultKind::TargetReplaced(target),
+        FaultKind::KeyChanged,
+    ];
+    all[kinds[random.random_range(0..kinds.len())]]
 }
--- a/crates/jackdaw-soak/src/promise_book.rs
+++ b/crates/jackdaw-soak/src/promise_book.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use http::StatusCode;
 use jackdaw_platform_standins::{CallerAnswer, SeenRequest, echo_events, echo_text};
 
 /// Begin of the identifiers of requests that are checked by themselves.
@@ -120,8 +121,7 @@
     ) -> Vec<String> {
         let mut by_id: HashMap<&str, Vec<&SeenRequest>> = HashMap::new();
         for run in runs {
-            let id = run.headers.get("attempt-id").and_then(|id| id.to_str().ok());
-            by_id.entry(id.unwrap_or_default()).or_default().push(run);
+            by_id.entry(run.id()).or_default().push(run);
         }
         let mut broken = Vec::new();
         for call in &self.calls {
@@ -164,19 +164,18 @@
     }
 
     fn wrong_answer(&self, answer: &CallerAnswer, runs: &[&SeenRequest]) -> Option<&'static str> {
-        let status = answer.status.as_u16();
-        let id = answer.headers.get("attempt-id").and_then(|id| id.to_str().ok());
-        if id != Some(self.id.as_str()) {
+        if answer.id() != Some(self.id.as_str()) {
             return Some("answered with another identifier");
         }
-        match status {
-            200 if runs.is_empty() => Some("answered, but no target ran it"),
-            200 if !answer.headers.contains_key("response-seal") => Some("a success without seal"),
-            200 => self.wrong_body(answer.body.as_deref()?),
-            408 | 421 | 429 | 503 if !runs.is_empty() && !self.kind.may_repeat() => {
-                Some("refused, though it ran")
-            }
-            400..=499 if !matches!(status, 408 | 421 | 429) => Some("a proper request was denied"),
+        if answer.states_no_run() {
+            let is_untrue = !runs.is_empty() && !self.kind.may_repeat();
+            return is_untrue.then_some("refused, though it ran");
+        }
+        match answer.status {
+            StatusCode::OK if runs.is_empty() => Some("answered, but no target ran it"),
+            StatusCode::OK if !answer.is_signed() => Some("a success without signature"),
+            StatusCode::OK => self.wrong_body(answer.body.as_deref()?),
+            status if status.is_client_error() => Some("a proper request was denied"),
             _ => None,
         }
     }
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -11,7 +11,6 @@
     CALLER_KEY, CallerAnswer, RouterPlace, StoreMode, StoreStandin, call, config, request_with_key,
 };
 use jackdaw_proofs::ProcessSignal;
-use serde_json::json;
 
 use crate::fault_plan::{FaultKind, FaultPlan, LinkFault, PlannedFault};
 use crate::fault_proxy::FaultProxy;
@@ -114,7 +113,7 @@
 impl SoakFleet {
     async fn spawn(size: &SoakSize, folder: &Path) -> SoakFleet {
         let store = StoreStandin::bind().await;
-        store.put("config", "main", &config(1, &[CALLER_KEY, &version_key(1)]));
+        store.put_config(&config(1, &[CALLER_KEY, &version_key(1)]));
         let targets = TargetFleet::spawn(&store, size.targets).await;
         let domains = ["a", "b"];
         let places: Vec<RouterPlace> =
@@ -177,8 +176,7 @@
             }
             FaultKind::StoreForgets => self.store.set_mode(StoreMode::Forgetful),
             FaultKind::ObjectGarbled => {
-                self.store.put("servers", "i-odd", &json!({"address": 7, "state": []}));
-                self.store.put("config", "other", &json!("no configuration"));
+                self.store.put_garbled();
             }
             FaultKind::TargetCrashed(target) => {
                 self.targets.crash(&self.store, target, span).await;
@@ -198,7 +196,7 @@
         let version = self.config_version.get() + 1;
         self.config_version.set(version);
         let keys = [CALLER_KEY, &version_key(version)];
-        self.store.put("config", "main", &config(version, &keys));
+        self.store.put_config(&config(version, &keys));
     }
 
     /// Ends all faults that overlapping ones may have left.
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
-use jackdaw_platform_standins::{SeenRequest, StoreStandin, TargetReply, TargetStandin};
+use jackdaw_platform_standins::{
+    SeenRequest, StoreStandin, TargetReply, TargetStage, TargetStandin,
+};
 
 use crate::fault_plan::LinkFault;
 use crate::fault_proxy::FaultProxy;
@@ -62,7 +64,8 @@
         let (name, target) = self.current(place);
         target.crash();
         tokio::time::sleep(LAPSE).await;
-        store.remove_if_present("servers", &name);
+        // An earlier fault at the same place may have removed it.
+        let _ = store.remove_target(&name);
         tokio::time::sleep(span).await;
         self.fill(store, place, &name).await;
     }
@@ -71,10 +74,11 @@
     pub(crate) async fn replace(&self, store: &StoreStandin, place: usize) {
         let (name, target) = self.current(place);
         let address = self.places.borrow()[place].proxy.address;
-        store.put("servers", &name, &target.entry_at(address, SERVICE, "draining"));
+        store.put_target(&name, &target.entry_at(address, SERVICE, TargetStage::Draining));
         self.fill(store, place, &name).await;
         tokio::time::sleep(DRAIN).await;
-        store.remove_if_present("servers", &name);
+        // An earlier fault at the same place may have removed it.
+        let _ = store.remove_target(&name);
     }
 
     /// Returns all that targets ran.
@@ -102,7 +106,7 @@
         target.reply_always(TargetReply::Echo(WORK));
         self.all.borrow_mut().push(target.clone());
         let proxy = FaultProxy::spawn(target.address).await;
-        store.put("servers", &name, &target.entry_at(proxy.address, SERVICE, "ready"));
+        store.put_target(&name, &target.entry_at(proxy.address, SERVICE, TargetStage::Ready));
         TargetPlace { name, target, proxy }
     }
 }
--- a/crates/jackdaw-soak/tests/promise_checks.rs
+++ b/crates/jackdaw-soak/tests/promise_checks.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, StatusCode};
 use jackdaw_platform_standins::{CallerAnswer, SeenRequest, echo_text};
 use jackdaw_soak::promise_book::{CallEnd, CallKind, PromiseBook, SentCall};
 use jackdaw_soak::{FaultKind, FaultPlan, PlannedFault, SoakSize};
@@ -14,17 +13,11 @@
 }
 
 fn run(id: &str, path: &str) -> SeenRequest {
-    let mut headers = HeaderMap::new();
-    headers.insert("attempt-id", id.parse().expect("an identifier"));
-    SeenRequest { path: path.to_owned(), headers, body: BODY.into() }
+    SeenRequest::new(id, path, BODY)
 }
 
 fn answer(id: &str, status: u16, body: Option<String>) -> CallEnd {
-    let mut headers = HeaderMap::new();
-    headers.insert("attempt-id", id.parse().expect("an identifier"));
-    headers.insert("response-seal", "seal".parse().expect("a seal"));
-    let status = StatusCode::from_u16(status).expect("a status");
-    CallEnd::Answered(CallerAnswer { status, headers, body })
+    CallEnd::Answered(CallerAnswer::signed(id, status, body))
 }
 
 /// Returns what is found wrong with one request of a kind, its end and the runs of targets.
@@ -75,6 +68,13 @@
     assert_eq!(broken(CallKind::Once, whole(), &[], true).len(), 1);
 }
 
+#[test]
+fn success_without_signature_is_found() {
+    let unsigned = CallerAnswer::unsigned("a", 200, Some(echo_text("a", BODY)));
+    let end = CallEnd::Answered(unsigned);
+    assert_eq!(broken(CallKind::Once, end, &[run("a", "/once/x")], true).len(), 1);
+}
+
 #[test]
 fn changed_or_unknown_requests_are_found() {
     assert_eq!(broken(CallKind::Once, whole(), &[run("a", "/safe/x")], true).len(), 1);
