Accept fractions, zero and empty values in an edge router's settings

Change: every number that the template fills in is read as a number (fraction or exponent), an empty value counts as missing, zero windows and shares are raised to a usable minimum, and anything else is an error that names the key, the value found and the values allowed. The retry allowance is a fraction in the policy, too.

--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -48,7 +48,7 @@
     /// Retries granted to the fleet per request.
     pub retry_ratio: f64,
     /// Retries granted to the fleet per window in addition to those per request.
-    pub retry_allowance: u32,
+    pub retry_allowance: f64,
 }
 
 /// The properties of a request that routing decisions depend on.
--- a/crates/jackdaw-policy/src/direct/fleet_retry_budget.rs
+++ b/crates/jackdaw-policy/src/direct/fleet_retry_budget.rs
@@ -36,20 +36,15 @@
 impl FleetRetryBudget {
     /// Creates a budget of `ratio` retries per request plus `allowance` retries per window for the
     /// whole fleet.
-    pub fn new(window: Duration, ratio: f64, allowance: u32) -> FleetRetryBudget {
-        FleetRetryBudget {
-            window,
-            ratio,
-            allowance: f64::from(allowance),
-            buckets: VecDeque::new(),
-        }
+    pub fn new(window: Duration, ratio: f64, allowance: f64) -> FleetRetryBudget {
+        FleetRetryBudget { window, ratio, allowance, buckets: VecDeque::new() }
     }
 
     /// Changes the limits; requests and retries counted so far are kept.
-    pub fn set_limits(&mut self, window: Duration, ratio: f64, allowance: u32) {
+    pub fn set_limits(&mut self, window: Duration, ratio: f64, allowance: f64) {
         self.window = window;
         self.ratio = ratio;
-        self.allowance = f64::from(allowance);
+        self.allowance = allowance;
     }
 
     /// Counts an arrived request.
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -17,13 +17,29 @@
     parse: parse_seeds,
 };
 
-const RATIO: ValueRule<f64> = ValueRule { allowed: "a number from 0 to 10", parse: parse_ratio };
+const PORT: ValueRule<u16> = ValueRule {
+    allowed: "a whole number from 1 to 65535",
+    parse: |text| text.parse().ok().filter(|port| *port > 0),
+};
+
+/// A quantity that the platform may state as a fraction.
+const AMOUNT: ValueRule<f64> =
+    ValueRule { allowed: "a number from 0 to 10000000", parse: |text| parse_number(text, 1e7) };
 
-const CORES: ValueRule<f64> =
-    ValueRule { allowed: "a number of cores over 0 and up to 1024", parse: parse_cores };
+const CORES: ValueRule<f64> = ValueRule {
+    allowed: "a number of cores from 0 to 1024",
+    parse: |text| parse_number(text, 1024.0),
+};
 
 const SECONDS: ValueRule<Duration> =
-    ValueRule { allowed: "seconds, more than 0 and at most 3600", parse: parse_seconds };
+    ValueRule { allowed: "seconds from 0 to 1000000", parse: parse_seconds };
+
+/// Shortest window over which shares and retries are counted; a shorter one is raised to it, since
+/// it would expire before it is read.
+const MIN_WINDOW: Duration = Duration::from_millis(100);
+
+/// Lowest processor share; a share of zero is raised to it.
+const MIN_CORES: f64 = 0.01;
 
 /// Settings of an edge router.
 #[derive(Debug, Clone, PartialEq)]
@@ -60,7 +76,7 @@
     /// The retries that each request adds to the fleet's budget.
     pub repeat_ratio: f64,
     /// The retries that the fleet may make per window in addition to those of `repeat_ratio`.
-    pub repeat_allowance: u32,
+    pub repeat_allowance: f64,
     /// Level and output of the log.
     pub log: LogSettings,
 }
@@ -118,17 +134,17 @@
         let caller_address = reader.required("listen", "callers", &ADDRESS);
         let readiness_address = reader.required("listen", "readiness", &ADDRESS);
         let peer_address = reader.required("listen", "peers", &ADDRESS);
-        let report_port = reader.number("listen", "report_port", 1..=65_535, 7400);
-        let metrics_port = reader.number("listen", "metrics_port", 1..=65_535, 7401);
-        let seeds = reader.optional("peers", "seeds", &SEEDS);
+        let report_port = reader.templated("listen", "report_port", &PORT);
+        let metrics_port = reader.templated("listen", "metrics_port", &PORT);
+        let seeds = reader.templated("peers", "seeds", &SEEDS);
         let store_address = reader.required("store", "address", &ADDRESS);
-        let descriptors = reader.number("limits", "descriptors", 256..=10_000_000, 4096);
-        let processor_share = reader.optional("limits", "processor_share", &CORES);
-        let grace = reader.optional("limits", "shutdown_grace_s", &SECONDS);
-        let share_window = reader.optional("limits", "share_window_s", &SECONDS);
-        let repeat_window = reader.optional("limits", "repeat_window_s", &SECONDS);
-        let repeat_ratio = reader.optional("limits", "repeat_ratio", &RATIO);
-        let repeat_allowance = reader.number("limits", "repeat_allowance", 0..=1_000_000, 0);
+        let descriptors = reader.templated("limits", "descriptors", &AMOUNT);
+        let processor_share = reader.templated("limits", "processor_share", &CORES);
+        let grace = reader.templated("limits", "shutdown_grace_s", &SECONDS);
+        let share_window = reader.templated("limits", "share_window_s", &SECONDS);
+        let repeat_window = reader.templated("limits", "repeat_window_s", &SECONDS);
+        let repeat_ratio = reader.templated("limits", "repeat_ratio", &AMOUNT);
+        let repeat_allowance = reader.templated("limits", "repeat_allowance", &AMOUNT);
         let log = LogSettings::read(reader);
         let SocketAddr::V4(peer_address) = peer_address? else {
             reader.add_error("listen", "peers", "an IPv6 address".into(), "an IPv4 address".into());
@@ -140,17 +156,17 @@
             caller_address: caller_address?,
             readiness_address: readiness_address?,
             peer_address,
-            report_port: report_port? as u16,
-            metrics_port: metrics_port? as u16,
+            report_port: report_port?.unwrap_or(7400),
+            metrics_port: metrics_port?.unwrap_or(7401),
             seeds: seeds?.unwrap_or_default(),
             store_address: store_address?,
-            descriptors: descriptors? as usize,
-            processor_share: processor_share?.unwrap_or(1.0),
+            descriptors: descriptors?.unwrap_or(4096.0) as usize,
+            processor_share: processor_share?.unwrap_or(1.0).max(MIN_CORES),
             shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
-            share_window: share_window?.unwrap_or(Duration::from_secs(4)),
-            repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)),
+            share_window: share_window?.unwrap_or(Duration::from_secs(4)).max(MIN_WINDOW),
+            repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)).max(MIN_WINDOW),
             repeat_ratio: repeat_ratio?.unwrap_or(0.2),
-            repeat_allowance: repeat_allowance? as u32,
+            repeat_allowance: repeat_allowance?.unwrap_or(0.0),
             log: log?,
         })
     }
@@ -173,16 +189,10 @@
     words.map(|word| word.parse().ok()).collect()
 }
 
-fn parse_cores(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|cores: &f64| *cores > 0.0 && *cores <= 1024.0)
-}
-
-fn parse_ratio(text: &str) -> Option<f64> {
-    let ratio: f64 = text.parse().ok()?;
-    (0.0..=10.0).contains(&ratio).then_some(ratio)
+fn parse_number(text: &str, limit: f64) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| (0.0..=limit).contains(number))
 }
 
 fn parse_seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.parse().ok()?;
-    (seconds > 0.0 && seconds <= 3600.0).then(|| Duration::from_secs_f64(seconds))
+    parse_number(text, 1e6).map(Duration::from_secs_f64)
 }
--- a/crates/jackdaw-settings/src/reader.rs
+++ b/crates/jackdaw-settings/src/reader.rs
@@ -82,6 +82,20 @@
         }
     }
 
+    /// Same as [`optional`](Self::optional), but an empty value counts as missing: a template
+    /// leaves a value empty if the platform does not state it.
+    pub(crate) fn templated<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        rule: &ValueRule<T>,
+    ) -> Option<Option<T>> {
+        match self.raw_value(section, key) {
+            Some(text) if !text.is_empty() => self.parse_value(section, key, &text, rule).map(Some),
+            _ => Some(None),
+        }
+    }
+
     /// Reads a whole number in `range`, or returns `default` if the key is missing.
     pub(crate) fn number(
         &mut self,
