Weigh a request's candidates first and other targets only if none accepts it

Change: the target table keeps lookup tables (ready targets by service, names by identifier, digest) that are rebuilt after a change. A decision ranks the two candidates of the shared part; only if neither accepts does it visit the others, and first checks their wait. Maps keyed by identifiers use a cheap hash.

--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::ErrorKind;
-use jackdaw_policy::direct::{BALANCER_DELAY, TargetEntry};
+use jackdaw_policy::direct::BALANCER_DELAY;
 use jackdaw_settings::EdgeSettings;
 use jackdaw_telemetry::LogBuffer;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -144,28 +144,26 @@
     loop {
         tokio::time::sleep(TICK_PERIOD).await;
         state.process_tick();
-        let now = state.now();
-        let (expired, known) = {
+        let expired = {
             let mut router = state.router();
-            let expired = router.expire(now);
+            let expired = router.expire(state.now());
             router.forget_removed_targets();
-            let known: Vec<_> = router.targets.entries().map(TargetEntry::id).collect();
-            (expired, known)
+            state.pool.expire(|target| router.targets.contains(target));
+            expired
         };
         for target in expired {
             log::info!(target:% = target; "target did not register again in time; removed");
         }
-        state.pool.expire(|target| known.contains(&target));
-        update_levels(&state, known.len());
+        update_levels(&state);
         LogBuffer::shared().drain();
     }
 }
 
-fn update_levels(state: &EdgeState, targets: usize) {
+fn update_levels(state: &EdgeState) {
     let router = state.router();
     let levels = &state.metrics.levels;
     levels.set(&[("of", "config_version")], router.config_version() as i64);
-    levels.set(&[("of", "targets")], targets as i64);
+    levels.set(&[("of", "targets")], router.targets.len() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
     levels.set(&[("of", "lag_ms")], state.lag().as_millis() as i64);
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -46,8 +46,8 @@
 pub use target_health::{SendFailure, TargetHealth};
 pub use target_speed::TargetSpeed;
 pub use target_table::{
-    StoreReachability, TargetChange, TargetEntry, TargetId, TargetSnapshot, TargetState,
-    TargetTable,
+    ReadyTarget, StoreReachability, TargetChange, TargetEntry, TargetId, TargetSnapshot,
+    TargetState, TargetTable,
 };
 pub use watch_election::{
     FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection, WatchPeer,
--- a/crates/jackdaw-policy/src/direct/customer_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/customer_ledger.rs
@@ -5,10 +5,11 @@
 //! capacity of the fleet, which customers are entitled to, and the service that the fleet has
 //! actually started, which is to be distributed evenly as well.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, plain_data};
+use rustc_hash::FxHashMap;
 
 use crate::direct::peer_report::CustomerUsage;
 
@@ -74,7 +75,7 @@
 #[derive(Debug, Clone)]
 struct WindowBucket {
     start: MonotonicTime,
-    counts: HashMap<CustomerId, TokenCount>,
+    counts: FxHashMap<CustomerId, TokenCount>,
 }
 
 /// Service per customer within the window, from this router and its peers.
@@ -82,9 +83,9 @@
 pub struct CustomerLedger {
     window: Duration,
     buckets: VecDeque<WindowBucket>,
-    own: HashMap<CustomerId, TokenCount>,
-    others: HashMap<CustomerId, TokenCount>,
-    peers: HashMap<ProcessIncarnation, Vec<(CustomerId, TokenCount)>>,
+    own: FxHashMap<CustomerId, TokenCount>,
+    others: FxHashMap<CustomerId, TokenCount>,
+    peers: FxHashMap<ProcessIncarnation, Vec<(CustomerId, TokenCount)>>,
     /// Share level of the configured capacity, in tokens per window.
     capacity_level: ShareLevel,
     /// Share level of the service actually started, in tokens per window.
@@ -98,9 +99,9 @@
         CustomerLedger {
             window,
             buckets: VecDeque::new(),
-            own: HashMap::new(),
-            others: HashMap::new(),
-            peers: HashMap::new(),
+            own: FxHashMap::default(),
+            others: FxHashMap::default(),
+            peers: FxHashMap::default(),
             capacity_level: None,
             started_level: None,
             level_time: None,
@@ -217,7 +218,7 @@
         let is_open =
             self.buckets.back().is_some_and(|bucket| now.since(bucket.start) < bucket_span);
         if !is_open {
-            self.buckets.push_back(WindowBucket { start: now, counts: HashMap::new() });
+            self.buckets.push_back(WindowBucket { start: now, counts: FxHashMap::default() });
         }
         if let Some(bucket) = self.buckets.back_mut() {
             bucket.counts.entry(customer).or_default().add(count);
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -15,16 +15,14 @@
 use crate::direct::load_table::LoadTable;
 use crate::direct::mean_wait::MeanWait;
 use crate::direct::peer_report::PeerReport;
-use crate::direct::placement::{Placement, RefusalReason, choose_target};
+use crate::direct::placement::{Placement, RefusalReason};
 use crate::direct::prefix_map::PrefixMap;
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::refusal_tracker::RefusalTracker;
 use crate::direct::route_table::RouteTable;
 use crate::direct::target_health::{SendFailure, TargetHealth};
 use crate::direct::target_speed::TargetSpeed;
-use crate::direct::target_table::{
-    REREGISTRATION_GRACE, StoreReachability, TargetEntry, TargetId, TargetTable,
-};
+use crate::direct::target_table::{REREGISTRATION_GRACE, StoreReachability, TargetId, TargetTable};
 use crate::direct::watch_election::{FleetVersions, StoreStatus, WatchElection};
 
 /// Time within which broken connections and a later refused one are attributed to the same crash.
@@ -241,10 +239,7 @@
             let reason = RefusalReason::Quarantined;
             return Placement::Refuse { reason, retry_after: QUARANTINE_RETRY };
         }
-        let targets = self.placement_targets(now, request, tried);
-        let mean_wait = self.update_mean_wait(now, request.service, &targets);
-        let placement_request = self.placement_request(now, request, mean_wait);
-        let placement = choose_target(&placement_request, &targets);
+        let placement = self.choose(now, request, tried);
         if let Placement::Refuse { retry_after, .. } = placement {
             self.refusals.record_refusal(now, request.fingerprint, retry_after);
         }
@@ -432,10 +427,10 @@
 
     /// Drops the state kept per target for targets that are no longer registered.
     pub fn forget_removed_targets(&mut self) {
-        let registered: Vec<TargetId> = self.targets.entries().map(TargetEntry::id).collect();
-        self.speeds.retain(|target| registered.contains(&target));
-        self.health.retain(|target| registered.contains(&target));
-        self.prefixes.retain(|target| registered.contains(&target));
+        let targets = &self.targets;
+        self.speeds.retain(|target| targets.contains(target));
+        self.health.retain(|target| targets.contains(target));
+        self.prefixes.retain(|target| targets.contains(target));
     }
 
     /// Turns the runs that recently broke at a target into crash evidence, now that the target
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, VmId};
+use smallvec::SmallVec;
 
 use crate::direct::direct_router::{DirectRequest, DirectRouter};
-use crate::direct::placement::{PlacementRequest, PlacementTarget};
+use crate::direct::placement::{
+    Placement, PlacementLimits, PlacementRequest, PlacementTarget, choose_candidate,
+    choose_spill_target, plain_wait, refuse,
+};
 use crate::direct::prompt_shape::PromptShape;
-use crate::direct::target_table::{TargetEntry, TargetId};
-use crate::rendezvous::rendezvous_top;
+use crate::direct::target_table::{ReadyTarget, TargetId};
+use crate::rendezvous::rendezvous_weight;
 
 /// Latency objective of services whose routes configure none.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
@@ -17,7 +21,7 @@
 const CANDIDATE_TARGETS: usize = 2;
 
 impl DirectRouter {
-    pub(super) fn placement_request<'a>(
+    fn placement_request<'a>(
         &mut self,
         now: MonotonicTime,
         request: &DirectRequest<'a>,
@@ -37,90 +41,149 @@
         }
     }
 
-    /// Updates the running mean of the wait at a service's targets and returns it.
-    pub(super) fn update_mean_wait(
+    /// Chooses a target or refuses the request. Targets that are not candidates are weighed only if
+    /// no candidate accepts the request.
+    pub(super) fn choose(
+        &mut self,
+        now: MonotonicTime,
+        request: &DirectRequest<'_>,
+        tried: &[TargetId],
+    ) -> Placement {
+        let ready = self.targets.ready(request.service);
+        let table = self.table.as_ref();
+        let service = table.and_then(|table| table.service(request.service));
+        let memory_tokens = service.and_then(|service| service.memory_tokens);
+        let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
+        let placement_request = self.placement_request(now, request, mean_wait);
+        let view =
+            PlacementView { router: self, now, request, memory_tokens, ready: &ready, tried };
+        let limits = PlacementLimits::new(&placement_request);
+        let ranked = view.candidates();
+        let candidates: Vec<PlacementTarget> =
+            ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
+        choose_candidate(&placement_request, &limits, &candidates)
+            .or_else(|| {
+                let others = view.spill_targets(&limits, &ranked);
+                choose_spill_target(&placement_request, &limits, others)
+            })
+            .unwrap_or_else(|| refuse(&placement_request, &limits, &candidates))
+    }
+
+    /// Updates the running mean of the wait at a service's usable targets and returns it.
+    fn update_mean_wait(
         &mut self,
         now: MonotonicTime,
         service: &str,
-        targets: &[PlacementTarget],
+        ready: &[ReadyTarget],
+        memory_tokens: Option<u64>,
     ) -> Duration {
-        let total: Duration = targets.iter().map(PlacementTarget::wait).sum();
-        let mean = total / targets.len().max(1) as u32;
-        match self.mean_waits.get_mut(service) {
-            Some(wait) => wait.observe(now, mean),
-            None => {
-                let wait = self.mean_waits.entry(service.to_owned()).or_default();
-                wait.observe(now, mean)
+        if let Some(wait) = self.mean_waits.get(service).filter(|wait| !wait.is_due(now)) {
+            return wait.current();
+        }
+        let usable = ready.iter().filter(|target| self.health.is_usable(now, target.id));
+        let (total, count) = usable.fold((Duration::ZERO, 0), |(total, count), target| {
+            (total + self.wait(target, memory_tokens), count + 1)
+        });
+        let mean = total / count.max(1);
+        self.mean_waits.entry(service.to_owned()).or_default().observe(now, mean)
+    }
+
+    /// Returns the time until a target starts to process a new request.
+    fn wait(&self, target: &ReadyTarget, memory_tokens: Option<u64>) -> Duration {
+        let load = self.loads.load(target.id);
+        match memory_tokens {
+            Some(_) => self.speeds.prefill_time(target.id, load.queued_tokens),
+            None => plain_wait(self.speeds.service_time(target.id), &load, target.slots),
+        }
+    }
+}
+
+/// The state that the placement of one request depends on.
+struct PlacementView<'a> {
+    router: &'a DirectRouter,
+    now: MonotonicTime,
+    request: &'a DirectRequest<'a>,
+    /// Memory of the service's targets; `None` for a plain service.
+    memory_tokens: Option<u64>,
+    /// Ready targets of the service.
+    ready: &'a [ReadyTarget],
+    /// Targets to exclude.
+    tried: &'a [TargetId],
+}
+
+impl<'a> PlacementView<'a> {
+    fn is_usable(&self, target: TargetId) -> bool {
+        !self.tried.contains(&target) && self.router.health.is_usable(self.now, target)
+    }
+
+    /// Returns the preferred targets of the request, its home target first.
+    ///
+    /// Rendezvous hashing makes all routers prefer the same few targets for requests with the same
+    /// shared part, so that its prefill is done only there. For requests without prompt parts all
+    /// targets are equal.
+    fn candidates(&self) -> SmallVec<[&'a ReadyTarget; CANDIDATE_TARGETS]> {
+        let Some(part) = self.request.prompt.and_then(PromptShape::shared_part) else {
+            return self.ready.iter().filter(|target| self.is_usable(target.id)).collect();
+        };
+        let mut top: SmallVec<[(u64, &ReadyTarget); CANDIDATE_TARGETS]> = SmallVec::new();
+        for target in self.ready {
+            let weight = rendezvous_weight(part.id, VmId(target.id.0));
+            let position = top.partition_point(|(other, _)| *other >= weight);
+            // Usability is checked last, since it is needed for few targets only.
+            if position < CANDIDATE_TARGETS && self.is_usable(target.id) {
+                top.truncate(CANDIDATE_TARGETS - 1);
+                top.insert(position, (weight, target));
             }
         }
+        top.into_iter().map(|(_, target)| target).collect()
     }
 
-    pub(super) fn placement_targets(
+    /// Returns the usable targets other than `candidates` that are idle enough for the request.
+    fn spill_targets(
         &self,
-        now: MonotonicTime,
-        request: &DirectRequest<'_>,
-        tried: &[TargetId],
-    ) -> Vec<PlacementTarget> {
-        let service = self.table.as_ref().and_then(|table| table.service(request.service));
-        let memory_tokens = service.and_then(|service| service.memory_tokens);
-        let usable = self.targets.ready_targets(request.service).map(TargetEntry::id);
-        let usable: Vec<TargetId> = usable
-            .filter(|target| !tried.contains(target) && self.health.is_usable(now, *target))
-            .collect();
-        let candidates = candidate_targets(request.prompt, usable.clone());
-        let entries = self.targets.ready_targets(request.service);
-        entries
-            .filter(|entry| usable.contains(&entry.id()))
-            .map(|entry| self.placement_target(now, request, entry, memory_tokens, &candidates))
-            .collect()
+        limits: &PlacementLimits,
+        candidates: &[&ReadyTarget],
+    ) -> impl Iterator<Item = PlacementTarget> {
+        let is_candidate =
+            |target: &ReadyTarget| candidates.iter().any(|candidate| candidate.id == target.id);
+        let idle = self.ready.iter().filter(move |target| {
+            limits.allows_spill_wait(self.router.wait(target, self.memory_tokens))
+                && !is_candidate(target)
+                && self.is_usable(target.id)
+        });
+        idle.map(|target| self.placement_target(target, candidates))
     }
 
     fn placement_target(
         &self,
-        now: MonotonicTime,
-        request: &DirectRequest<'_>,
-        entry: &TargetEntry,
-        memory_tokens: Option<u64>,
-        candidates: &[TargetId],
+        target: &ReadyTarget,
+        candidates: &[&ReadyTarget],
     ) -> PlacementTarget {
-        let target = entry.id();
-        let is_home = candidates.first() == Some(&target);
-        let load = self.loads.load(target);
-        let missing = request
-            .prompt
-            .map_or(0, |prompt| self.prefixes.missing_tokens(now, target, prompt, is_home));
-        let own = request.prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
-        let base_time = match memory_tokens {
-            Some(_) => self.speeds.first_event_overhead(),
-            None => self.speeds.service_time(target),
+        let router = self.router;
+        let id = target.id;
+        let is_home = candidates.first().is_some_and(|home| home.id == id);
+        let load = router.loads.load(id);
+        let prompt = self.request.prompt;
+        let missing = prompt
+            .map_or(0, |prompt| router.prefixes.missing_tokens(self.now, id, prompt, is_home));
+        let own = prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
+        let base_time = match self.memory_tokens {
+            Some(_) => router.speeds.first_event_overhead(),
+            None => router.speeds.service_time(id),
         };
         PlacementTarget {
-            target,
-            slots: entry.slots,
-            memory_tokens,
+            target: id,
+            slots: target.slots,
+            memory_tokens: self.memory_tokens,
             load,
-            queue_time: self.speeds.prefill_time(target, load.queued_tokens),
+            queue_time: router.speeds.prefill_time(id, load.queued_tokens),
             prefill_tokens: own + missing,
-            prefill_time: self.speeds.prefill_time(target, own + missing),
-            repeated_prefill_time: self.speeds.prefill_time(target, missing),
+            prefill_time: router.speeds.prefill_time(id, own + missing),
+            repeated_prefill_time: router.speeds.prefill_time(id, missing),
             base_time,
-            failure_rate: self.health.failure_rate(now, target),
-            is_same_domain: entry.domain == self.policy.domain,
-            is_candidate: candidates.contains(&target),
+            failure_rate: router.health.failure_rate(self.now, id),
+            is_same_domain: target.domain == router.policy.domain,
+            is_candidate: candidates.iter().any(|candidate| candidate.id == id),
         }
     }
 }
-
-/// Returns the preferred targets of a request, its home target first.
-///
-/// Rendezvous hashing makes all routers prefer the same few targets for requests with the same
-/// shared part, so that its prefill is done only there. For requests without prompt parts all
-/// targets are equal.
-fn candidate_targets(prompt: Option<&PromptShape>, usable: Vec<TargetId>) -> Vec<TargetId> {
-    let Some(part) = prompt.and_then(PromptShape::shared_part) else {
-        return usable;
-    };
-    let nodes: Vec<VmId> = usable.into_iter().map(|target| VmId(target.0)).collect();
-    let top = rendezvous_top(part.id, &nodes, CANDIDATE_TARGETS);
-    top.into_iter().map(|node| TargetId(node.0)).collect()
-}
--- a/crates/jackdaw-policy/src/direct/load_table.rs
+++ b/crates/jackdaw-policy/src/direct/load_table.rs
@@ -1,9 +1,9 @@
 //! Load of each target: the router's own runs in progress and those that other routers report.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
+use rustc_hash::FxHashMap;
 
 use crate::direct::peer_report::TargetUsage;
 use crate::direct::target_table::TargetId;
@@ -67,10 +67,10 @@
 /// Runs in progress at all targets.
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
-    own: HashMap<TargetId, TargetLoad>,
+    own: FxHashMap<TargetId, TargetLoad>,
     /// Sums over the other routers, updated with every report.
-    others: HashMap<TargetId, TargetLoad>,
-    peers: HashMap<ProcessIncarnation, PeerLoad>,
+    others: FxHashMap<TargetId, TargetLoad>,
+    peers: FxHashMap<ProcessIncarnation, PeerLoad>,
 }
 
 impl LoadTable {
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -147,8 +147,7 @@
         if self.memory_tokens.is_some() {
             return self.queue_time;
         }
-        let ahead = (self.load.runs() + 1).saturating_sub(self.slots);
-        self.base_time * ahead / self.slots.max(1)
+        plain_wait(self.base_time, &self.load, self.slots)
     }
 
     /// Returns the expected time to the first event or the response.
@@ -157,7 +156,7 @@
     }
 
     /// Returns the cost by which targets are ranked, in microseconds.
-    fn cost(&self) -> f64 {
+    pub fn cost(&self) -> f64 {
         let mut cost = self.expected().as_micros() as f64;
         cost += REPEATED_PREFILL_WEIGHT * self.repeated_prefill_time.as_micros() as f64;
         match self.memory_tokens {
@@ -171,6 +170,19 @@
         cost / (1.0 - self.failure_rate.min(0.95))
     }
 
+    /// Returns whether the target can serve the request within a wait limit and before its deadline.
+    fn accepts(&self, request: &PlacementRequest<'_>, limit: Duration) -> bool {
+        self.wait() <= limit && self.expected() < request.time_left && self.has_room(request)
+    }
+
+    fn placement(&self) -> Placement {
+        Placement::Send {
+            target: self.target,
+            expected: self.expected(),
+            prefill_tokens: self.prefill_tokens,
+        }
+    }
+
     fn has_room(&self, request: &PlacementRequest<'_>) -> bool {
         let Some(memory) = self.memory_tokens else {
             return true;
@@ -185,32 +197,108 @@
     }
 }
 
+/// Returns the time until a plain target starts to process a new request.
+pub fn plain_wait(service_time: Duration, load: &TargetLoad, slots: u32) -> Duration {
+    let ahead = (load.runs() + 1).saturating_sub(slots);
+    service_time * ahead / slots.max(1)
+}
+
+/// Limits that the customer's share and the pressure on the fleet set for one request.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementLimits {
+    /// Longest wait at a candidate of the request.
+    wait: Duration,
+    /// Longest wait at any other target.
+    spill_wait: Duration,
+    /// Whether only the best-ranked target may be used.
+    is_first_only: bool,
+}
+
+impl PlacementLimits {
+    /// Determines the limits of a request.
+    pub fn new(request: &PlacementRequest<'_>) -> PlacementLimits {
+        let pressure = pressure(request);
+        let wait = wait_limit(request, pressure);
+        PlacementLimits {
+            wait,
+            spill_wait: request.service_objective.mul_f64(SPILL_WAIT_FRACTION).min(wait),
+            // Under pressure, only customers within their share may use more than the first target.
+            is_first_only: pressure >= SPILL_PRESSURE && request.share.tier != ShareTier::Owed,
+        }
+    }
+
+    /// Returns whether the request may go to a target that is not one of its candidates.
+    pub fn allows_spill(&self) -> bool {
+        !self.is_first_only
+    }
+
+    /// Returns whether a target that is not a candidate is idle enough for the request. The check
+    /// needs none of the properties that are costly to determine.
+    pub fn allows_spill_wait(&self, wait: Duration) -> bool {
+        wait <= self.spill_wait
+    }
+}
+
 /// Chooses a target for a request among `targets`, which must be usable, or refuses the request.
 pub fn choose_target(request: &PlacementRequest<'_>, targets: &[PlacementTarget]) -> Placement {
-    let mut ranked: Vec<&PlacementTarget> = targets.iter().collect();
-    ranked.sort_by(|a, b| b.is_candidate.cmp(&a.is_candidate).then(a.cost().total_cmp(&b.cost())));
-    let Some(best) = ranked.first() else {
-        let (_, longest) = RETRY_RANGE;
+    let limits = PlacementLimits::new(request);
+    let (candidates, others): (Vec<_>, Vec<_>) =
+        targets.iter().cloned().partition(|target| target.is_candidate);
+    choose_candidate(request, &limits, &candidates)
+        .or_else(|| choose_spill_target(request, &limits, others.iter().cloned()))
+        .unwrap_or_else(|| refuse(request, &limits, &candidates))
+}
+
+/// Chooses the best-ranked candidate that has room for the request and whose wait is within the
+/// limit.
+pub fn choose_candidate(
+    request: &PlacementRequest<'_>,
+    limits: &PlacementLimits,
+    candidates: &[PlacementTarget],
+) -> Option<Placement> {
+    let mut ranked: Vec<(f64, &PlacementTarget)> =
+        candidates.iter().map(|target| (target.cost(), target)).collect();
+    ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let eligible = if limits.is_first_only { 1 } else { ranked.len() };
+    let mut eligible = ranked.into_iter().take(eligible).map(|(_, target)| target);
+    let chosen = eligible.find(|target| target.accepts(request, limits.wait))?;
+    Some(chosen.placement())
+}
+
+/// Chooses the best-ranked of the targets that are not candidates, if the request may use one.
+pub fn choose_spill_target(
+    request: &PlacementRequest<'_>,
+    limits: &PlacementLimits,
+    targets: impl Iterator<Item = PlacementTarget>,
+) -> Option<Placement> {
+    if !limits.allows_spill() {
+        return None;
+    }
+    let accepting = targets.filter(|target| target.accepts(request, limits.spill_wait));
+    let ranked = accepting.map(|target| (target.cost(), target));
+    let best = ranked.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, target)| target.placement())
+}
+
+/// Refuses a request that no target accepts. The retry delay follows from the best candidate.
+pub fn refuse(
+    request: &PlacementRequest<'_>,
+    limits: &PlacementLimits,
+    candidates: &[PlacementTarget],
+) -> Placement {
+    let (shortest, longest) = RETRY_RANGE;
+    let best = candidates.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
+    let Some(best) = best else {
         return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after: longest / 4 };
     };
-    let pressure = pressure(request);
-    let limit = wait_limit(request, pressure);
-    let spill_limit = request.service_objective.mul_f64(SPILL_WAIT_FRACTION).min(limit);
-    // Under pressure, only customers within their share may use more than the first target.
-    let is_first_only = pressure >= SPILL_PRESSURE && request.share.tier != ShareTier::Owed;
-    let eligible = if is_first_only { 1 } else { ranked.len() };
-    for target in ranked.iter().take(eligible) {
-        let limit = if target.is_candidate { limit } else { spill_limit };
-        let meets_deadline = target.expected() < request.time_left;
-        if target.has_room(request) && meets_deadline && target.wait() <= limit {
-            return Placement::Send {
-                target: target.target,
-                expected: target.expected(),
-                prefill_tokens: target.prefill_tokens,
-            };
-        }
+    if request.share.tier != ShareTier::Owed {
+        let delay = Duration::from_secs(1).mul_f64(request.share.share_used.min(4.0));
+        let retry_after = delay.clamp(shortest, longest);
+        return Placement::Refuse { reason: RefusalReason::OverShare, retry_after };
     }
-    refuse(request, best, limit)
+    let over_limit = best.wait().saturating_sub(limits.wait / 2);
+    let retry_after = over_limit.clamp(shortest, longest);
+    Placement::Refuse { reason: RefusalReason::Overloaded, retry_after }
 }
 
 /// Returns the pressure on the fleet over the last seconds, from 0 to 1.
@@ -237,15 +325,3 @@
     let factor = fraction * RANK_FACTOR.powi(request.rank.min(8) as i32);
     request.service_objective.mul_f64(factor)
 }
-
-fn refuse(request: &PlacementRequest<'_>, best: &PlacementTarget, limit: Duration) -> Placement {
-    let (shortest, longest) = RETRY_RANGE;
-    if request.share.tier != ShareTier::Owed {
-        let delay = Duration::from_secs(1).mul_f64(request.share.share_used.min(4.0));
-        let retry_after = delay.clamp(shortest, longest);
-        return Placement::Refuse { reason: RefusalReason::OverShare, retry_after };
-    }
-    let over_limit = best.wait().saturating_sub(limit / 2);
-    let retry_after = over_limit.clamp(shortest, longest);
-    Placement::Refuse { reason: RefusalReason::Overloaded, retry_after }
-}
--- a/crates/jackdaw-policy/src/direct/prefix_map.rs
+++ b/crates/jackdaw-policy/src/direct/prefix_map.rs
@@ -1,9 +1,9 @@
 //! Estimate of the shared prompt parts that each target has cached.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use jackdaw_base::MonotonicTime;
+use rustc_hash::FxHashMap;
 
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::target_table::TargetId;
@@ -17,7 +17,7 @@
 /// Prompt parts that this router has sent to each target.
 #[derive(Debug, Clone, Default)]
 pub struct PrefixMap {
-    targets: HashMap<TargetId, HashMap<u64, MonotonicTime>>,
+    targets: FxHashMap<TargetId, FxHashMap<u64, MonotonicTime>>,
 }
 
 impl PrefixMap {
--- a/crates/jackdaw-policy/src/direct/refusal_tracker.rs
+++ b/crates/jackdaw-policy/src/direct/refusal_tracker.rs
@@ -1,9 +1,9 @@
 //! Recognition of callers' retries after a refusal by any router.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use jackdaw_base::MonotonicTime;
+use rustc_hash::FxHashMap;
 
 use crate::direct::peer_report::RefusedRequest;
 
@@ -25,7 +25,7 @@
 /// Refused requests by fingerprint, the digest of customer and content.
 #[derive(Debug, Clone, Default)]
 pub struct RefusalTracker {
-    due: HashMap<u64, MonotonicTime>,
+    due: FxHashMap<u64, MonotonicTime>,
     recent: Vec<(u64, MonotonicTime, MonotonicTime)>,
 }
 
--- a/crates/jackdaw-policy/src/direct/target_health.rs
+++ b/crates/jackdaw-policy/src/direct/target_health.rs
@@ -1,9 +1,9 @@
 //! Passive health checks: detects failing targets from the router's own requests to them.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use jackdaw_base::MonotonicTime;
+use rustc_hash::FxHashMap;
 
 use crate::direct::target_table::TargetId;
 
@@ -94,7 +94,7 @@
 /// Health of all targets as observed by this router.
 #[derive(Debug, Clone, Default)]
 pub struct TargetHealth {
-    records: HashMap<TargetId, HealthRecord>,
+    records: FxHashMap<TargetId, HealthRecord>,
 }
 
 impl TargetHealth {
--- a/crates/jackdaw-policy/src/direct/target_speed.rs
+++ b/crates/jackdaw-policy/src/direct/target_speed.rs
@@ -1,8 +1,9 @@
 //! Estimate of each target's prefill speed and service time, based on measured response times.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::direct::target_table::TargetId;
 
 /// Initial estimate of the prefill time per token in microseconds; an engine for models of this
@@ -30,18 +31,18 @@
 /// Moving averages of target speeds; targets without samples use the average over all targets.
 #[derive(Debug, Clone)]
 pub struct TargetSpeed {
-    token_micros: HashMap<TargetId, f64>,
+    token_micros: FxHashMap<TargetId, f64>,
     mean_token_micros: f64,
-    service_micros: HashMap<TargetId, f64>,
+    service_micros: FxHashMap<TargetId, f64>,
     mean_service_micros: f64,
 }
 
 impl Default for TargetSpeed {
     fn default() -> TargetSpeed {
         TargetSpeed {
-            token_micros: HashMap::new(),
+            token_micros: FxHashMap::default(),
             mean_token_micros: INITIAL_TOKEN_MICROS,
-            service_micros: HashMap::new(),
+            service_micros: FxHashMap::default(),
             mean_service_micros: INITIAL_SERVICE_TIME.as_micros() as f64,
         }
     }
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -5,11 +5,14 @@
 //! regardless of its source. Entries expire while the store is unreachable; for a short time after
 //! it is reachable again, a missing entry does not mean that the target has ended.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
+use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time after the store is reachable again within which live targets have registered again, as
@@ -99,6 +102,49 @@
     missing_since: Option<MonotonicTime>,
 }
 
+/// The properties of a ready target that placement needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadyTarget {
+    /// Identifier of the target.
+    pub id: TargetId,
+    /// Number of requests that the target runs concurrently.
+    pub slots: u32,
+    /// Failure domain of the target.
+    pub domain: String,
+}
+
+/// Lookup tables derived from the entries. Decisions are far more frequent than changes of the
+/// entries, so the tables are rebuilt at the first lookup after a change.
+#[derive(Debug, Clone, Default)]
+struct TargetIndex {
+    /// Ready targets by service, in the order of their identifiers.
+    ready: HashMap<String, Rc<[ReadyTarget]>>,
+    names: FxHashMap<TargetId, String>,
+    digest: u64,
+}
+
+impl TargetIndex {
+    fn build(targets: &HashMap<String, KnownTarget>) -> TargetIndex {
+        let mut index = TargetIndex::default();
+        let mut ready: HashMap<&str, Vec<ReadyTarget>> = HashMap::new();
+        for entry in targets.values().map(|target| &target.entry) {
+            let id = entry.id();
+            index.names.insert(id, entry.name.clone());
+            let state = entry.state as u64;
+            index.digest ^= xxh3_64_with_seed(entry.name.as_bytes(), entry.revision * 2 + state);
+            if entry.state == TargetState::Ready {
+                let target = ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone() };
+                ready.entry(&entry.service).or_default().push(target);
+            }
+        }
+        for (service, mut targets) in ready {
+            targets.sort_by_key(|target| target.id);
+            index.ready.insert(service.to_owned(), targets.into());
+        }
+        index
+    }
+}
+
 /// Targets known to a router, by name, with the revisions of recent removals.
 #[derive(Debug, Clone)]
 pub struct TargetTable {
@@ -107,6 +153,8 @@
     reachability: StoreReachability,
     /// Latest revision that changed the table.
     change_revision: u64,
+    /// Empty after a change of the entries.
+    index: OnceCell<TargetIndex>,
 }
 
 plain_data! {
@@ -132,6 +180,7 @@
             removals: HashMap::new(),
             reachability: StoreReachability::Unreachable(now),
             change_revision: 0,
+            index: OnceCell::new(),
         }
     }
 
@@ -163,15 +212,23 @@
 
     /// Returns a target by its identifier.
     pub fn find(&self, target: TargetId) -> Option<&TargetEntry> {
-        self.entries().find(|entry| entry.id() == target)
+        let name = self.index().names.get(&target)?;
+        self.targets.get(name).map(|known| &known.entry)
+    }
+
+    /// Returns whether a target is registered.
+    pub fn contains(&self, target: TargetId) -> bool {
+        self.index().names.contains_key(&target)
+    }
+
+    /// Returns the number of registered targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
     }
 
     /// Returns a digest of the entries; equal for tables with equal entries.
     pub fn digest(&self) -> u64 {
-        self.entries().fold(0, |digest, entry| {
-            let state = entry.state as u64;
-            digest ^ xxh3_64_with_seed(entry.name.as_bytes(), entry.revision * 2 + state)
-        })
+        self.index().digest
     }
 
     /// Returns a snapshot for another router. `is_complete` must be set only if the store has been
@@ -196,7 +253,7 @@
         }
         for (name, revision) in snapshot.removals {
             if self.targets.get(&name).is_some_and(|known| known.entry.revision <= revision) {
-                self.targets.remove(&name);
+                self.targets_mut().remove(&name);
             }
             self.removals.insert(name, (revision, now));
         }
@@ -246,7 +303,12 @@
         names
     }
 
-    /// Returns the targets of a service that accept requests.
+    /// Returns the targets of a service that accept requests, in the order of their identifiers.
+    pub fn ready(&self, service: &str) -> Rc<[ReadyTarget]> {
+        self.index().ready.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the entries of the targets of a service that accept requests.
     pub fn ready_targets(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
         self.entries()
             .filter(move |entry| entry.service == service && entry.state == TargetState::Ready)
@@ -263,6 +325,16 @@
         self.targets.is_empty()
     }
 
+    fn index(&self) -> &TargetIndex {
+        self.index.get_or_init(|| TargetIndex::build(&self.targets))
+    }
+
+    /// Returns the targets for a change, which invalidates the lookup tables.
+    fn targets_mut(&mut self) -> &mut HashMap<String, KnownTarget> {
+        self.index.take();
+        &mut self.targets
+    }
+
     /// Removes entries that are missing from a complete snapshot and not newer than it.
     fn remove_unlisted(&mut self, now: MonotonicTime, snapshot: &TargetSnapshot) {
         let is_listed = |name: &String| snapshot.entries.iter().any(|entry| entry.name == *name);
@@ -277,7 +349,7 @@
 
     /// Removes a target whose removal has no revision of its own in the store.
     fn remove_unrevised(&mut self, now: MonotonicTime, name: &str) {
-        if let Some(target) = self.targets.remove(name) {
+        if let Some(target) = self.targets_mut().remove(name) {
             self.removals.insert(name.to_owned(), (target.entry.revision, now));
         }
     }
@@ -286,22 +358,18 @@
         if self.removals.get(&entry.name).is_some_and(|(revision, _)| *revision >= entry.revision) {
             return false;
         }
-        match self.targets.get_mut(&entry.name) {
-            Some(known) if known.entry.revision > entry.revision => false,
-            Some(known) => {
-                let is_change = known.entry != entry || known.missing_since.is_some();
-                self.change_revision = self.change_revision.max(entry.revision);
-                known.entry = entry;
-                known.missing_since = None;
-                is_change
-            }
-            None => {
-                self.change_revision = self.change_revision.max(entry.revision);
-                let target = KnownTarget { entry, missing_since: None };
-                self.targets.insert(target.entry.name.clone(), target);
-                true
-            }
+        let known = self.targets.get(&entry.name);
+        if known.is_some_and(|known| known.entry.revision > entry.revision) {
+            return false;
+        }
+        let is_change =
+            known.is_none_or(|known| known.entry != entry || known.missing_since.is_some());
+        self.change_revision = self.change_revision.max(entry.revision);
+        if is_change {
+            let target = KnownTarget { entry, missing_since: None };
+            self.targets_mut().insert(target.entry.name.clone(), target);
         }
+        is_change
     }
 
     fn remove(&mut self, now: MonotonicTime, name: &str, revision: u64) -> bool {
@@ -321,7 +389,7 @@
             known.missing_since.get_or_insert(now);
             return false;
         }
-        self.targets.remove(name);
+        self.targets_mut().remove(name);
         self.removals.insert(name.to_owned(), (revision, now));
         self.change_revision = self.change_revision.max(revision);
         true
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod random_updates;
 mod report_relays;
 mod route_lookup;
+mod staged_placement;
 mod target_faults;
 mod target_table;
 mod wait_tiers;
