Introduce routers of domains without seeds to each other

Cause: the large deployment has five failure domains and three seeds. A router sends its report directly only to routers of its own domain and to those that it has no report of.

Change: a direct report from a new router, or from a router of another domain in a fleet with relays, is answered at once with a report that lists the routers the sender has to know: those of its domain and the relays of the others. A report that carries a list is not answered. No change of the datagrams.

Test: peer_discovery, 100 routers in five domains with seeds in three of them; without introductions it fails (a router has heard 18 of 19 after 12 periods).

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -115,22 +115,47 @@
             self.add(*ip);
         }
         let now = self.state.now();
+        let is_introduced = match datagram.reports.as_slice() {
+            // Introductions list routers themselves, so they are not answered in turn.
+            [RouterReport { address, report }]
+                if *address == sender && datagram.known.is_empty() =>
+            {
+                self.peers.borrow().needs_introduction(&self.state, sender, report)
+            }
+            _ => false,
+        };
         for RouterReport { address, report } in &datagram.reports {
             let is_new = self.state.router().apply_report(now, report);
             if is_new {
                 self.peers.borrow_mut().record(&self.state, *address, report);
             }
         }
+        if let (true, [RouterReport { report, .. }]) = (is_introduced, &datagram.reports[..]) {
+            self.introduce(sender, &report.domain);
+        }
         if datagram.is_bundle {
             let peers = self.peers.borrow().domain_peers();
             self.send(&peers, &ReportDatagram { is_bundle: false, ..datagram });
         }
     }
 
+    /// Answers a router of the failure domain `domain` with the routers that it has to know, which
+    /// include itself.
+    fn introduce(&self, sender: Ipv4Addr, domain: &str) {
+        let known = self.peers.borrow().introduction(domain);
+        log::debug!(peer:% = sender, introduced = known.len(); "introducing routers to a peer");
+        let own = self.own_report();
+        self.send(&[sender], &ReportDatagram { reports: vec![own], known, is_bundle: false });
+    }
+
+    fn own_report(&self) -> RouterReport {
+        let report = self.state.router().report(self.state.now());
+        RouterReport { address: self.state.settings().ip(), report }
+    }
+
     /// Sends the reports of one period; returns the time until the next period.
     fn send_period(&self, period: u64) -> Duration {
-        let report = self.state.router().report(self.state.now());
-        let own = RouterReport { address: self.state.settings().ip(), report };
+        let own = self.own_report();
         let (plan, known, is_relayed) = {
             let peers = self.peers.borrow();
             let known = match period % PEER_LIST_INTERVAL {
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -6,7 +6,8 @@
 
 use jackdaw_base::plain_data;
 use jackdaw_policy::direct::{
-    FetchUrgency, PeerReport, PeerStatus, PlanPeer, ReportPlan, WatchPeer, plan_reports,
+    FetchUrgency, PeerReport, PeerStatus, PlanPeer, ReportPlan, WatchPeer, introduce_peers,
+    needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -103,20 +104,38 @@
 
     /// Returns the receivers of the reports of one period.
     pub(crate) fn plan(&self, state: &EdgeState, period: u64) -> ReportPlan {
-        let peers: Vec<PlanPeer<'_>> = self
-            .peers
-            .iter()
-            .map(|(ip, record)| PlanPeer {
-                address: *ip,
-                status: record.last.as_ref().map(|last| PeerStatus {
-                    incarnation: last.report.incarnation,
-                    domain: &last.report.domain,
-                    is_recent: last.is_recent(self.silence_timeout()),
-                }),
-            })
-            .collect();
         let incarnation = state.router().incarnation();
-        plan_reports(incarnation, &state.settings().domain, &peers, period)
+        plan_reports(incarnation, &state.settings().domain, &self.plan_peers(), period)
+    }
+
+    /// Returns whether a report that its router sent directly is to be answered with an
+    /// introduction. Must be called before the report is recorded.
+    pub(crate) fn needs_introduction(
+        &self,
+        state: &EdgeState,
+        sender: Ipv4Addr,
+        report: &PeerReport,
+    ) -> bool {
+        let is_first = self.peers.get(&sender).is_none_or(|record| record.last.is_none());
+        needs_introduction(is_first, &report.domain, &state.settings().domain, self.peers.len())
+    }
+
+    /// Returns the routers to introduce to one of the failure domain `domain`.
+    pub(crate) fn introduction(&self, domain: &str) -> Vec<Ipv4Addr> {
+        introduce_peers(domain, &self.plan_peers())
+    }
+
+    fn plan_peers(&self) -> Vec<PlanPeer<'_>> {
+        let timeout = self.silence_timeout();
+        let peers = self.peers.iter().map(|(ip, record)| PlanPeer {
+            address: *ip,
+            status: record.last.as_ref().map(|last| PeerStatus {
+                incarnation: last.report.incarnation,
+                domain: &last.report.domain,
+                is_recent: last.is_recent(timeout),
+            }),
+        });
+        peers.collect()
     }
 
     /// Returns the number of known routers.
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -41,7 +41,10 @@
 pub use prefix_map::PrefixMap;
 pub use prompt_shape::{PromptPart, PromptShape};
 pub use refusal_tracker::RefusalTracker;
-pub use report_plan::{PeerStatus, PlanPeer, ReportPlan, plan_reports, uses_relays};
+pub use report_plan::{
+    PeerStatus, PlanPeer, ReportPlan, introduce_peers, needs_introduction, plan_reports,
+    uses_relays,
+};
 pub use route_table::{KeyError, RouteTable};
 pub use target_health::{SendFailure, TargetHealth};
 pub use target_speed::TargetSpeed;
--- a/crates/jackdaw-policy/src/direct/report_plan.rs
+++ b/crates/jackdaw-policy/src/direct/report_plan.rs
@@ -5,6 +5,10 @@
 //! the domain and send them to a relay of each other domain, which forwards them within its domain.
 //! This keeps the number of datagrams between failure domains low, and a report still reaches all
 //! routers within a few periods.
+//!
+//! A router first knows only a few seeds, which may all be in other failure domains. It sends its
+//! report directly to routers that it has no report of, and a router that receives such a report
+//! answers with an introduction: the routers that the sender has to know.
 
 use std::net::Ipv4Addr;
 
@@ -76,6 +80,34 @@
     ReportPlan { direct, bundles }
 }
 
+/// Returns the routers that a router of `domain` has to know: all of its own failure domain, and the
+/// relays of the others.
+pub fn introduce_peers(domain: &str, peers: &[PlanPeer<'_>]) -> Vec<Ipv4Addr> {
+    let reporting = peers.iter().filter_map(|peer| Some((peer.status?, peer.address)));
+    let mut recent: Vec<(PeerStatus<'_>, Ipv4Addr)> =
+        reporting.filter(|(status, _)| status.is_recent).collect();
+    recent.sort_by_key(|(status, _)| (status.domain, status.incarnation.0));
+    let domains = recent.chunk_by(|(a, _), (b, _)| a.domain == b.domain);
+    let introduced = domains.flat_map(|routers| match routers {
+        [(status, _), ..] if status.domain == domain => routers,
+        routers => &routers[..routers.len().min(RELAYS)],
+    });
+    introduced.map(|(_, address)| *address).collect()
+}
+
+/// Returns whether a report that was sent directly must be answered with an introduction: the
+/// sender is new, or it has no report of this router, which is in another failure domain.
+///
+/// An introduction is a report itself and must not be answered.
+pub fn needs_introduction(
+    is_first_report: bool,
+    sender_domain: &str,
+    own_domain: &str,
+    peers: usize,
+) -> bool {
+    is_first_report || (uses_relays(peers) && sender_domain != own_domain)
+}
+
 /// Returns whether a router is a relay, which the routers with the lowest incarnations of a failure
 /// domain are.
 fn is_relay(own: ProcessIncarnation, domain: &str, peers: &[PlanPeer<'_>]) -> bool {
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod fleet_retry_budget;
 mod load_reports;
 mod overload_detector;
+mod peer_discovery;
 mod prefix_affinity;
 mod random_updates;
 mod report_relays;
