Order the store's state by era, heed leaving targets and their pauses

A store may be restored from an older copy (`Store-Era`): revisions go back, so every change of the new era looked old and was ignored, and a removal or a draining that the copy lacks was undone by nothing but the highest revision. Targets announce their leaving in all responses (`Server-Leaving`), and ask for a pause when they turn a request away (`Retry-After` with 503).

Change: - `StoreRevision` packs era and revision into one integer. All comparisons, in the table, between routers and in reports, thereby put the era first, and builds without eras exchange the same values. The store client starts over when a response states a newer era and rejects those of an older one. A first listing of an era starts the grace period for targets that it lacks. - What a router knows about leaving targets is kept by instance, apart from the entries. A copy does not bring back a target that was draining or removed before the restore, until the target writes anew or for a minute. - An announced leaving binds until another start of the target, whatever the store says. Idle connections to the target are closed. - A pause excludes the target from placement for its length (60 s at most), one request probes it afterwards, and a request under way is withheld. A service whose targets all pause refuses at once with the shortest pause left. - Log lines about a request name their target.

--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -146,8 +146,9 @@
         state.process_tick();
         let expired = {
             let mut router = state.router();
-            let expired = router.expire(state.now());
-            router.forget_removed_targets();
+            let now = state.now();
+            let expired = router.expire(now);
+            router.forget_removed_targets(now);
             state.pool.expire(|target| router.targets.contains(target));
             expired
         };
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -21,6 +21,10 @@
     pub retries: Counter,
     /// Connections opened to targets.
     pub connections: Counter,
+    /// Targets whose announced leaving this router learned of.
+    pub leavings: Counter,
+    /// Pauses that targets asked this router for.
+    pub pauses: Counter,
     /// Requests to the platform's store.
     pub store_calls: Counter,
     /// Datagrams with reports sent to other routers.
@@ -46,6 +50,8 @@
             sends: plain("edge_sends", "Requests sent to targets"),
             retries: plain("edge_repeats", "Requests sent again to another target"),
             connections: plain("edge_connections", "Connections made to targets"),
+            leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
+            pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
             store_calls: plain("edge_store_calls", "Calls to the platform's store"),
             reports_sent: plain("edge_reports_sent", "Reports sent to other routers"),
             reports_received: plain("edge_reports_heard", "Reports taken in from other routers"),
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
-use jackdaw_policy::direct::{DirectPolicy, DirectRouter, OverloadDetector, ShedAction};
+use jackdaw_policy::direct::{DirectPolicy, DirectRouter, OverloadDetector, ShedAction, TargetId};
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
 
@@ -148,6 +148,22 @@
         !overload.lag(now).is_zero() || overload.has_accept_backlog(now)
     }
 
+    /// Records that a target announced its leaving, and closes the idle connections to it. `source`
+    /// is the request whose response said so, or the address of the router that passed it on.
+    pub fn record_leaving(&self, target: TargetId, source: &str) {
+        let (is_new, name) = {
+            let mut router = self.router();
+            let name = router.targets.find(target).map(|entry| entry.name.clone());
+            (router.record_leaving(self.now(), target), name)
+        };
+        if is_new {
+            let name = name.unwrap_or_default();
+            self.metrics.leavings.inc();
+            log::info!(target_name = name, target_id = target.0, source; "target announced its leaving");
+            self.pool.close_idle(target);
+        }
+    }
+
     /// Records whether a connection was already pending when the server was ready to accept one.
     pub fn record_accept(&self, was_pending: bool) {
         self.overload.borrow_mut().record_accept(self.now(), was_pending);
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -13,7 +13,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::uses_relays;
+use jackdaw_policy::direct::{TargetId, uses_relays};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -38,6 +38,10 @@
 /// small compared with the report period of a large fleet.
 const FETCH_POLL: Duration = Duration::from_millis(100);
 
+/// Time for which a router passes on that a target announced its leaving: several report periods of
+/// a large fleet.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -56,6 +60,16 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a datagram. Builds that do not know it ignore the bytes after the datagram,
+    /// and send none.
+    #[derive(Default)]
+    struct DatagramExtension {
+        /// Targets whose announced leaving the sender learned of recently, from whatever source.
+        leaving: Vec<TargetId>,
+    }
+}
+
 /// Background tasks that exchange reports.
 pub struct PeerReports {
     tasks: Vec<JoinHandle<()>>,
@@ -139,6 +153,24 @@
         }
     }
 
+    /// Processes the bytes after a datagram; there are none if the sender runs an older build.
+    fn receive_extension(&self, sender: Ipv4Addr, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        match postcard::from_bytes::<DatagramExtension>(bytes) {
+            Ok(extension) => {
+                let source = sender.to_string();
+                for target in extension.leaving {
+                    self.state.record_leaving(target, &source);
+                }
+            }
+            Err(error) => {
+                log::warn!(peer:% = sender, error:% = error; "failed to decode the end of a report");
+            }
+        }
+    }
+
     /// Answers a router of the failure domain `domain` with the routers that it has to know, which
     /// include itself.
     fn introduce(&self, sender: Ipv4Addr, domain: &str) {
@@ -182,7 +214,9 @@
     }
 
     fn send(&self, receivers: &[Ipv4Addr], datagram: &ReportDatagram) {
-        let bytes = match postcard::to_stdvec(datagram) {
+        let now = self.state.now();
+        let leaving = self.state.router().targets.announced_leaving(now, LEAVING_REPORT_TIME);
+        let bytes = match postcard::to_stdvec(&(datagram, DatagramExtension { leaving })) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "report exceeds the datagram size limit");
@@ -243,10 +277,11 @@
         let SocketAddr::V4(sender) = sender else {
             continue;
         };
-        match postcard::from_bytes::<ReportDatagram>(&bytes[..length]) {
-            Ok(datagram) => {
+        match postcard::take_from_bytes::<ReportDatagram>(&bytes[..length]) {
+            Ok((datagram, rest)) => {
                 exchange.state.metrics.reports_received.inc();
                 exchange.receive(*sender.ip(), datagram);
+                exchange.receive_extension(*sender.ip(), rest);
             }
             Err(error) => {
                 log::warn!(peer:% = sender, error:% = error; "failed to decode a report");
@@ -266,7 +301,13 @@
         let address = SocketAddrV4::new(peer, state.settings().peer_address.port());
         let known_version = state.router().config_version();
         match fetch_snapshot(address, known_version).await {
-            Ok(snapshot) => apply_snapshot(state, peer, snapshot),
+            Ok((snapshot, extension)) => {
+                apply_snapshot(state, peer, snapshot);
+                let source = peer.to_string();
+                for target in extension.leaving {
+                    state.record_leaving(target, &source);
+                }
+            }
             Err(error) => {
                 let now = state.now();
                 state.router().watch.record_failed_fetch(now);
@@ -286,7 +327,7 @@
     let is_complete = snapshot.targets.is_complete;
     router.targets.merge(state.now(), snapshot.targets);
     log::info!(
-        peer:% = peer, config = version, installed = is_installed, revision, is_complete;
+        peer:% = peer, config = version, installed = is_installed, revision:% = revision, is_complete;
         "applied a snapshot from another router"
     );
 }
--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::{FleetConfig, StoreStatus, TargetSnapshot};
+use jackdaw_policy::direct::{FleetConfig, StoreStatus, TargetId, TargetSnapshot};
 use tokio::net::TcpStream;
 
 use crate::edge_state::EdgeState;
@@ -35,6 +35,16 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a snapshot. Builds that do not know it ignore the bytes after the snapshot,
+    /// and send none.
+    #[derive(Default)]
+    pub struct SnapshotExtension {
+        /// Targets that announced their leaving.
+        pub leaving: Vec<TargetId>,
+    }
+}
+
 /// Encodes a snapshot of this router. `query` is the requesting router's configuration version.
 pub fn encode_snapshot(state: &EdgeState, query: Option<&str>) -> Vec<u8> {
     let known_version = query.and_then(|query| query.parse().ok()).unwrap_or(0);
@@ -45,7 +55,8 @@
         config: config.filter(|config| config.version > known_version).cloned(),
         targets: router.targets.snapshot(is_complete),
     };
-    postcard::to_stdvec(&snapshot).unwrap_or_else(|error| {
+    let leaving = router.targets.announced_leaving(state.now(), Duration::MAX);
+    postcard::to_stdvec(&(snapshot, SnapshotExtension { leaving })).unwrap_or_else(|error| {
         log::error!(error:% = error; "failed to encode the snapshot");
         Vec::new()
     })
@@ -60,14 +71,24 @@
 pub async fn fetch_snapshot(
     peer: SocketAddrV4,
     known_version: u64,
-) -> Result<FleetSnapshot, Report<ErrorKind>> {
+) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
     let path = format!("{SNAPSHOT_PATH}?{known_version}");
     let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch_bytes(peer, &path)).await;
     let bytes = fetched
         .map_err(|_| Report::new(ErrorKind::LinkFailed).attach("no response within the timeout"))
         .and_then(|fetched| fetched)
         .attach_with(|| peer.to_string())?;
-    postcard::from_bytes(&bytes).change_context(ErrorKind::ProtocolViolation)
+    decode_snapshot(&bytes)
+}
+
+fn decode_snapshot(bytes: &[u8]) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
+    let (snapshot, rest) =
+        postcard::take_from_bytes(bytes).change_context(ErrorKind::ProtocolViolation)?;
+    let extension = match rest {
+        [] => SnapshotExtension::default(),
+        rest => postcard::from_bytes(rest).change_context(ErrorKind::ProtocolViolation)?,
+    };
+    Ok((snapshot, extension))
 }
 
 async fn fetch_bytes(peer: SocketAddrV4, path: &str) -> Result<Bytes, Report<ErrorKind>> {
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -75,6 +75,7 @@
     pub(crate) tried: RefCell<Vec<TargetId>>,
     /// Identifier of the last selected target; zero if there is none.
     pub(crate) last_target: Cell<u64>,
+    last_target_name: RefCell<String>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     first_byte: Cell<Option<Duration>>,
@@ -99,6 +100,7 @@
             unrun_sends: Cell::new(0),
             tried: RefCell::default(),
             last_target: Cell::new(0),
+            last_target_name: RefCell::default(),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
             first_byte: Cell::new(None),
@@ -137,6 +139,7 @@
     pub fn log_interruption(&self, error: &hyper::Error) {
         log::info!(
             request:% = self.inner.request.head.id,
+            target_name = self.inner.target_name(),
             target_id = self.inner.last_target.get(),
             runs = self.inner.runs.get(),
             error:% = error;
@@ -158,6 +161,9 @@
     /// Records the target selected for the request.
     pub(crate) fn record_placement(&self, target: TargetId, expected: Duration) {
         self.inner.last_target.set(target.0);
+        let router = self.inner.state.router();
+        let name = router.targets.find(target).map(|entry| entry.name.clone());
+        self.inner.last_target_name.replace(name.unwrap_or_default());
         self.inner.expected.set(expected);
         self.inner.tried.borrow_mut().push(target);
     }
@@ -246,6 +252,11 @@
 }
 
 impl RequestState {
+    /// Returns the name of the last selected target; empty if there is none.
+    pub(crate) fn target_name(&self) -> String {
+        self.last_target_name.borrow().clone()
+    }
+
     /// Logs the end of the request and updates the metrics; only the first call has an effect.
     fn finish(&self, outcome: &str, status: u16) {
         if self.is_finished.replace(true) {
@@ -262,6 +273,7 @@
             customer = self.request.customer.as_ref().map_or("", |customer| customer.name.as_str()),
             outcome,
             status,
+            target_name = self.target_name(),
             target_id = self.last_target.get(),
             runs = self.runs.get(),
             unrun_sends = self.unrun_sends.get(),
--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use jackdaw_policy::direct::{RunId, RunOutcome};
+use jackdaw_policy::direct::{RunId, RunOutcome, TargetId};
 
 use crate::edge_state::EdgeState;
 use crate::target_pool::TargetConnection;
@@ -40,8 +40,10 @@
     /// Ends the run. The connection is reused only if the response was read completely.
     pub fn end(mut self, outcome: RunOutcome) {
         self.finish(outcome);
-        let is_reusable =
-            matches!(outcome, RunOutcome::Whole | RunOutcome::Failed | RunOutcome::Rejected);
+        let is_reusable = matches!(
+            outcome,
+            RunOutcome::Whole | RunOutcome::Failed | RunOutcome::Rejected | RunOutcome::Paused(_)
+        );
         if let (true, Some(connection)) = (is_reusable, self.connection.take()) {
             self.state.pool.return_idle(connection);
         }
@@ -55,7 +57,9 @@
         let is_excluded = self.state.router().end_run(now, run, outcome);
         if is_excluded {
             let target = self.connection.as_ref().map_or(0, |connection| connection.target().0);
-            log::info!(target_id = target, end:? = outcome; "target temporarily excluded");
+            let entry = self.state.router().targets.find(TargetId(target)).cloned();
+            let name = entry.map_or_else(String::new, |entry| entry.name);
+            log::info!(target_name = name, target_id = target, end:? = outcome; "target temporarily excluded");
         }
     }
 }
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -6,7 +6,7 @@
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, describe_report};
 use jackdaw_platform::{ConfigUpdate, StoreClient, TargetUpdate};
-use jackdaw_policy::direct::FleetConfig;
+use jackdaw_policy::direct::{FleetConfig, StoreRevision};
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
@@ -34,7 +34,7 @@
     client: StoreClient,
     backoff: RetryBackoff,
     /// The revision to continue from; `None` if everything has to be read again.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     /// Calls of the client that the metrics already include.
     counted_calls: u64,
 }
@@ -97,6 +97,7 @@
         if self.client.address() != state.settings().store_address {
             *self = WatchSession::open(state);
         }
+        self.client.raise_era(state.router().targets.era());
     }
 
     /// Adds the calls since the previous invocation to the metrics.
@@ -150,7 +151,7 @@
             }
         }
         ConfigUpdate::HistoryLost => {
-            log::info!(revision = after; "revision expired; reading the configuration again");
+            log::info!(revision:% = after; "revision expired; reading the configuration again");
             session.revision = None;
         }
     }
@@ -206,7 +207,7 @@
         record_store_success(state);
         let count = entries.len();
         state.router().targets.replace(state.now(), entries, read);
-        log::info!(targets = count, revision = read; "targets listed");
+        log::info!(targets = count, revision:% = read; "targets listed");
         session.revision = Some(read);
         return Ok(());
     };
@@ -224,7 +225,7 @@
             }
         }
         TargetUpdate::HistoryLost => {
-            log::info!(revision = after; "revision expired; listing the targets again");
+            log::info!(revision:% = after; "revision expired; listing the targets again");
             session.revision = None;
         }
     }
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -122,6 +122,11 @@
         self.idle.borrow_mut().remove(&target);
     }
 
+    /// Closes the idle connections to a target.
+    pub fn close_idle(&self, target: TargetId) {
+        self.idle.borrow_mut().remove(&target);
+    }
+
     /// Closes connections that were idle for too long or whose target is no longer known.
     pub fn expire(&self, is_known: impl Fn(TargetId) -> bool) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -38,6 +38,8 @@
 /// Failure to get the head of a response from a target.
 enum TransferError {
     NotSent,
+    /// The target wants no requests any more, so the request was not sent.
+    Withheld,
     Broken(hyper::Error),
 }
 
@@ -146,6 +148,17 @@
                 guard.end(RunOutcome::Unreachable);
                 SendOutcome::NotRun
             }
+            Err(TransferError::Withheld) => {
+                log::info!(
+                    request:% = inner.request.head.id,
+                    target:% = name;
+                    "request not sent; the target pauses or leaves"
+                );
+                inner.runs.set(inner.runs.get() - 1);
+                inner.unrun_sends.set(inner.unrun_sends.get() + 1);
+                guard.end(RunOutcome::Abandoned);
+                SendOutcome::NotRun
+            }
             Err(TransferError::Broken(error)) => {
                 log::info!(
                     request:% = inner.request.head.id,
@@ -208,6 +221,10 @@
         target: TargetId,
         address: SocketAddr,
     ) -> Result<Response<Incoming>, TransferError> {
+        // The target may have asked for a pause or announced its leaving during the connect.
+        if !self.accepts_placed(target) {
+            return Err(TransferError::Withheld);
+        }
         let Some(connection) = guard.connection() else {
             return Err(TransferError::NotSent);
         };
@@ -218,6 +235,9 @@
         };
         let connection = self.connect_new(target, address).await;
         guard.attach(connection.map_err(|_| TransferError::NotSent)?);
+        if !self.accepts_placed(target) {
+            return Err(TransferError::Withheld);
+        }
         let Some(connection) = guard.connection() else {
             return Err(TransferError::NotSent);
         };
@@ -228,6 +248,11 @@
         }
     }
 
+    fn accepts_placed(&self, target: TargetId) -> bool {
+        let state = &self.inner.state;
+        state.router().accepts_placed(state.now(), target)
+    }
+
     /// Determines from the response's head whether the target ran the request.
     async fn classify_response(
         &self,
@@ -237,12 +262,21 @@
         let inner = &self.inner;
         let (parts, body) = response.into_parts();
         let head = ResponseHead::parse(&parts, &inner.request.head.id);
+        let target = TargetId(inner.last_target.get());
+        let is_from_target = matches!(head.source, ResponseSource::Ran | ResponseSource::NotRun);
+        if head.is_leaving && is_from_target {
+            inner.state.record_leaving(target, &inner.request.head.id);
+        }
         match head.source {
-            ResponseSource::NotRun => self.record_unrun_send(guard, RunOutcome::Rejected),
+            ResponseSource::NotRun => {
+                let outcome = head.pause.map_or(RunOutcome::Rejected, RunOutcome::Paused);
+                self.record_unrun_send(guard, outcome)
+            }
             ResponseSource::OtherTarget => self.record_unrun_send(guard, RunOutcome::Replaced),
             ResponseSource::OtherRequest => {
                 log::warn!(
                     request:% = inner.request.head.id,
+                    target_name = inner.target_name(),
                     target_id = inner.last_target.get(),
                     status = head.status.as_u16();
                     "response belongs to another request; closing the connection"
@@ -257,8 +291,12 @@
 
     fn record_unrun_send(&self, guard: RunGuard, outcome: RunOutcome) -> SendOutcome {
         let inner = &self.inner;
+        if let RunOutcome::Paused(_) = outcome {
+            inner.state.metrics.pauses.inc();
+        }
         log::info!(
             request:% = inner.request.head.id,
+            target_name = inner.target_name(),
             target_id = inner.last_target.get(),
             reason:? = outcome;
             "target did not run the request"
@@ -291,6 +329,7 @@
             Err(error) => {
                 log::info!(
                     request:% = inner.request.head.id,
+                    target_name = inner.target_name(),
                     target_id = inner.last_target.get(),
                     error:% = error;
                     "failed to read the target's response body"
@@ -300,14 +339,19 @@
             }
         };
         if head.status.is_success() && !head.is_signed {
-            log::warn!(request:% = inner.request.head.id, target_id = inner.last_target.get(); "response has no signature; discarded");
+            log::warn!(
+                request:% = inner.request.head.id,
+                target_name = inner.target_name(),
+                target_id = inner.last_target.get();
+                "response has no signature; discarded"
+            );
             guard.end(RunOutcome::Broken);
             return SendOutcome::MayHaveRun;
         }
-        guard.end(if head.status.is_server_error() {
-            RunOutcome::Failed
-        } else {
-            RunOutcome::Whole
+        guard.end(match head.pause {
+            Some(pause) => RunOutcome::Paused(pause),
+            None if head.status.is_server_error() => RunOutcome::Failed,
+            None => RunOutcome::Whole,
         });
         // The target did run the request, so a status that promises the opposite is not forwarded.
         if head.status_means_not_run() {
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -302,7 +302,7 @@
         slots: EngineProfile::default().slots as u32,
         state: TargetState::Ready,
         started_unix_ms: 1,
-        revision: 1 + index as u64,
+        revision: (1 + index as u64).into(),
     }
 }
 
--- a/crates/jackdaw-policy/examples/direct_slopes.rs
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -102,7 +102,7 @@
             slots: 128,
             state: TargetState::Ready,
             started_unix_ms: 1,
-            revision: 1 + index as u64,
+            revision: (1 + index as u64).into(),
         };
         router.targets.apply(now, TargetChange::Present(entry));
     }
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -21,6 +21,7 @@
 pub mod refusal_tracker;
 pub mod report_plan;
 pub mod route_table;
+pub mod store_revision;
 pub mod target_health;
 pub mod target_speed;
 pub mod target_table;
@@ -46,6 +47,7 @@
     uses_relays,
 };
 pub use route_table::{KeyError, RouteTable};
+pub use store_revision::StoreRevision;
 pub use target_health::{SendFailure, TargetHealth};
 pub use target_speed::TargetSpeed;
 pub use target_table::{
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -79,6 +79,8 @@
     Failed,
     /// The target rejected the request without executing it.
     Rejected,
+    /// The target turned the request away and asked for a pause of this length.
+    Paused(Duration),
     /// A different target responded at the address.
     Replaced,
     /// No connection could be established.
@@ -311,6 +313,7 @@
         if record.is_started {
             return;
         }
+        self.health.record_acceptance(now, record.target);
         record.is_started = true;
         self.loads.start_running(record.target, record.prefill_tokens);
         self.health.end_wait(now, record.target);
@@ -321,6 +324,17 @@
         }
     }
 
+    /// Records that a response of a target announced its leaving; returns whether that is new.
+    pub fn record_leaving(&mut self, now: MonotonicTime, target: TargetId) -> bool {
+        self.targets.record_leaving(now, target)
+    }
+
+    /// Returns whether a request that was placed on a target may still be sent to it: the target
+    /// has neither announced its leaving nor asked for a pause in the meantime.
+    pub fn accepts_placed(&self, now: MonotonicTime, target: TargetId) -> bool {
+        !self.targets.is_leaving(target) && self.health.accepts_placed(now, target)
+    }
+
     /// Records the outcome of a run; returns whether the target is temporarily excluded.
     pub fn end_run(&mut self, now: MonotonicTime, run: RunId, outcome: RunOutcome) -> bool {
         let Some(record) = self.runs.remove(&run) else {
@@ -336,12 +350,17 @@
         match outcome {
             RunOutcome::Abandoned => false,
             RunOutcome::Whole => {
+                self.health.record_acceptance(now, target);
                 self.health.record_success(now, target);
                 self.clear_suspect(now, record.fingerprint);
                 false
             }
             RunOutcome::Failed => self.health.record_failure(now, target, SendFailure::Failed),
             RunOutcome::Rejected => self.health.record_failure(now, target, SendFailure::Full),
+            RunOutcome::Paused(pause) => {
+                self.health.record_pause(now, target, pause);
+                true
+            }
             RunOutcome::Replaced => self.health.record_failure(now, target, SendFailure::Replaced),
             RunOutcome::Unreachable => {
                 self.record_crash(now, target);
@@ -420,16 +439,16 @@
         self.broken.retain(|run| now.since(run.time) < CRASH_WINDOW);
         let removed = self.targets.expire(now);
         if !removed.is_empty() {
-            self.forget_removed_targets();
+            self.forget_removed_targets(now);
         }
         removed
     }
 
     /// Drops the state kept per target for targets that are no longer registered.
-    pub fn forget_removed_targets(&mut self) {
+    pub fn forget_removed_targets(&mut self, now: MonotonicTime) {
         let targets = &self.targets;
         self.speeds.retain(|target| targets.contains(target));
-        self.health.retain(|target| targets.contains(target));
+        self.health.retain(now, |target| targets.contains(target));
         self.prefixes.retain(|target| targets.contains(target));
     }
 
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -38,6 +38,7 @@
             rank: request.rank,
             is_caller_retry: self.refusals.is_caller_retry(now, request.fingerprint),
             mean_wait,
+            shortest_pause: None,
         }
     }
 
@@ -54,11 +55,14 @@
         let service = table.and_then(|table| table.service(request.service));
         let memory_tokens = service.and_then(|service| service.memory_tokens);
         let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
-        let placement_request = self.placement_request(now, request, mean_wait);
+        let mut placement_request = self.placement_request(now, request, mean_wait);
         let view =
             PlacementView { router: self, now, request, memory_tokens, ready: &ready, tried };
         let limits = PlacementLimits::new(&placement_request);
         let ranked = view.candidates();
+        if ranked.is_empty() {
+            placement_request.shortest_pause = view.shortest_pause();
+        }
         let candidates: Vec<PlacementTarget> =
             ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
         choose_candidate(&placement_request, &limits, &candidates)
@@ -138,6 +142,12 @@
         top.into_iter().map(|(_, target)| target).collect()
     }
 
+    /// Returns the shortest rest of the pauses that ready targets asked for.
+    fn shortest_pause(&self) -> Option<Duration> {
+        let left = |target: &ReadyTarget| self.router.health.pause_left(self.now, target.id);
+        self.ready.iter().filter_map(left).min()
+    }
+
     /// Returns the usable targets other than `candidates` that are idle enough for the request.
     fn spill_targets(
         &self,
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -73,6 +73,9 @@
     pub is_caller_retry: bool,
     /// Moving average of the wait at the service's targets.
     pub mean_wait: Duration,
+    /// Time until the first target accepts requests again, if all that could be used asked for a
+    /// pause.
+    pub shortest_pause: Option<Duration>,
 }
 
 /// Properties of one target for the placement of one request.
@@ -289,7 +292,11 @@
     let (shortest, longest) = RETRY_RANGE;
     let best = candidates.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
     let Some(best) = best else {
-        return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after: longest / 4 };
+        let retry_after = match request.shortest_pause {
+            Some(pause) => pause.max(shortest),
+            None => longest / 4,
+        };
+        return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after };
     };
     if request.share.tier != ShareTier::Owed {
         let delay = Duration::from_secs(1).mul_f64(request.share.share_used.min(4.0));
--- a/crates/jackdaw-policy/src/direct/target_health.rs
+++ b/crates/jackdaw-policy/src/direct/target_health.rs
@@ -23,6 +23,14 @@
 /// Time in which the failure rate halves while no outcome is recorded.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Longest pause that a target can ask for; a longer one is shortened to it, so that a malformed
+/// value does not exclude the target for good.
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+
+/// Time after the end of a pause within which the first request decides whether the target accepts
+/// requests again. Other requests wait for its outcome at most this long.
+const PAUSE_PROBE_TIME: Duration = Duration::from_secs(1);
+
 /// Time without any response from a target with unanswered runs after which it is excluded.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
@@ -57,6 +65,28 @@
     /// Time from which the current wait for a first byte is counted.
     waiting_since: MonotonicTime,
     last_probe: MonotonicTime,
+    pause: TargetPause,
+}
+
+/// Pause that a target asked this router for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TargetPause {
+    /// The target accepts requests.
+    None,
+    /// The target wants no requests until this time, and then a single one as a probe.
+    Until(MonotonicTime),
+    /// The probe was sent at this time and has no outcome yet.
+    Probing(MonotonicTime),
+}
+
+impl TargetPause {
+    fn allows_requests(self, now: MonotonicTime) -> bool {
+        match self {
+            TargetPause::None => true,
+            TargetPause::Until(end) => now >= end,
+            TargetPause::Probing(sent) => now.since(sent) >= PAUSE_PROBE_TIME,
+        }
+    }
 }
 
 impl HealthRecord {
@@ -70,6 +100,7 @@
             unanswered: 0,
             waiting_since: now,
             last_probe: MonotonicTime(0),
+            pause: TargetPause::None,
         }
     }
 
@@ -103,12 +134,55 @@
         let Some(record) = self.records.get(&target) else {
             return true;
         };
-        if now < record.excluded_until {
+        if now < record.excluded_until || !record.pause.allows_requests(now) {
             return false;
         }
         !record.is_silent(now) || now.since(record.last_probe) >= PROBE_INTERVAL
     }
 
+    /// Returns whether a request that was placed on a target may still be sent to it: the target has
+    /// not asked for a pause in the meantime.
+    pub fn accepts_placed(&self, now: MonotonicTime, target: TargetId) -> bool {
+        let pause = self.records.get(&target).map(|record| record.pause);
+        !matches!(pause, Some(TargetPause::Until(end)) if now < end)
+    }
+
+    /// Returns the rest of the pause that a target asked for; `None` if it asked for none.
+    pub fn pause_left(&self, now: MonotonicTime, target: TargetId) -> Option<Duration> {
+        match self.records.get(&target)?.pause {
+            TargetPause::None => None,
+            TargetPause::Until(end) => Some(end.since(now)),
+            TargetPause::Probing(sent) => Some(PAUSE_PROBE_TIME.saturating_sub(now.since(sent))),
+        }
+    }
+
+    /// Records that a target rejected a request and asked for a pause; returns the time for which
+    /// the target is excluded. A shorter pause does not end a longer one.
+    pub fn record_pause(
+        &mut self,
+        now: MonotonicTime,
+        target: TargetId,
+        pause: Duration,
+    ) -> Duration {
+        let record = self.entry(now, target);
+        let end = now.after(pause.min(LONGEST_PAUSE));
+        let end = match record.pause {
+            TargetPause::Until(known) => known.max(end),
+            TargetPause::None | TargetPause::Probing(_) => end,
+        };
+        record.pause = TargetPause::Until(end);
+        end.since(now)
+    }
+
+    /// Records that a target responded to a request without asking for a pause, which ends the
+    /// probing after an earlier one.
+    pub fn record_acceptance(&mut self, now: MonotonicTime, target: TargetId) {
+        let record = self.entry(now, target);
+        if let TargetPause::Probing(_) = record.pause {
+            record.pause = TargetPause::None;
+        }
+    }
+
     /// Returns the recent failure rate of requests to a target, from 0 to 1.
     pub fn failure_rate(&self, now: MonotonicTime, target: TargetId) -> f64 {
         self.records.get(&target).map_or(0.0, |record| record.current_rate(now))
@@ -120,6 +194,9 @@
         if record.is_silent(now) {
             record.last_probe = now;
         }
+        if record.pause != TargetPause::None {
+            record.pause = TargetPause::Probing(now);
+        }
         if record.unanswered == 0 {
             record.waiting_since = now;
         }
@@ -171,9 +248,11 @@
         }
     }
 
-    /// Drops the records of targets for which `is_known` returns false.
-    pub fn retain(&mut self, is_known: impl Fn(TargetId) -> bool) {
-        self.records.retain(|target, _| is_known(*target));
+    /// Drops the records of targets for which `is_known` returns false, except during their pauses:
+    /// a target whose entry expired may register again.
+    pub fn retain(&mut self, now: MonotonicTime, is_known: impl Fn(TargetId) -> bool) {
+        let is_paused = |record: &HealthRecord| !record.pause.allows_requests(now);
+        self.records.retain(|target, record| is_known(*target) || is_paused(record));
     }
 
     fn entry(&mut self, now: MonotonicTime, target: TargetId) -> &mut HealthRecord {
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -4,9 +4,13 @@
 //! All changes carry revisions assigned by the store, so the latest change to a target wins
 //! regardless of its source. Entries expire while the store is unreachable; for a short time after
 //! it is reachable again, a missing entry does not mean that the target has ended.
+//!
+//! A store that was restored from an older copy lacks recent changes until their authors write them
+//! again. Revisions of its new era supersede all earlier ones, entries that it lacks count as
+//! expired, and a target that was known to leave stays excluded.
 
 use std::cell::OnceCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +19,8 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::direct::store_revision::StoreRevision;
+
 /// Time after the store is reachable again within which live targets have registered again, as
 /// specified by the platform.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
@@ -23,6 +29,14 @@
 /// are ignored.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
 
+/// Time for which a target that left before a restore of the store is excluded if the restored
+/// entry says that it is ready. Targets that leave end within a minute.
+const LEAVING_HOLD: Duration = Duration::from_secs(60);
+
+/// Time for which a target that announced its leaving is remembered; the identifier of a later
+/// instance differs.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 plain_data! {
     copy
     /// Identifies one instance of a target; a restarted target gets another identifier.
@@ -58,7 +72,7 @@
         /// Start time in Unix milliseconds; distinguishes instances with the same name.
         pub started_unix_ms: u64,
         /// Revision that the store assigned to the entry.
-        pub revision: u64,
+        pub revision: StoreRevision,
     }
 }
 
@@ -80,7 +94,7 @@
             /// Name of the target.
             name: String,
             /// Revision that the store assigned to the removal.
-            revision: u64,
+            revision: StoreRevision,
         },
     }
 }
@@ -124,15 +138,19 @@
 }
 
 impl TargetIndex {
-    fn build(targets: &HashMap<String, KnownTarget>) -> TargetIndex {
+    fn build(
+        targets: &HashMap<String, KnownTarget>,
+        leaving: &FxHashMap<TargetId, LeavingRecord>,
+    ) -> TargetIndex {
         let mut index = TargetIndex::default();
         let mut ready: HashMap<&str, Vec<ReadyTarget>> = HashMap::new();
         for entry in targets.values().map(|target| &target.entry) {
             let id = entry.id();
             index.names.insert(id, entry.name.clone());
             let state = entry.state as u64;
-            index.digest ^= xxh3_64_with_seed(entry.name.as_bytes(), entry.revision * 2 + state);
-            if entry.state == TargetState::Ready {
+            index.digest ^=
+                xxh3_64_with_seed(entry.name.as_bytes(), entry.revision.packed() * 2 + state);
+            if entry.state == TargetState::Ready && !leaving.contains_key(&id) {
                 let target = ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone() };
                 ready.entry(&entry.service).or_default().push(target);
             }
@@ -145,15 +163,36 @@
     }
 }
 
+/// How a router knows that a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeavingEvidence {
+    /// The target said so in a response, to this router or to another one.
+    Announced,
+    /// The store registered the target as draining or removed its entry at this revision.
+    Stored(StoreRevision),
+}
+
+/// Evidence that a target leaves, and when this router obtained it.
+#[derive(Debug, Clone, Copy)]
+struct LeavingRecord {
+    evidence: LeavingEvidence,
+    since: MonotonicTime,
+}
+
 /// Targets known to a router, by name, with the revisions of recent removals.
 #[derive(Debug, Clone)]
 pub struct TargetTable {
     targets: HashMap<String, KnownTarget>,
-    removals: HashMap<String, (u64, MonotonicTime)>,
+    removals: HashMap<String, (StoreRevision, MonotonicTime)>,
     reachability: StoreReachability,
     /// Latest revision that changed the table.
-    change_revision: u64,
-    /// Empty after a change of the entries.
+    change_revision: StoreRevision,
+    /// Targets that leave, including those whose entry says otherwise or is missing.
+    leaving: FxHashMap<TargetId, LeavingRecord>,
+    /// Revision of the first listing or snapshot of the latest era; later revisions of that era
+    /// were written after the restore.
+    era_start: StoreRevision,
+    /// Empty after a change of the entries or of the leaving targets.
     index: OnceCell<TargetIndex>,
 }
 
@@ -164,9 +203,9 @@
         /// Registered targets.
         pub entries: Vec<TargetEntry>,
         /// Names of removed targets with the revisions of their removals.
-        pub removals: Vec<(String, u64)>,
+        pub removals: Vec<(String, StoreRevision)>,
         /// Latest revision that changed the table.
-        pub change_revision: u64,
+        pub change_revision: StoreRevision,
         /// Whether targets that are neither listed nor removed no longer exist.
         pub is_complete: bool,
     }
@@ -179,7 +218,9 @@
             targets: HashMap::new(),
             removals: HashMap::new(),
             reachability: StoreReachability::Unreachable(now),
-            change_revision: 0,
+            change_revision: StoreRevision::default(),
+            leaving: FxHashMap::default(),
+            era_start: StoreRevision::default(),
             index: OnceCell::new(),
         }
     }
@@ -205,8 +246,43 @@
         self.reachability
     }
 
+    /// Returns the latest known era of the store.
+    pub fn era(&self) -> u64 {
+        self.era_start.era()
+    }
+
+    /// Records that a target announced its leaving; returns whether that is new. The target gets no
+    /// further requests, whatever its entry says.
+    pub fn record_leaving(&mut self, now: MonotonicTime, target: TargetId) -> bool {
+        let record = LeavingRecord { evidence: LeavingEvidence::Announced, since: now };
+        let previous = self.leaving.insert(target, record);
+        let is_new =
+            previous.is_none_or(|previous| previous.evidence != LeavingEvidence::Announced);
+        if is_new {
+            self.index.take();
+        } else if let Some(previous) = previous {
+            self.leaving.insert(target, previous);
+        }
+        is_new
+    }
+
+    /// Returns the targets whose announcement this router learned of less than `age` ago.
+    pub fn announced_leaving(&self, now: MonotonicTime, age: Duration) -> Vec<TargetId> {
+        let announced = self.leaving.iter().filter(|(_, record)| {
+            record.evidence == LeavingEvidence::Announced && now.since(record.since) < age
+        });
+        let mut targets: Vec<TargetId> = announced.map(|(target, _)| *target).collect();
+        targets.sort();
+        targets
+    }
+
+    /// Returns whether a target is known to leave.
+    pub fn is_leaving(&self, target: TargetId) -> bool {
+        self.leaving.contains_key(&target)
+    }
+
     /// Returns the latest revision that changed the table.
-    pub fn change_revision(&self) -> u64 {
+    pub fn change_revision(&self) -> StoreRevision {
         self.change_revision
     }
 
@@ -245,15 +321,19 @@
 
     /// Merges another router's snapshot; its removals take effect without a grace period.
     pub fn merge(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) {
+        self.enter_era(now, snapshot.change_revision);
         if snapshot.is_complete {
             self.remove_unlisted(now, &snapshot);
         }
         for entry in snapshot.entries {
-            self.insert(entry);
+            self.insert(now, entry);
         }
         for (name, revision) in snapshot.removals {
+            if self.removals.get(&name).is_some_and(|(known, _)| *known >= revision) {
+                continue;
+            }
             if self.targets.get(&name).is_some_and(|known| known.entry.revision <= revision) {
-                self.targets_mut().remove(&name);
+                self.remove_known(now, &name, revision);
             }
             self.removals.insert(name, (revision, now));
         }
@@ -263,17 +343,26 @@
     /// Applies one change from the store; returns whether it changed the table.
     pub fn apply(&mut self, now: MonotonicTime, change: TargetChange) -> bool {
         match change {
-            TargetChange::Present(entry) => self.insert(entry),
+            TargetChange::Present(entry) => self.insert(now, entry),
             TargetChange::Removed { name, revision } => self.remove(now, &name, revision),
         }
     }
 
     /// Applies a complete list of the store's entries at a revision; entries missing from it were
     /// removed or have expired.
-    pub fn replace(&mut self, now: MonotonicTime, entries: Vec<TargetEntry>, revision: u64) {
-        let listed: Vec<String> = entries.iter().map(|entry| entry.name.clone()).collect();
+    pub fn replace(
+        &mut self,
+        now: MonotonicTime,
+        entries: Vec<TargetEntry>,
+        revision: StoreRevision,
+    ) {
+        self.enter_era(now, revision);
+        if revision.era() < self.era() {
+            return;
+        }
+        let listed: HashSet<String> = entries.iter().map(|entry| entry.name.clone()).collect();
         for entry in entries {
-            self.insert(entry);
+            self.insert(now, entry);
         }
         let mut absent: Vec<String> = Vec::new();
         for (name, target) in &self.targets {
@@ -289,6 +378,7 @@
     /// Drops targets that did not register again within the grace period; returns their names.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
         self.removals.retain(|_, (_, time)| now.since(*time) < REMOVAL_RETENTION);
+        self.expire_leaving(now);
         let StoreReachability::Reachable(since) = self.reachability else {
             return Vec::new();
         };
@@ -310,8 +400,10 @@
 
     /// Returns the entries of the targets of a service that accept requests.
     pub fn ready_targets(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
-        self.entries()
-            .filter(move |entry| entry.service == service && entry.state == TargetState::Ready)
+        let ready = self.entries().filter(|entry| {
+            entry.state == TargetState::Ready && !self.leaving.contains_key(&entry.id())
+        });
+        ready.filter(move |entry| entry.service == service)
     }
 
     /// Returns the entries of all known targets, including draining ones and those that are missing
@@ -326,7 +418,64 @@
     }
 
     fn index(&self) -> &TargetIndex {
-        self.index.get_or_init(|| TargetIndex::build(&self.targets))
+        self.index.get_or_init(|| TargetIndex::build(&self.targets, &self.leaving))
+    }
+
+    /// Notes a revision of a listing or snapshot. The first one of a new era starts the grace period
+    /// in which targets register again.
+    fn enter_era(&mut self, now: MonotonicTime, revision: StoreRevision) {
+        if revision.era() <= self.era() {
+            return;
+        }
+        self.era_start = revision;
+        self.change_revision = self.change_revision.max(revision);
+        if let StoreReachability::Reachable(_) = self.reachability {
+            self.reachability = StoreReachability::Reachable(now);
+        }
+    }
+
+    /// Updates the evidence that a target leaves from an entry that supersedes the known one.
+    fn update_leaving(&mut self, now: MonotonicTime, entry: &TargetEntry) {
+        let (id, revision) = (entry.id(), entry.revision);
+        let known = self.leaving.get(&id).map(|record| record.evidence);
+        match (entry.state, known) {
+            (_, Some(LeavingEvidence::Announced)) | (TargetState::Ready, None) => {}
+            (TargetState::Draining, _) => {
+                let evidence = LeavingEvidence::Stored(revision);
+                self.leaving.insert(id, LeavingRecord { evidence, since: now });
+            }
+            (TargetState::Ready, Some(LeavingEvidence::Stored(left))) => {
+                // The copy of a restored store may be older than the leaving.
+                let is_copy = revision.era() > left.era() && revision <= self.era_start;
+                if revision > left && !is_copy {
+                    self.leaving.remove(&id);
+                }
+            }
+        }
+    }
+
+    /// Drops evidence that is no longer needed.
+    fn expire_leaving(&mut self, now: MonotonicTime) {
+        let era = self.era_start.era();
+        let count = self.leaving.len();
+        self.leaving.retain(|_, record| {
+            let retention = match record.evidence {
+                LeavingEvidence::Stored(left) if left.era() < era => LEAVING_HOLD,
+                _ => LEAVING_RETENTION,
+            };
+            now.since(record.since) < retention
+        });
+        if self.leaving.len() != count {
+            self.index.take();
+        }
+    }
+
+    /// Removes the entry of a target that left at a revision.
+    fn remove_known(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) {
+        if let Some(target) = self.targets_mut().remove(name) {
+            let record = LeavingRecord { evidence: LeavingEvidence::Stored(revision), since: now };
+            self.leaving.entry(target.entry.id()).or_insert(record);
+        }
     }
 
     /// Returns the targets for a change, which invalidates the lookup tables.
@@ -337,7 +486,9 @@
 
     /// Removes entries that are missing from a complete snapshot and not newer than it.
     fn remove_unlisted(&mut self, now: MonotonicTime, snapshot: &TargetSnapshot) {
-        let is_listed = |name: &String| snapshot.entries.iter().any(|entry| entry.name == *name);
+        let listed: HashSet<&str> =
+            snapshot.entries.iter().map(|entry| entry.name.as_str()).collect();
+        let is_listed = |name: &String| listed.contains(name.as_str());
         let unlisted = self.targets.iter().filter(|(name, target)| {
             target.entry.revision <= snapshot.change_revision && !is_listed(name)
         });
@@ -354,7 +505,10 @@
         }
     }
 
-    fn insert(&mut self, entry: TargetEntry) -> bool {
+    fn insert(&mut self, now: MonotonicTime, entry: TargetEntry) -> bool {
+        if entry.revision.era() < self.era() {
+            return false;
+        }
         if self.removals.get(&entry.name).is_some_and(|(revision, _)| *revision >= entry.revision) {
             return false;
         }
@@ -366,13 +520,14 @@
             known.is_none_or(|known| known.entry != entry || known.missing_since.is_some());
         self.change_revision = self.change_revision.max(entry.revision);
         if is_change {
+            self.update_leaving(now, &entry);
             let target = KnownTarget { entry, missing_since: None };
             self.targets_mut().insert(target.entry.name.clone(), target);
         }
         is_change
     }
 
-    fn remove(&mut self, now: MonotonicTime, name: &str, revision: u64) -> bool {
+    fn remove(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) -> bool {
         let may_have_expired = match self.reachability {
             StoreReachability::Unreachable(_) => true,
             StoreReachability::Reachable(since) => now.since(since) < REREGISTRATION_GRACE,
@@ -389,7 +544,7 @@
             known.missing_since.get_or_insert(now);
             return false;
         }
-        self.targets_mut().remove(name);
+        self.remove_known(now, name, revision);
         self.removals.insert(name.to_owned(), (revision, now));
         self.change_revision = self.change_revision.max(revision);
         true
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -9,6 +9,8 @@
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 
+use crate::direct::store_revision::StoreRevision;
+
 /// Routers per failure domain that watch the store; with two, changes keep arriving if one fails.
 pub const WATCHERS_PER_DOMAIN: usize = 2;
 
@@ -41,7 +43,7 @@
         /// Version of the active configuration; zero if there is none.
         pub config: u64,
         /// Latest store revision that changed the known targets.
-        pub targets_revision: u64,
+        pub targets_revision: StoreRevision,
         /// Digest of the known targets.
         pub targets_digest: u64,
     }
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -66,7 +66,7 @@
         slots: 64,
         state: TargetState::Ready,
         started_unix_ms: 1,
-        revision,
+        revision: revision.into(),
     }
 }
 
--- a/crates/jackdaw-policy/tests/direct/random_updates.rs
+++ b/crates/jackdaw-policy/tests/direct/random_updates.rs
@@ -2,7 +2,8 @@
 
 use jackdaw_base::MonotonicTime;
 use jackdaw_policy::direct::{
-    DirectRouter, Placement, RunId, RunOutcome, TargetChange, TargetEntry, TargetState,
+    DirectRouter, Placement, RunId, RunOutcome, StoreRevision, TargetChange, TargetEntry,
+    TargetState,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -25,7 +26,7 @@
         self.revision += 1;
         let name = NAMES.choose(random).expect("a name");
         let change = match random.random_range(0..4) {
-            0 => TargetChange::Removed { name: (*name).to_owned(), revision: self.revision },
+            0 => TargetChange::Removed { name: (*name).to_owned(), revision: self.revision.into() },
             1 => {
                 let mut entry = entry(name, self.revision);
                 entry.state = TargetState::Draining;
@@ -38,7 +39,7 @@
     }
 }
 
-fn revision_of(router: &DirectRouter, name: &str) -> Option<u64> {
+fn revision_of(router: &DirectRouter, name: &str) -> Option<StoreRevision> {
     router.targets.entries().find(|entry| entry.name == name).map(|entry| entry.revision)
 }
 
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -100,6 +100,7 @@
             mean_wait: *[Duration::ZERO, Duration::from_millis(200)]
                 .choose(&mut random)
                 .expect("a wait"),
+            shortest_pause: None,
         };
         let expected = choose_from_ranking(&request, &targets);
         let chosen = match choose_target(&request, &targets) {
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -9,7 +9,7 @@
 }
 
 fn removed(name: &str, revision: u64) -> TargetChange {
-    TargetChange::Removed { name: name.to_owned(), revision }
+    TargetChange::Removed { name: name.to_owned(), revision: revision.into() }
 }
 
 fn draining(name: &str, revision: u64) -> TargetChange {
@@ -62,7 +62,7 @@
     table.apply(at(5000), present("t", 3));
     table.record_contact(at(6000), false);
     table.record_contact(at(9000), true);
-    table.replace(at(9000), Vec::new(), 20);
+    table.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(ready_count(&table), 1, "the entry may have expired during the outage");
     assert!(table.expire(at(10_000)).is_empty());
     table.apply(at(10_500), present("t", 21));
@@ -76,7 +76,7 @@
     table.apply(at(5000), present("t", 3));
     table.record_contact(at(6000), false);
     table.record_contact(at(9000), true);
-    table.replace(at(9000), Vec::new(), 20);
+    table.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(table.expire(at(11_000)), vec!["t".to_owned()]);
     assert_eq!(ready_count(&table), 0);
 }
@@ -87,7 +87,7 @@
     table.apply(at(5000), draining("t", 3));
     table.record_contact(at(6000), false);
     table.record_contact(at(9000), true);
-    table.replace(at(9000), Vec::new(), 20);
+    table.replace(at(9000), Vec::new(), 20.into());
     assert!(table.is_empty());
 }
 
@@ -136,7 +136,7 @@
     assert_eq!(idle.digest(), watching.digest());
     watching.record_contact(at(6000), false);
     watching.record_contact(at(9000), true);
-    watching.replace(at(9000), Vec::new(), 20);
+    watching.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(watching.expire(at(11_000)).len(), 1);
     assert_ne!(idle.digest(), watching.digest());
     idle.merge(at(11_100), watching.snapshot(false));
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -23,6 +23,7 @@
         rank: 0,
         is_caller_retry: false,
         mean_wait,
+        shortest_pause: None,
     }
 }
 
--- a/crates/jackdaw-policy/tests/direct/watch_election.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_election.rs
@@ -2,7 +2,8 @@
 
 use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::{
-    FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection, WatchPeer,
+    FetchUrgency, FleetVersions, StoreRevision, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection,
+    WatchPeer,
 };
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -103,9 +104,9 @@
 /// time to deliver the change.
 #[test]
 fn fetch_urgency_depends_on_the_own_watch() {
-    let versions = |config, targets_revision, targets_digest| FleetVersions {
+    let versions = |config, targets_revision: u64, targets_digest| FleetVersions {
         config,
-        targets_revision,
+        targets_revision: StoreRevision::from(targets_revision),
         targets_digest,
     };
     let own = versions(3, 10, 77);
