Soak: restored stores, announced leavings and pauses

Three kinds of faults beside the others, drawn from a generator of their own so that earlier seeds keep their faults: the store comes back from a copy some moments old, and operator and targets write their objects again in random order; a target announces its leaving long before it drains; a target turns requests away and asks for a pause. Targets record the requests they did not want: on a connection whose responses asked for a pause or announced the leaving, and long after the store registered their leaving, where nothing kept routers from learning of it.

--- a/crates/jackdaw-soak/src/fault_plan.rs
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -73,6 +73,12 @@
     TargetReplaced(usize),
     /// A new configuration replaces one of the API keys.
     KeyRotated,
+    /// The store comes back from a copy that it made when the fault started.
+    StoreRestored,
+    /// A target announces its leaving in its responses, long before the store registers it.
+    TargetAnnounced(usize),
+    /// A target turns all requests away and asks for a pause.
+    TargetPaused(usize),
 }
 
 impl FaultKind {
@@ -88,6 +94,22 @@
                 | FaultKind::TargetReplaced(_)
                 | FaultKind::KeyRotated
                 | FaultKind::StoreLink(..)
+                | FaultKind::StoreRestored
+                | FaultKind::TargetAnnounced(_)
+                | FaultKind::TargetPaused(_)
+        )
+    }
+
+    /// Returns whether the fault may keep routers from learning what the store registers.
+    fn delays_updates(self) -> bool {
+        matches!(
+            self,
+            FaultKind::RouterKilled(_)
+                | FaultKind::AllRoutersKilled
+                | FaultKind::RouterFrozen(_)
+                | FaultKind::RouterTerminated(_)
+                | FaultKind::StoreLink(..)
+                | FaultKind::StoreUnavailable
         )
     }
 }
@@ -133,10 +155,45 @@
                 time += duration + rng.random_range(0..MEAN_FAULT_INTERVAL_MS);
             }
         }
+        faults.extend(FaultPlan::draw_announced_faults(seed, size));
         faults.sort_by_key(|fault| fault.start);
         FaultPlan { faults }
     }
 
+    /// Draws faults that targets and the store announce in their responses. They have a generator of
+    /// their own, so that a seed draws the other faults as it did before these existed.
+    fn draw_announced_faults(seed: u64, size: &SoakSize) -> Vec<PlannedFault> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ANNOUNCED_STREAM);
+        let end = size.fault_window.as_millis() as u64;
+        let mut faults = Vec::new();
+        let mut start = 0;
+        loop {
+            start += rng.random_range(1..=2 * MEAN_ANNOUNCED_INTERVAL_MS);
+            let duration = rng.random_range(FAULT_DURATION_MS.0..=FAULT_DURATION_MS.1);
+            if start + duration >= end {
+                return faults;
+            }
+            let target = rng.random_range(0..size.targets);
+            let kind = match rng.random_range(0..3) {
+                0 => FaultKind::StoreRestored,
+                1 => FaultKind::TargetAnnounced(target),
+                _ => FaultKind::TargetPaused(target),
+            };
+            let (start, duration) = (Duration::from_millis(start), Duration::from_millis(duration));
+            faults.push(PlannedFault { kind, start, duration });
+        }
+    }
+
+    /// Returns whether routers may not have learned within `[from, to]` what the store registered
+    /// at `from`, or before it.
+    pub fn may_delay_updates(&self, from: Duration, to: Duration) -> bool {
+        self.faults.iter().any(|fault| {
+            fault.kind.delays_updates()
+                && fault.start < to
+                && fault.start + fault.duration + UPDATE_GRACE > from
+        })
+    }
+
     /// Returns whether an unplanned fault is active between `from` and `to`, or ended less than
     /// `after` before `from`.
     pub fn allows_cut_connections(&self, from: Duration, to: Duration, after: Duration) -> bool {
@@ -148,9 +205,18 @@
     }
 }
 
-/// Number of kinds of faults.
+/// Number of kinds of faults that [`draw_kind`] draws from.
 const KIND_COUNT: usize = 14;
 
+/// Mean time between two faults of [`FaultPlan::draw_announced_faults`] in milliseconds.
+const MEAN_ANNOUNCED_INTERVAL_MS: u64 = 1500;
+
+/// Separates the random numbers of announced faults from those of the others.
+const ANNOUNCED_STREAM: u64 = 0x616e_6e6f_756e_6365;
+
+/// Time after a fault within which routers catch up with the store.
+const UPDATE_GRACE: Duration = Duration::from_secs(4);
+
 /// Draws a fault whose kind is one of `kinds`, given as indices into the list of all kinds.
 fn draw_kind(rng: &mut ChaCha8Rng, kinds: &[usize], size: &SoakSize) -> FaultKind {
     let router = rng.random_range(0..size.routers);
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -8,7 +8,7 @@
 
 use http::StatusCode;
 use jackdaw_platform_standins::{
-    CallerAnswer, DEFAULT_API_KEY, RouterEndpoints, StoreMode, StoreStandin,
+    CallerAnswer, DEFAULT_API_KEY, RouterEndpoints, StoreMode, StoreStandin, UnwantedReason,
     build_request_with_key, sample_config, send_request,
 };
 use jackdaw_proofs::ProcessSignal;
@@ -31,6 +31,12 @@
 /// which is to be compared with that limit.
 const POLL_LIMIT: usize = 1200;
 
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(200);
+
+/// Time after a restore until the operator and the targets have written their objects again.
+const REWRITE_DELAY: Duration = Duration::from_millis(400);
+
 /// Timeout of a request that checks whether a router serves.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -109,6 +115,7 @@
     violations.extend(history.violations(&fleet.targets.runs(), |from, to, after| {
         plan.allows_cut_connections(from, to, after)
     }));
+    violations.extend(fleet.unwanted_violations(origin, &plan));
     SoakReport { violations, calls: history.len(), outcomes: history.count_outcomes(), recovery }
 }
 
@@ -187,6 +194,11 @@
             }
             FaultKind::TargetReplaced(target) => self.targets.replace(&self.store, target).await,
             FaultKind::KeyRotated => self.rotate_key(),
+            FaultKind::StoreRestored => self.restore_store(duration).await,
+            FaultKind::TargetAnnounced(target) => {
+                self.targets.announce(&self.store, target, duration).await;
+            }
+            FaultKind::TargetPaused(target) => self.targets.pause(target, duration).await,
         }
     }
 
@@ -196,6 +208,21 @@
         routers.iter().for_each(|router| router.start());
     }
 
+    /// Restores the store from a copy made `age` before, after a moment away. The operator and the
+    /// targets write their objects again.
+    async fn restore_store(&self, age: Duration) {
+        let copy = self.store.copy();
+        tokio::time::sleep(age).await;
+        self.store.set_mode(StoreMode::Unavailable);
+        tokio::time::sleep(RESTORE_TIME).await;
+        self.store.restore(&copy);
+        self.store.set_mode(StoreMode::Available);
+        tokio::time::sleep(REWRITE_DELAY).await;
+        self.targets.rewrite_entries(&self.store, &mut rand::rng());
+        let version = self.config_version.get();
+        self.store.put_config(&sample_config(version, &[DEFAULT_API_KEY, &version_key(version)]));
+    }
+
     fn rotate_key(&self) {
         let version = self.config_version.get() + 1;
         self.config_version.set(version);
@@ -203,6 +230,19 @@
         self.store.put_config(&sample_config(version, &keys));
     }
 
+    /// Returns the violations among the requests that targets did not want. What only the store
+    /// registered binds a router once it can have learned of it.
+    fn unwanted_violations(&self, origin: Instant, plan: &FaultPlan) -> Vec<String> {
+        let unwanted = self.targets.unwanted_requests();
+        let violations = unwanted.into_iter().filter(|request| {
+            let (from, to) = (request.since - origin, request.arrived - origin);
+            request.reason != UnwantedReason::StoredLeaving || !plan.may_delay_updates(from, to)
+        });
+        violations
+            .map(|request| format!("request that a target did not want: {request:?}"))
+            .collect()
+    }
+
     /// Ends all faults, since one of several overlapping faults may remain active.
     fn clear_faults(&self) {
         self.store.set_mode(StoreMode::Available);
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -1,11 +1,15 @@
 //! Targets that crash or drain and are replaced by targets with other names.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use jackdaw_platform_standins::{
-    ReceivedRequest, StoreStandin, TargetBehavior, TargetStandin, TargetState,
+    ReceivedRequest, StoreStandin, TargetBehavior, TargetStandin, TargetState, UnwantedRequest,
 };
+use rand::Rng;
+use rand::seq::SliceRandom;
+use serde_json::Value;
 
 use crate::fault_plan::LinkFault;
 use crate::fault_proxy::FaultProxy;
@@ -23,11 +27,17 @@
 /// Service of all targets, as in the sample configuration.
 const SERVICE: &str = "s";
 
+/// Pause that targets ask for, in seconds; longer than most faults.
+const PAUSE_SECONDS: &str = "2.5";
+
 /// Targets of a run.
+#[derive(Default)]
 pub(crate) struct TargetFleet {
     members: RefCell<Vec<TargetMember>>,
     /// All targets so far, including replaced ones, with the requests that they ran.
     all: RefCell<Vec<TargetStandin>>,
+    /// Entries that the targets have registered, by name.
+    entries: RefCell<BTreeMap<String, Value>>,
 }
 
 struct TargetMember {
@@ -39,7 +49,7 @@
 impl TargetFleet {
     /// Starts and registers targets.
     pub(crate) async fn spawn(store: &StoreStandin, count: usize) -> TargetFleet {
-        let fleet = TargetFleet { members: RefCell::default(), all: RefCell::default() };
+        let fleet = TargetFleet::default();
         for _ in 0..count {
             let member = fleet.spawn_member(store).await;
             fleet.members.borrow_mut().push(member);
@@ -64,8 +74,7 @@
         let (name, target) = self.current(index);
         target.crash();
         tokio::time::sleep(REMOVAL_DELAY).await;
-        // An overlapping fault of the same target may have removed the entry.
-        let _ = store.remove_target(&name);
+        self.remove_entry(store, &name);
         tokio::time::sleep(duration).await;
         self.install_successor(store, index, &name).await;
     }
@@ -74,11 +83,59 @@
     pub(crate) async fn replace(&self, store: &StoreStandin, index: usize) {
         let (name, target) = self.current(index);
         let address = self.members.borrow()[index].proxy.address;
-        store.put_target(&name, &target.entry_at(address, SERVICE, TargetState::Draining));
+        self.put_entry(store, &name, target.entry_at(address, SERVICE, TargetState::Draining));
+        target.retire();
         self.install_successor(store, index, &name).await;
         tokio::time::sleep(DRAIN_TIME).await;
+        self.remove_entry(store, &name);
+    }
+
+    /// Lets a target announce its leaving, and drains and replaces it after a time.
+    pub(crate) async fn announce(&self, store: &StoreStandin, index: usize, duration: Duration) {
+        let (_, target) = self.current(index);
+        target.announce_leaving();
+        tokio::time::sleep(duration).await;
+        self.replace(store, index).await;
+    }
+
+    /// Lets a target turn away all requests for a time.
+    pub(crate) async fn pause(&self, index: usize, duration: Duration) {
+        let (_, target) = self.current(index);
+        target.set_default_behavior(TargetBehavior::Pausing(PAUSE_SECONDS));
+        tokio::time::sleep(duration).await;
+        target.set_default_behavior(TargetBehavior::Echo(PROCESSING_TIME));
+    }
+
+    /// Writes all entries again after the store was restored, in random order.
+    pub(crate) fn rewrite_entries(&self, store: &StoreStandin, rng: &mut impl Rng) {
+        let entries = self.entries.borrow();
+        let mut names: Vec<&String> = entries.keys().collect();
+        names.shuffle(rng);
+        for name in names {
+            store.put_target(name, &entries[name]);
+        }
+        let members = self.all.borrow();
+        let removed = (0..members.len()).map(target_name);
+        for name in removed.filter(|name| !entries.contains_key(name)) {
+            // The copy may not have the entry.
+            let _ = store.remove_target(&name);
+        }
+    }
+
+    /// Returns the requests that targets did not want.
+    pub(crate) fn unwanted_requests(&self) -> Vec<UnwantedRequest> {
+        self.all.borrow().iter().flat_map(TargetStandin::unwanted_requests).collect()
+    }
+
+    fn put_entry(&self, store: &StoreStandin, name: &str, entry: Value) {
+        store.put_target(name, &entry);
+        self.entries.borrow_mut().insert(name.to_owned(), entry);
+    }
+
+    fn remove_entry(&self, store: &StoreStandin, name: &str) {
         // An overlapping fault of the same target may have removed the entry.
-        let _ = store.remove_target(&name);
+        let _ = store.remove_target(name);
+        self.entries.borrow_mut().remove(name);
     }
 
     /// Returns all requests that targets ran.
@@ -101,12 +158,16 @@
     }
 
     async fn spawn_member(&self, store: &StoreStandin) -> TargetMember {
-        let name = format!("i-{}", self.all.borrow().len());
+        let name = target_name(self.all.borrow().len());
         let target = TargetStandin::bind(&name).await;
         target.set_default_behavior(TargetBehavior::Echo(PROCESSING_TIME));
         self.all.borrow_mut().push(target.clone());
         let proxy = FaultProxy::spawn(target.address).await;
-        store.put_target(&name, &target.entry_at(proxy.address, SERVICE, TargetState::Ready));
+        self.put_entry(store, &name, target.entry_at(proxy.address, SERVICE, TargetState::Ready));
         TargetMember { name, target, proxy }
     }
 }
+
+fn target_name(number: usize) -> String {
+    format!("i-{number}")
+}
