List from stale reads, and watch the store only after the election

The first watch of a process starts 0.4 s after its first listing. After a change of targets a watch pauses for 0.3 s instead of 0.1 s.

--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -5,7 +5,7 @@
 
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, describe_report};
-use jackdaw_platform::{ConfigUpdate, StoreClient, TargetUpdate};
+use jackdaw_platform::{ConfigUpdate, ListingAge, StoreClient, TargetUpdate};
 use jackdaw_policy::direct::{FleetConfig, StoreRevision};
 use tokio::task::JoinHandle;
 
@@ -16,9 +16,19 @@
 /// act again.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(2500);
 
-/// Pause after a change, so that changes in quick succession arrive in one response. It is short
-/// compared with the report period by which changes reach routers that do not watch the store.
-const BATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a change of the configuration, so that changes in quick succession arrive in one
+/// response. It is short compared with the report period by which changes reach routers that do not
+/// watch the store.
+const CONFIG_BATCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// As [`CONFIG_BATCH_PAUSE`], for targets, of which many change in a row when they start or are
+/// replaced. Targets that leave must be known everywhere after two seconds at the earliest, and
+/// failing ones are noticed by the requests sent to them.
+const TARGET_BATCH_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time after the first listing before the first watch. Most routers of a fleet that starts as a
+/// whole find within it that others watch the store.
+const ELECTION_TIME: Duration = Duration::from_millis(400);
 
 /// Minimum and maximum backoff after a failed call.
 const BACKOFF_RANGE: (Duration, Duration) =
@@ -35,6 +45,9 @@
     backoff: RetryBackoff,
     /// The revision to continue from; `None` if everything has to be read again.
     revision: Option<StoreRevision>,
+    /// Whether the next listing may be stale.
+    listing_age: ListingAge,
+    has_listed: bool,
     /// Calls of the client that the metrics already include.
     counted_calls: u64,
 }
@@ -84,7 +97,14 @@
 impl WatchSession {
     fn open(state: &EdgeState) -> WatchSession {
         let client = StoreClient::new(state.settings().store_address);
-        WatchSession { client, backoff: RetryBackoff::new(), revision: None, counted_calls: 0 }
+        WatchSession {
+            client,
+            backoff: RetryBackoff::new(),
+            revision: None,
+            listing_age: ListingAge::MayBeStale,
+            has_listed: false,
+            counted_calls: 0,
+        }
     }
 
     /// Waits until this router is assigned to watch the store, and follows a changed store address.
@@ -100,6 +120,22 @@
         self.client.raise_era(state.router().targets.era());
     }
 
+    /// Continues from a listing. After the first one of the process, the election of the watching
+    /// routers is given time.
+    async fn start_watch(&mut self, revision: StoreRevision) {
+        self.revision = Some(revision);
+        if !std::mem::replace(&mut self.has_listed, true) {
+            tokio::time::sleep(ELECTION_TIME).await;
+        }
+    }
+
+    /// Prepares to list again, since the history since the known revision is lost.
+    fn restart_watch(&mut self) {
+        self.revision = None;
+        // A stale listing may be older than the history that the store still has.
+        self.listing_age = ListingAge::Latest;
+    }
+
     /// Adds the calls since the previous invocation to the metrics.
     fn count_calls(&mut self, state: &EdgeState) {
         let calls = self.client.call_count();
@@ -136,9 +172,9 @@
     session: &mut WatchSession,
 ) -> Result<(), Report<ErrorKind>> {
     let Some(after) = session.revision else {
-        let (config, read) = session.client.read_config().await?;
+        let (config, read) = session.client.read_config(session.listing_age).await?;
         install_config(state, config);
-        session.revision = Some(read);
+        session.start_watch(read).await;
         return Ok(());
     };
     match session.client.watch_config(after, LONG_POLL_WAIT).await? {
@@ -147,12 +183,12 @@
             install_config(state, config);
             session.revision = Some(next);
             if has_changes {
-                tokio::time::sleep(BATCH_PAUSE).await;
+                tokio::time::sleep(CONFIG_BATCH_PAUSE).await;
             }
         }
         ConfigUpdate::HistoryLost => {
             log::info!(revision:% = after; "revision expired; reading the configuration again");
-            session.revision = None;
+            session.restart_watch();
         }
     }
     Ok(())
@@ -203,12 +239,12 @@
     session: &mut WatchSession,
 ) -> Result<(), Report<ErrorKind>> {
     let Some(after) = session.revision else {
-        let (entries, read) = session.client.list_targets().await?;
+        let (entries, read) = session.client.list_targets(session.listing_age).await?;
         record_store_success(state);
         let count = entries.len();
         state.router().targets.replace(state.now(), entries, read);
         log::info!(targets = count, revision:% = read; "targets listed");
-        session.revision = Some(read);
+        session.start_watch(read).await;
         return Ok(());
     };
     match session.client.watch_targets(after, LONG_POLL_WAIT).await? {
@@ -221,12 +257,12 @@
             }
             session.revision = Some(next);
             if has_changes {
-                tokio::time::sleep(BATCH_PAUSE).await;
+                tokio::time::sleep(TARGET_BATCH_PAUSE).await;
             }
         }
         TargetUpdate::HistoryLost => {
             log::info!(revision:% = after; "revision expired; listing the targets again");
-            session.revision = None;
+            session.restart_watch();
         }
     }
     Ok(())
