--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -195,9 +195,7 @@
             FaultKind::TargetReplaced(target) => self.targets.replace(&self.store, target).await,
             FaultKind::KeyRotated => self.rotate_key(),
             FaultKind::StoreRestored => self.restore_store(duration).await,
-            FaultKind::TargetAnnounced(target) => {
-                self.targets.announce(&self.store, target, duration).await;
-            }
+            FaultKind::TargetAnnounced(target) => self.targets.announce(&self.store, target).await,
             FaultKind::TargetPaused(target) => self.targets.pause(target, duration).await,
         }
     }
