Call a store that is down rarely, except from the routers that always watch

Change: routers that watch only because others cannot reach the store back off up to 4 s; the two of each domain that always watch keep 0.8 s.

Test: outage_makes_few_routers_call_often (all 20 routers called often before).

--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -30,9 +30,8 @@
 /// whole find within it that others watch the store.
 const ELECTION_TIME: Duration = Duration::from_millis(400);
 
-/// Minimum and maximum backoff after a failed call.
-const BACKOFF_RANGE: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(800));
+/// Minimum backoff after a failed call; the maximum depends on the election of the watching routers.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Background tasks that watch configuration and targets in the store.
 pub struct StoreWatch {
@@ -78,19 +77,20 @@
 
 impl RetryBackoff {
     fn new() -> RetryBackoff {
-        RetryBackoff { next: BACKOFF_RANGE.0, failures: 0 }
+        RetryBackoff { next: MIN_BACKOFF, failures: 0 }
     }
 
     fn reset(&mut self) {
         *self = RetryBackoff::new();
     }
 
-    /// Waits for 50 to 100 % of the current backoff, so that routers do not retry in lockstep.
-    async fn wait(&mut self) {
+    /// Waits for 50 to 100 % of the current backoff, so that routers do not retry in lockstep. The
+    /// backoff doubles up to `longest`.
+    async fn wait(&mut self, longest: Duration) {
         let jitter = rand::random_range(0.5..=1.0);
         self.failures += 1;
         tokio::time::sleep(self.next.mul_f64(jitter)).await;
-        self.next = (self.next * 2).min(BACKOFF_RANGE.1);
+        self.next = (self.next * 2).min(longest);
     }
 }
 
@@ -160,7 +160,8 @@
             Err(report) => {
                 record_store_failure(&state);
                 log_failure("configuration", &report, session.backoff.failures);
-                session.backoff.wait().await;
+                let longest = state.router().watch.longest_retry_pause();
+                session.backoff.wait(longest).await;
             }
         }
     }
@@ -227,7 +228,8 @@
                 if is_lost || session.backoff.failures == 0 {
                     log_failure("targets", &report, session.backoff.failures);
                 }
-                session.backoff.wait().await;
+                let longest = state.router().watch.longest_retry_pause();
+                session.backoff.wait(longest).await;
             }
         }
     }
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -18,6 +18,10 @@
 /// longest pause between two calls, so that the status persists while calls keep failing.
 const UNREACHABLE_SPAN: Duration = Duration::from_secs(5);
 
+/// Longest pause between calls that fail, for the routers that always watch and for all others. In
+/// an outage every router takes over in turn, and the calls of a large fleet would add up.
+const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(800), Duration::from_secs(4));
+
 /// Time for which a router watches the store after it failed to fetch from another router.
 const FETCH_FALLBACK_SPAN: Duration = Duration::from_secs(5);
 
@@ -73,6 +77,8 @@
 #[derive(Debug, Clone)]
 pub struct WatchElection {
     is_watching: bool,
+    /// Whether the router watches even if all others reach the store.
+    is_primary: bool,
     store_failed_at: Option<MonotonicTime>,
     fetch_failed_at: Option<MonotonicTime>,
 }
@@ -80,7 +86,12 @@
 impl Default for WatchElection {
     /// Returns the initial state: a router that knows no other router watches.
     fn default() -> WatchElection {
-        WatchElection { is_watching: true, store_failed_at: None, fetch_failed_at: None }
+        WatchElection {
+            is_watching: true,
+            is_primary: true,
+            store_failed_at: None,
+            fetch_failed_at: None,
+        }
     }
 }
 
@@ -90,6 +101,11 @@
         self.is_watching
     }
 
+    /// Returns the longest pause between two calls to the store that fail.
+    pub fn longest_retry_pause(&self) -> Duration {
+        if self.is_primary { RETRY_PAUSES.0 } else { RETRY_PAUSES.1 }
+    }
+
     /// Records whether a call to the store was answered.
     pub fn record_store_call(&mut self, now: MonotonicTime, is_answered: bool) {
         self.store_failed_at = (!is_answered).then_some(now);
@@ -141,8 +157,13 @@
         let has_fetch_failed =
             self.fetch_failed_at.is_some_and(|time| now.since(time) < FETCH_FALLBACK_SPAN);
         let was_watching = self.is_watching;
-        self.is_watching =
-            has_fetch_failed || peers.filter(has_precedence).count() < WATCHERS_PER_DOMAIN;
+        let (mut lower, mut preceding) = (0, 0);
+        for peer in peers {
+            lower += usize::from(peer.incarnation.0 < own.0);
+            preceding += usize::from(has_precedence(&peer));
+        }
+        self.is_primary = lower < WATCHERS_PER_DOMAIN;
+        self.is_watching = has_fetch_failed || preceding < WATCHERS_PER_DOMAIN;
         self.is_watching != was_watching
     }
 }
--- a/crates/jackdaw-policy/tests/direct/watch_election.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_election.rs
@@ -136,3 +136,22 @@
         FetchUrgency::Immediate
     );
 }
+
+/// Pattern: a store that is down for all. Every router takes over in turn, but only those that
+/// always watch call it often.
+#[test]
+fn outage_makes_few_routers_call_often() {
+    let mut urgent = 0;
+    for own in 0..20 {
+        let mut election = WatchElection::default();
+        election.record_store_call(at(1000), false);
+        let peers = (0..20).filter(|other| *other != own);
+        let peers = peers.map(|other| peer(other, StoreStatus::Unreachable));
+        election.update(at(1100), ProcessIncarnation(own), peers);
+        assert!(election.is_watching(), "router {own} may be the only one that the store serves");
+        let pause = election.longest_retry_pause();
+        assert!(pause <= std::time::Duration::from_secs(5), "recovery is noticed in time");
+        urgent += usize::from(pause < std::time::Duration::from_secs(1));
+    }
+    assert_eq!(urgent, WATCHERS_PER_DOMAIN);
+}
