Limit prefill beside running streams where these pause too long

An event of these targets holds 14 tokens. While prompts are prefilled without a break, 14 steps take 570 ms, and the routers only bounded the queue, not the prefill that a target had just done.

Change: routers count the prefill of the last 250 ms by target and report it after their reports. A request goes to a target with running streams only if queue, recent prefill and its own leave 18 % of the routes' pause objective. Since nothing states how many tokens an event holds, the limit applies only while over 6 % of the streams that a router relays pause too long, until under 2 % do.

Tests: the model's pattern prefill_bursts (late answers fall by a fifth or more and no fewer are on time; equal without the limit), prefill_bursts of the policy.

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -19,7 +19,7 @@
 
 use crate::edge_state::EdgeState;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
-use crate::peer_table::{PeerTable, RouterReport};
+use crate::peer_table::{PeerTable, RouterPrefills, RouterReport};
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -67,6 +67,8 @@
     struct DatagramExtension {
         /// Targets whose announced leaving the sender learned of recently, from whatever source.
         leaving: Vec<TargetId>,
+        /// Recent prefills of the routers whose reports the datagram contains.
+        prefills: Vec<RouterPrefills>,
     }
 }
 
@@ -123,7 +125,7 @@
     }
 
     /// Processes a datagram, and forwards it within the failure domain if it is a bundle.
-    fn receive(&self, sender: Ipv4Addr, datagram: ReportDatagram) {
+    fn receive(&self, sender: Ipv4Addr, datagram: ReportDatagram, extension: DatagramExtension) {
         self.add(sender);
         for ip in &datagram.known {
             self.add(*ip);
@@ -139,35 +141,27 @@
             _ => false,
         };
         for RouterReport { address, report } in &datagram.reports {
-            let is_new = self.state.router().apply_report(now, report);
-            if is_new {
-                self.peers.borrow_mut().record(&self.state, *address, report);
+            if !self.state.router().apply_report(now, report) {
+                continue;
             }
+            let prefills = extension.prefills.iter();
+            let prefills =
+                prefills.into_iter().find(|prefills| prefills.incarnation == report.incarnation);
+            let usages = prefills.map_or(&[][..], |prefills| &prefills.usages);
+            self.state.router().apply_prefill(report.incarnation, usages);
+            self.peers.borrow_mut().record(&self.state, *address, report, usages);
         }
         if let (true, [RouterReport { report, .. }]) = (is_introduced, &datagram.reports[..]) {
             self.introduce(sender, &report.domain);
         }
         if datagram.is_bundle {
             let peers = self.peers.borrow().domain_peers();
-            self.send(&peers, &ReportDatagram { is_bundle: false, ..datagram });
+            let forwarded = ReportDatagram { is_bundle: false, ..datagram };
+            self.send(&peers, &forwarded, extension.prefills);
         }
-    }
-
-    /// Processes the bytes after a datagram; there are none if the sender runs an older build.
-    fn receive_extension(&self, sender: Ipv4Addr, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        match postcard::from_bytes::<DatagramExtension>(bytes) {
-            Ok(extension) => {
-                let source = sender.to_string();
-                for target in extension.leaving {
-                    self.state.record_leaving(target, &source);
-                }
-            }
-            Err(error) => {
-                log::warn!(peer:% = sender, error:% = error; "failed to decode the end of a report");
-            }
+        let source = sender.to_string();
+        for target in extension.leaving {
+            self.state.record_leaving(target, &source);
         }
     }
 
@@ -176,18 +170,23 @@
     fn introduce(&self, sender: Ipv4Addr, domain: &str) {
         let known = self.peers.borrow().introduction(domain);
         log::debug!(peer:% = sender, introduced = known.len(); "introducing routers to a peer");
-        let own = self.own_report();
-        self.send(&[sender], &ReportDatagram { reports: vec![own], known, is_bundle: false });
+        let (own, prefills) = self.own_report();
+        let datagram = ReportDatagram { reports: vec![own], known, is_bundle: false };
+        self.send(&[sender], &datagram, vec![prefills]);
     }
 
-    fn own_report(&self) -> RouterReport {
-        let report = self.state.router().report(self.state.now());
-        RouterReport { address: self.state.settings().ip(), report }
+    fn own_report(&self) -> (RouterReport, RouterPrefills) {
+        let mut router = self.state.router();
+        let now = self.state.now();
+        let prefills =
+            RouterPrefills { incarnation: router.incarnation(), usages: router.prefill_usage(now) };
+        let report = router.report(now);
+        (RouterReport { address: self.state.settings().ip(), report }, prefills)
     }
 
     /// Sends the reports of one period; returns the time until the next period.
     fn send_period(&self, period: u64) -> Duration {
-        let own = self.own_report();
+        let (own, prefills) = self.own_report();
         let (plan, known, is_relayed) = {
             let peers = self.peers.borrow();
             let known = match period % PEER_LIST_INTERVAL {
@@ -196,27 +195,31 @@
             };
             (peers.plan(&self.state, period), known, uses_relays(peers.len()))
         };
-        self.send(
-            &plan.direct,
-            &ReportDatagram { reports: vec![own.clone()], known, is_bundle: false },
-        );
+        let datagram = ReportDatagram { reports: vec![own.clone()], known, is_bundle: false };
+        self.send(&plan.direct, &datagram, vec![prefills.clone()]);
         if !plan.bundles.is_empty() {
             let mut reports = self.peers.borrow().domain_reports();
-            reports.push(own);
+            reports.push((own, prefills));
             for reports in reports.chunks(MAX_BUNDLE_REPORTS) {
-                let reports = reports.to_vec();
+                let (reports, prefills) = reports.iter().cloned().unzip();
                 let datagram = ReportDatagram { reports, known: Vec::new(), is_bundle: true };
-                self.send(&plan.bundles, &datagram);
+                self.send(&plan.bundles, &datagram, prefills);
             }
         }
         let min_period = if is_relayed { RELAYED_PERIOD } else { REPORT_PERIOD };
         min_period.max(PERIOD_PER_PEER * plan.direct.len() as u32)
     }
 
-    fn send(&self, receivers: &[Ipv4Addr], datagram: &ReportDatagram) {
+    fn send(
+        &self,
+        receivers: &[Ipv4Addr],
+        datagram: &ReportDatagram,
+        prefills: Vec<RouterPrefills>,
+    ) {
         let now = self.state.now();
         let leaving = self.state.router().targets.announced_leaving(now, LEAVING_REPORT_TIME);
-        let bytes = match postcard::to_stdvec(&(datagram, DatagramExtension { leaving })) {
+        let bytes = match postcard::to_stdvec(&(datagram, DatagramExtension { leaving, prefills }))
+        {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "report exceeds the datagram size limit");
@@ -277,11 +280,10 @@
         let SocketAddr::V4(sender) = sender else {
             continue;
         };
-        match postcard::take_from_bytes::<ReportDatagram>(&bytes[..length]) {
-            Ok((datagram, rest)) => {
+        match decode_datagram(&bytes[..length]) {
+            Ok((datagram, extension)) => {
                 exchange.state.metrics.reports_received.inc();
-                exchange.receive(*sender.ip(), datagram);
-                exchange.receive_extension(*sender.ip(), rest);
+                exchange.receive(*sender.ip(), datagram, extension);
             }
             Err(error) => {
                 log::warn!(peer:% = sender, error:% = error; "failed to decode a report");
@@ -290,6 +292,16 @@
     }
 }
 
+/// Decodes a datagram and what follows it; nothing does if the sender runs an older build.
+fn decode_datagram(bytes: &[u8]) -> postcard::Result<(ReportDatagram, DatagramExtension)> {
+    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+    let extension = match rest {
+        [] => DatagramExtension::default(),
+        rest => postcard::from_bytes(rest)?,
+    };
+    Ok((datagram, extension))
+}
+
 /// Fetches snapshots from other routers for changes that this router's watch does not deliver.
 async fn fetch_snapshots(exchange: Rc<ReportExchange>) {
     let state = &exchange.state;
--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -42,6 +42,8 @@
     pub struct SnapshotExtension {
         /// Targets that announced their leaving.
         pub leaving: Vec<TargetId>,
+        /// Pause objectives of the configuration's routes, in their order.
+        pub pause_objectives: Vec<Option<Duration>>,
     }
 }
 
@@ -56,7 +58,10 @@
         targets: router.targets.snapshot(is_complete),
     };
     let leaving = router.targets.announced_leaving(state.now(), Duration::MAX);
-    postcard::to_stdvec(&(snapshot, SnapshotExtension { leaving })).unwrap_or_else(|error| {
+    let routes = snapshot.config.iter().flat_map(|config| &config.routes);
+    let pause_objectives = routes.map(|route| route.pause_objective).collect();
+    let extension = SnapshotExtension { leaving, pause_objectives };
+    postcard::to_stdvec(&(snapshot, extension)).unwrap_or_else(|error| {
         log::error!(error:% = error; "failed to encode the snapshot");
         Vec::new()
     })
@@ -82,12 +87,17 @@
 }
 
 fn decode_snapshot(bytes: &[u8]) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
-    let (snapshot, rest) =
+    let (mut snapshot, rest): (FleetSnapshot, &[u8]) =
         postcard::take_from_bytes(bytes).change_context(ErrorKind::ProtocolViolation)?;
     let extension = match rest {
         [] => SnapshotExtension::default(),
-        rest => postcard::from_bytes(rest).change_context(ErrorKind::ProtocolViolation)?,
+        rest => postcard::from_bytes::<SnapshotExtension>(rest)
+            .change_context(ErrorKind::ProtocolViolation)?,
     };
+    let routes = snapshot.config.iter_mut().flat_map(|config| &mut config.routes);
+    for (route, pause) in routes.zip(&extension.pause_objectives) {
+        route.pause_objective = *pause;
+    }
     Ok((snapshot, extension))
 }
 
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -4,10 +4,10 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use jackdaw_base::plain_data;
+use jackdaw_base::{ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{
-    FetchUrgency, PeerReport, PeerStatus, PlanPeer, ReportPlan, WatchPeer, introduce_peers,
-    needs_introduction, plan_reports,
+    FetchUrgency, PeerReport, PeerStatus, PlanPeer, PrefillUsage, ReportPlan, WatchPeer,
+    introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -39,6 +39,16 @@
     }
 }
 
+plain_data! {
+    /// Recent prefills of the router with an incarnation, which follow its report in a datagram.
+    pub(crate) struct RouterPrefills {
+        /// Incarnation of the router.
+        pub(crate) incarnation: ProcessIncarnation,
+        /// Tokens by target.
+        pub(crate) usages: Vec<PrefillUsage>,
+    }
+}
+
 /// State kept for another router.
 #[derive(Debug, Clone, Default)]
 struct PeerRecord {
@@ -52,6 +62,7 @@
 struct ReceivedReport {
     time: Instant,
     report: PeerReport,
+    prefills: Vec<PrefillUsage>,
     is_same_domain: bool,
 }
 
@@ -91,15 +102,18 @@
         same_domain.map(|(ip, _)| *ip).collect()
     }
 
-    /// Returns the latest reports of routers in the same failure domain, without those that fell
-    /// silent.
-    pub(crate) fn domain_reports(&self) -> Vec<RouterReport> {
+    /// Returns the latest reports of routers in the same failure domain with their recent prefills,
+    /// without those that fell silent.
+    pub(crate) fn domain_reports(&self) -> Vec<(RouterReport, RouterPrefills)> {
         let last = self.peers.iter().filter_map(|(ip, record)| Some((ip, record.last.as_ref()?)));
         let same_domain =
             last.filter(|(_, last)| last.is_same_domain && last.is_recent(self.silence_timeout()));
-        same_domain
-            .map(|(ip, last)| RouterReport { address: *ip, report: last.report.clone() })
-            .collect()
+        let reports = same_domain.map(|(ip, last)| {
+            let incarnation = last.report.incarnation;
+            let prefills = RouterPrefills { incarnation, usages: last.prefills.clone() };
+            (RouterReport { address: *ip, report: last.report.clone() }, prefills)
+        });
+        reports.collect()
     }
 
     /// Returns the receivers of the reports of one period.
@@ -144,7 +158,13 @@
     }
 
     /// Stores a report that is newer than the previous one of the same router.
-    pub(crate) fn record(&mut self, state: &EdgeState, sender: Ipv4Addr, report: &PeerReport) {
+    pub(crate) fn record(
+        &mut self,
+        state: &EdgeState,
+        sender: Ipv4Addr,
+        report: &PeerReport,
+        prefills: &[PrefillUsage],
+    ) {
         let record = self.peers.entry(sender).or_default();
         if record.last.is_none() {
             log::info!(peer:% = sender, domain:% = report.domain; "first report from router");
@@ -153,6 +173,7 @@
         record.last = Some(ReceivedReport {
             time: now,
             report: report.clone(),
+            prefills: prefills.to_vec(),
             is_same_domain: report.domain == state.settings().domain,
         });
         let router = state.router();
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -252,6 +252,19 @@
 }
 
 impl RequestState {
+    /// Reports the longest pause of a complete stream to the routing policy.
+    fn record_pause(&self, outcome: &str) {
+        let Some(objective) = self.request.route.pause_objective.filter(|_| outcome == "whole")
+        else {
+            return;
+        };
+        let (service, pause) = (self.request.service.as_str(), self.longest_pause.get());
+        let change = self.state.router().record_stream(service, pause, objective);
+        if let Some(is_limiting) = change {
+            log::info!(service, is_limiting; "limit on prefill beside running streams changed");
+        }
+    }
+
     /// Returns the name of the last selected target; empty if there is none.
     pub(crate) fn target_name(&self) -> String {
         self.last_target_name.borrow().clone()
@@ -263,6 +276,7 @@
             return;
         }
         let elapsed = self.request.received.elapsed();
+        self.record_pause(outcome);
         let metrics = &self.state.metrics;
         let route = self.request.route.name.as_str();
         metrics.responses.add(&[("route", route), ("outcome", outcome)], 1);
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -53,6 +53,8 @@
     pub tokens_per_second: u64,
     /// Maximum gap between two events of an answer that is on time.
     pub event_gap_limit: Duration,
+    /// The same gap as routes state it to the routers; `None` if they state none.
+    pub pause_objective: Option<Duration>,
     /// Algorithm that chooses targets.
     pub rule: PlacementRule,
 }
@@ -68,6 +70,7 @@
             slow_factor: 1.3,
             tokens_per_second: 440_000,
             event_gap_limit: Duration::from_millis(400),
+            pause_objective: None,
             rule: PlacementRule::Product,
         }
     }
@@ -215,8 +218,13 @@
                 EngineEvent::Finished { request } => {
                     self.record_event(request, now.0);
                     self.states[request].is_finished = true;
+                    let pause = Duration::from_micros(self.states[request].longest_gap);
+                    let objective = self.profile.pause_objective;
                     self.update_router(request, |router, run| {
                         router.end_run(now, run, RunOutcome::Whole);
+                        if let Some(objective) = objective {
+                            router.record_stream(SERVICE, pause, objective);
+                        }
                     });
                 }
             }
@@ -245,10 +253,12 @@
     fn broadcast_report(&mut self, time: u64, router: usize) {
         let now = MonotonicTime(time);
         let report: PeerReport = self.routers[router].report(now);
+        let prefills = self.routers[router].prefill_usage(now);
         let received = MonotonicTime(time + MESSAGE_MICROS);
         for (index, other) in self.routers.iter_mut().enumerate() {
             if index != router {
                 other.apply_report(received, &report);
+                other.apply_prefill(report.incarnation, &prefills);
             }
         }
         self.routers[router].expire(now);
@@ -333,6 +343,7 @@
         kind: RequestKind::Stream { resumable: false },
         timeout: Duration::from_secs(15),
         latency_objective: Duration::from_millis(500),
+        pause_objective: profile.pause_objective,
         priority: 0,
         max_attempts: 1,
         is_public: true,
--- a/crates/jackdaw-model/tests/patterns/main.rs
+++ b/crates/jackdaw-model/tests/patterns/main.rs
@@ -2,6 +2,7 @@
 
 mod calm_bursts;
 mod hot_customers;
+mod prefill_bursts;
 mod shared_parts;
 mod sustained_overload;
 
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -14,8 +14,10 @@
 use crate::direct::fleet_retry_budget::FleetRetryBudget;
 use crate::direct::load_table::LoadTable;
 use crate::direct::mean_wait::MeanWait;
+use crate::direct::pause_monitor::PauseMonitor;
 use crate::direct::peer_report::PeerReport;
 use crate::direct::placement::{Placement, RefusalReason};
+use crate::direct::prefill_window::{PrefillUsage, PrefillWindow};
 use crate::direct::prefix_map::PrefixMap;
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::refusal_tracker::RefusalTracker;
@@ -130,6 +132,8 @@
     ledger: CustomerLedger,
     budgets: HashMap<String, FleetRetryBudget>,
     mean_waits: HashMap<String, MeanWait>,
+    prefills: PrefillWindow,
+    pauses: HashMap<String, PauseMonitor>,
     suspects: CrashSuspects,
     evidence: Vec<(CrashEvidence, MonotonicTime)>,
     broken: Vec<BrokenRun>,
@@ -159,6 +163,8 @@
             prefixes: PrefixMap::default(),
             budgets: HashMap::new(),
             mean_waits: HashMap::new(),
+            prefills: PrefillWindow::default(),
+            pauses: HashMap::new(),
             suspects: CrashSuspects::default(),
             evidence: Vec::new(),
             broken: Vec::new(),
@@ -241,6 +247,7 @@
             let reason = RefusalReason::Quarantined;
             return Placement::Refuse { reason, retry_after: QUARANTINE_RETRY };
         }
+        self.prefills.expire(now);
         let placement = self.choose(now, request, tried);
         if let Placement::Refuse { retry_after, .. } = placement {
             self.refusals.record_refusal(now, request.fingerprint, retry_after);
@@ -316,6 +323,9 @@
         self.health.record_acceptance(now, record.target);
         record.is_started = true;
         self.loads.start_running(record.target, record.prefill_tokens);
+        if !record.is_plain {
+            self.prefills.record(now, record.target, record.prefill_tokens);
+        }
         self.health.end_wait(now, record.target);
         let elapsed = now.since(record.sent_at);
         match record.is_plain {
@@ -391,6 +401,30 @@
         }
     }
 
+    /// Returns this router's recent prefills for its report.
+    pub fn prefill_usage(&mut self, now: MonotonicTime) -> Vec<PrefillUsage> {
+        self.prefills.own_usage(now)
+    }
+
+    /// Applies the recent prefills that another router reported with its latest report.
+    pub fn apply_prefill(&mut self, incarnation: ProcessIncarnation, usages: &[PrefillUsage]) {
+        if incarnation != self.incarnation {
+            self.prefills.apply_report(incarnation, usages);
+        }
+    }
+
+    /// Records the longest pause between two events of a complete stream; returns whether prefill
+    /// beside the service's streams is limited from now on, if that changed.
+    pub fn record_stream(
+        &mut self,
+        service: &str,
+        longest_pause: Duration,
+        objective: Duration,
+    ) -> Option<bool> {
+        let monitor = self.pauses.entry(service.to_owned()).or_default();
+        monitor.record_stream(longest_pause > objective)
+    }
+
     /// Returns the versions of the configuration and the targets that this router knows.
     pub fn versions(&self) -> FleetVersions {
         FleetVersions {
@@ -435,6 +469,7 @@
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
         for incarnation in self.loads.expire(now) {
             self.ledger.remove_peer(incarnation);
+            self.prefills.remove_peer(incarnation);
         }
         self.broken.retain(|run| now.since(run.time) < CRASH_WINDOW);
         let removed = self.targets.expire(now);
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -38,6 +38,7 @@
             rank: request.rank,
             is_caller_retry: self.refusals.is_caller_retry(now, request.fingerprint),
             mean_wait,
+            pause_limit: self.pause_limit(request.service),
             shortest_pause: None,
         }
     }
@@ -73,6 +74,12 @@
             .unwrap_or_else(|| refuse(&placement_request, &limits, &candidates))
     }
 
+    /// Returns the longest pause of a service's streams while prefill beside them is limited.
+    fn pause_limit(&self, service: &str) -> Option<Duration> {
+        self.pauses.get(service).filter(|monitor| monitor.is_limiting())?;
+        self.table.as_ref()?.pause_objective(service)
+    }
+
     /// Updates the running mean of the wait at a service's usable targets and returns it.
     fn update_mean_wait(
         &mut self,
@@ -187,6 +194,7 @@
             memory_tokens: self.memory_tokens,
             load,
             queue_time: router.speeds.prefill_time(id, load.queued_tokens),
+            recent_time: router.speeds.prefill_time(id, router.prefills.tokens(id)),
             prefill_tokens: own + missing,
             prefill_time: router.speeds.prefill_time(id, own + missing),
             repeated_prefill_time: router.speeds.prefill_time(id, missing),
--- a/crates/jackdaw-policy/src/direct/fleet_config.rs
+++ b/crates/jackdaw-policy/src/direct/fleet_config.rs
@@ -63,6 +63,10 @@
         pub timeout: Duration,
         /// Time to the response, or to the first event of a stream, that counts as on time.
         pub latency_objective: Duration,
+        /// Longest pause between two events of a stream that counts as on time; `None` if the route
+        /// states none. Snapshots carry it apart, since older builds do not know it.
+        #[serde(skip)]
+        pub pause_objective: Option<Duration>,
         /// Priority of the requests; zero is the highest.
         pub priority: u32,
         /// Maximum number of targets to which one request may be sent.
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/pause_monitor.rs
@@ -0,0 +1,44 @@
+//! Share of streams that pause longer than their route allows, as this router relays them.
+//!
+//! How much prefill a target can do between two events of its streams depends on how many tokens an
+//! event holds, which routers do not know. Where streams pause too long, the prefill is limited.
+
+/// Weight of the latest stream in the share of streams with a long pause.
+const STREAM_WEIGHT: f64 = 0.02;
+
+/// Share of streams with a long pause from which prefill is limited, and below which it no longer
+/// is.
+const LIMIT_RANGE: (f64, f64) = (0.06, 0.02);
+
+/// Moving share of streams with a long pause.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PauseMonitor {
+    late_share: f64,
+    is_limiting: bool,
+}
+
+impl PauseMonitor {
+    /// Records a complete stream; returns whether the prefill is limited from now on, if that
+    /// changed.
+    pub fn record_stream(&mut self, has_long_pause: bool) -> Option<bool> {
+        let sample = if has_long_pause { 1.0 } else { 0.0 };
+        self.late_share += STREAM_WEIGHT * (sample - self.late_share);
+        let (start, end) = LIMIT_RANGE;
+        let is_limiting = match self.is_limiting {
+            true => self.late_share > end,
+            false => self.late_share > start,
+        };
+        let has_changed = std::mem::replace(&mut self.is_limiting, is_limiting) != is_limiting;
+        has_changed.then_some(is_limiting)
+    }
+
+    /// Returns whether prefill beside running streams is to be limited.
+    pub fn is_limiting(&self) -> bool {
+        self.is_limiting
+    }
+
+    /// Returns the share of streams with a long pause, from 0 to 1.
+    pub fn late_share(&self) -> f64 {
+        self.late_share
+    }
+}
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -49,6 +49,14 @@
 /// only.
 const SPILL_PRESSURE: f64 = 0.5;
 
+/// Prefill within the window and in the queue of a target with running streams, as a fraction of the
+/// pause objective, up to which a request may add its own where streams pause too long.
+const BURST_FRACTION: f64 = 0.82;
+
+/// As [`BURST_FRACTION`], for requests whose own prefill would leave less: long prompts are not
+/// excluded from targets that are nearly idle.
+const MIN_BURST_FRACTION: f64 = 0.05;
+
 /// Factor applied to the longest wait for each priority step below the highest.
 const RANK_FACTOR: f64 = 0.8;
 
@@ -73,6 +81,8 @@
     pub is_caller_retry: bool,
     /// Moving average of the wait at the service's targets.
     pub mean_wait: Duration,
+    /// Longest pause between events of the service's streams, if prefill beside them is limited.
+    pub pause_limit: Option<Duration>,
     /// Time until the first target accepts requests again, if all that could be used asked for a
     /// pause.
     pub shortest_pause: Option<Duration>,
@@ -91,6 +101,8 @@
     pub load: TargetLoad,
     /// Time for the prefill of all queued tokens.
     pub queue_time: Duration,
+    /// Time that the target has spent on prefill within the last moments.
+    pub recent_time: Duration,
     /// Tokens of the request that the target would have to prefill.
     pub prefill_tokens: u64,
     /// Time for the prefill of the request.
@@ -175,7 +187,20 @@
 
     /// Returns whether the target can serve the request within a wait limit and before its deadline.
     fn accepts(&self, request: &PlacementRequest<'_>, limit: Duration) -> bool {
-        self.wait() <= limit && self.expected() < request.time_left && self.has_room(request)
+        self.wait() <= limit
+            && self.expected() < request.time_left
+            && self.has_room(request)
+            && self.spares_streams(request)
+    }
+
+    /// Returns whether the request's prefill leaves the events of running streams on time. Prefill
+    /// shortly before and in the queue delays the same events.
+    fn spares_streams(&self, request: &PlacementRequest<'_>) -> bool {
+        let Some(pause) = request.pause_limit.filter(|_| self.load.running > 0) else {
+            return true;
+        };
+        let room = pause.mul_f64(BURST_FRACTION).saturating_sub(self.prefill_time);
+        self.queue_time + self.recent_time <= room.max(pause.mul_f64(MIN_BURST_FRACTION))
     }
 
     fn placement(&self) -> Placement {
--- a/crates/jackdaw-policy/src/direct/route_table.rs
+++ b/crates/jackdaw-policy/src/direct/route_table.rs
@@ -1,6 +1,7 @@
 //! Lookup of the route, the customer and the service of a request.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -15,7 +16,9 @@
     /// Index of the customer of each key.
     keys: HashMap<String, usize>,
     /// Shortest latency objective among the routes of each service.
-    service_objectives: HashMap<String, std::time::Duration>,
+    service_objectives: HashMap<String, Duration>,
+    /// Shortest pause objective among the routes of each service.
+    pause_objectives: HashMap<String, Duration>,
     /// Highest priority, which is the lowest number, among the customers.
     first_priority: u32,
 }
@@ -34,6 +37,7 @@
     pub fn new(config: FleetConfig) -> RouteTable {
         let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
         let mut service_objectives = HashMap::new();
+        let mut pause_objectives = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
             hosts.entry(route.host.clone()).or_default().push(index);
             for entry in &route.services {
@@ -41,6 +45,10 @@
                     .entry(entry.service.clone())
                     .or_insert(route.latency_objective);
                 *objective = route.latency_objective.min(*objective);
+                if let Some(pause) = route.pause_objective {
+                    let shortest = pause_objectives.entry(entry.service.clone()).or_insert(pause);
+                    *shortest = pause.min(*shortest);
+                }
             }
         }
         for routes in hosts.values_mut() {
@@ -54,7 +62,7 @@
         }
         let priorities = config.customers.iter().filter_map(|customer| customer.priority);
         let first_priority = priorities.min().unwrap_or(0);
-        RouteTable { config, hosts, keys, service_objectives, first_priority }
+        RouteTable { config, hosts, keys, service_objectives, pause_objectives, first_priority }
     }
 
     /// Returns the configuration that the table was built from.
@@ -121,10 +129,15 @@
     }
 
     /// Returns the shortest latency objective among a service's routes.
-    pub fn service_objective(&self, service: &str) -> Option<std::time::Duration> {
+    pub fn service_objective(&self, service: &str) -> Option<Duration> {
         self.service_objectives.get(service).copied()
     }
 
+    /// Returns the shortest pause objective among a service's routes.
+    pub fn pause_objective(&self, service: &str) -> Option<Duration> {
+        self.pause_objectives.get(service).copied()
+    }
+
     /// Returns the number of priority steps between a customer and the customer with the highest
     /// priority; zero without a customer or without a priority. A customer's priority takes
     /// precedence over that of the route.
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -25,6 +25,7 @@
         kind: RequestKind::Stream { resumable: false },
         timeout: Duration::from_secs(15),
         latency_objective: Duration::from_millis(500),
+        pause_objective: None,
         priority: 0,
         max_attempts: 1,
         is_public: false,
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod load_reports;
 mod overload_detector;
 mod peer_discovery;
+mod prefill_bursts;
 mod prefix_affinity;
 mod random_updates;
 mod report_relays;
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -34,6 +34,7 @@
             memory_tokens: random.random_range(0..20_000),
         },
         queue_time: Duration::from_millis(random.random_range(0..400)),
+        recent_time: Duration::ZERO,
         prefill_tokens: 600,
         prefill_time: Duration::from_millis(6 + missing_ms),
         repeated_prefill_time: Duration::from_millis(missing_ms),
@@ -100,6 +101,7 @@
             mean_wait: *[Duration::ZERO, Duration::from_millis(200)]
                 .choose(&mut random)
                 .expect("a wait"),
+            pause_limit: None,
             shortest_pause: None,
         };
         let expected = choose_from_ranking(&request, &targets);
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -23,6 +23,7 @@
         rank: 0,
         is_caller_retry: false,
         mean_wait,
+        pause_limit: None,
         shortest_pause: None,
     }
 }
@@ -34,6 +35,7 @@
         memory_tokens: Some(800_000),
         load: TargetLoad { queued_tokens: 1, queued: 1, running: 5, memory_tokens: 50_000 },
         queue_time: Duration::from_millis(queue_ms),
+        recent_time: Duration::ZERO,
         prefill_tokens: 600,
         prefill_time: Duration::from_millis(6),
         repeated_prefill_time: Duration::ZERO,
