--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -86,7 +86,14 @@
     decode_snapshot(&bytes)
 }
 
-fn decode_snapshot(bytes: &[u8]) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
+/// Decodes a snapshot and what follows it; nothing does if it comes from an older build.
+///
+/// # Errors
+///
+/// `ProtocolViolation` if either is malformed.
+pub fn decode_snapshot(
+    bytes: &[u8],
+) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
     let (mut snapshot, rest): (FleetSnapshot, &[u8]) =
         postcard::take_from_bytes(bytes).change_context(ErrorKind::ProtocolViolation)?;
     let extension = match rest {
--- a/crates/jackdaw-edge/tests/edge/main.rs
+++ b/crates/jackdaw-edge/tests/edge/main.rs
@@ -4,5 +4,6 @@
 mod command_line;
 mod connection_limit;
 mod event_bounds;
+mod mixed_builds;
 mod settings_reload;
 mod support;
