--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -81,6 +81,7 @@
     first_byte: Cell<Option<Duration>>,
     last_byte: Cell<Duration>,
     longest_pause: Cell<Duration>,
+    pauses: Cell<u32>,
     is_finished: Cell<bool>,
     _open: OpenRequest,
 }
@@ -106,6 +107,7 @@
             first_byte: Cell::new(None),
             last_byte: Cell::new(Duration::ZERO),
             longest_pause: Cell::new(Duration::ZERO),
+            pauses: Cell::new(0),
             is_finished: Cell::new(false),
             _open: open,
         };
@@ -128,6 +130,7 @@
         if inner.first_byte.get().is_some() {
             let pause = elapsed.saturating_sub(last);
             inner.longest_pause.set(inner.longest_pause.get().max(pause));
+            inner.pauses.set(inner.pauses.get() + 1);
             return;
         }
         inner.first_byte.set(Some(elapsed));
@@ -259,7 +262,9 @@
             return;
         };
         let (service, pause) = (self.request.service.as_str(), self.longest_pause.get());
-        let change = self.state.router().record_stream(service, pause, objective);
+        let mut router = self.state.router();
+        let change = router.record_stream(service, self.pauses.get(), pause, objective);
+        drop(router);
         if let Some(is_limiting) = change {
             log::info!(service, is_limiting; "limit on prefill beside running streams changed");
         }
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -92,6 +92,7 @@
     first_event: Option<u64>,
     last_event: u64,
     longest_gap: u64,
+    gaps: u32,
     is_finished: bool,
     is_refused: bool,
 }
@@ -218,12 +219,13 @@
                 EngineEvent::Finished { request } => {
                     self.record_event(request, now.0);
                     self.states[request].is_finished = true;
-                    let pause = Duration::from_micros(self.states[request].longest_gap);
+                    let RequestState { gaps, longest_gap, .. } = self.states[request];
+                    let pause = Duration::from_micros(longest_gap);
                     let objective = self.profile.pause_objective;
                     self.update_router(request, |router, run| {
                         router.end_run(now, run, RunOutcome::Whole);
                         if let Some(objective) = objective {
-                            router.record_stream(SERVICE, pause, objective);
+                            router.record_stream(SERVICE, gaps, pause, objective);
                         }
                     });
                 }
@@ -238,6 +240,7 @@
             None => state.first_event = Some(time),
             Some(_) => {
                 state.longest_gap = state.longest_gap.max(time - state.last_event);
+                state.gaps += 1;
             }
         }
         state.last_event = time;
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -413,16 +413,17 @@
         }
     }
 
-    /// Records the longest pause between two events of a complete stream; returns whether prefill
-    /// beside the service's streams is limited from now on, if that changed.
+    /// Records the pauses between the events of a complete stream; returns whether prefill beside the
+    /// service's streams is limited from now on, if that changed.
     pub fn record_stream(
         &mut self,
         service: &str,
+        pauses: u32,
         longest_pause: Duration,
         objective: Duration,
     ) -> Option<bool> {
         let monitor = self.pauses.entry(service.to_owned()).or_default();
-        monitor.record_stream(longest_pause > objective)
+        monitor.record_stream(pauses, longest_pause > objective)
     }
 
     /// Returns the versions of the configuration and the targets that this router knows.
--- a/crates/jackdaw-policy/src/direct/pause_monitor.rs
+++ b/crates/jackdaw-policy/src/direct/pause_monitor.rs
@@ -7,8 +7,12 @@
 const STREAM_WEIGHT: f64 = 0.02;
 
 /// Share of streams with a long pause from which prefill is limited, and below which it no longer
-/// is.
-const LIMIT_RANGE: (f64, f64) = (0.06, 0.02);
+/// is. The limit refuses long prompts more often, so that a few late streams are no reason for it.
+const LIMIT_RANGE: (f64, f64) = (0.08, 0.04);
+
+/// Pauses of the shortest stream that counts: a stream of one or two events says little about the
+/// others.
+const MIN_PAUSES: u32 = 4;
 
 /// Moving share of streams with a long pause.
 #[derive(Debug, Clone, Copy, Default)]
@@ -18,9 +22,12 @@
 }
 
 impl PauseMonitor {
-    /// Records a complete stream; returns whether the prefill is limited from now on, if that
-    /// changed.
-    pub fn record_stream(&mut self, has_long_pause: bool) -> Option<bool> {
+    /// Records a complete stream with a number of pauses between its events; returns whether the
+    /// prefill is limited from now on, if that changed.
+    pub fn record_stream(&mut self, pauses: u32, has_long_pause: bool) -> Option<bool> {
+        if pauses < MIN_PAUSES {
+            return None;
+        }
         let sample = if has_long_pause { 1.0 } else { 0.0 };
         self.late_share += STREAM_WEIGHT * (sample - self.late_share);
         let (start, end) = LIMIT_RANGE;
