Let an announced leaving bind as long as its start lasts; clean up names

Found on reading the change again: an announcement was forgotten after ten minutes although the target was still registered, and the digest of the target table overflowed for eras over 32,767. Pauses of targets are counted for every response that states one.

Tests: announced_leaving_binds_until_another_start and era_precedes_the_revision failed before.

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -144,9 +144,8 @@
             if !self.state.router().apply_report(now, report) {
                 continue;
             }
-            let prefills = extension.prefills.iter();
-            let prefills =
-                prefills.into_iter().find(|prefills| prefills.incarnation == report.incarnation);
+            let mut prefills = extension.prefills.iter();
+            let prefills = prefills.find(|prefills| prefills.incarnation == report.incarnation);
             let usages = prefills.map_or(&[][..], |prefills| &prefills.usages);
             self.state.router().apply_prefill(report.incarnation, usages);
             self.peers.borrow_mut().record(&self.state, *address, report, usages);
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -255,8 +255,8 @@
 }
 
 impl RequestState {
-    /// Reports the longest pause of a complete stream to the routing policy.
-    fn record_pause(&self, outcome: &str) {
+    /// Reports the pauses of a complete stream to the routing policy.
+    fn report_pauses(&self, outcome: &str) {
         let Some(objective) = self.request.route.pause_objective.filter(|_| outcome == "whole")
         else {
             return;
@@ -281,7 +281,7 @@
             return;
         }
         let elapsed = self.request.received.elapsed();
-        self.record_pause(outcome);
+        self.report_pauses(outcome);
         let metrics = &self.state.metrics;
         let route = self.request.route.name.as_str();
         metrics.responses.add(&[("route", route), ("outcome", outcome)], 1);
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -267,6 +267,9 @@
         if head.is_leaving && is_from_target {
             inner.state.record_leaving(target, &inner.request.head.id);
         }
+        if head.pause.is_some() && is_from_target {
+            inner.state.metrics.pauses.inc();
+        }
         match head.source {
             ResponseSource::NotRun => {
                 let outcome = head.pause.map_or(RunOutcome::Rejected, RunOutcome::Paused);
@@ -291,9 +294,6 @@
 
     fn record_unrun_send(&self, guard: RunGuard, outcome: RunOutcome) -> SendOutcome {
         let inner = &self.inner;
-        if let RunOutcome::Paused(_) = outcome {
-            inner.state.metrics.pauses.inc();
-        }
         log::info!(
             request:% = inner.request.head.id,
             target_name = inner.target_name(),
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -148,8 +148,10 @@
             let id = entry.id();
             index.names.insert(id, entry.name.clone());
             let state = entry.state as u64;
-            index.digest ^=
-                xxh3_64_with_seed(entry.name.as_bytes(), entry.revision.packed() * 2 + state);
+            index.digest ^= xxh3_64_with_seed(
+                entry.name.as_bytes(),
+                entry.revision.packed().rotate_left(1) ^ state,
+            );
             if entry.state == TargetState::Ready && !leaving.contains_key(&id) {
                 let target = ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone() };
                 ready.entry(&entry.service).or_default().push(target);
@@ -456,16 +458,21 @@
 
     /// Drops evidence that is no longer needed.
     fn expire_leaving(&mut self, now: MonotonicTime) {
-        let era = self.era_start.era();
-        let count = self.leaving.len();
-        self.leaving.retain(|_, record| {
-            let retention = match record.evidence {
-                LeavingEvidence::Stored(left) if left.era() < era => LEAVING_HOLD,
-                _ => LEAVING_RETENTION,
-            };
-            now.since(record.since) < retention
-        });
-        if self.leaving.len() != count {
+        let era = self.era();
+        let is_expired = |id: TargetId, record: &LeavingRecord| {
+            let age = now.since(record.since);
+            match record.evidence {
+                LeavingEvidence::Stored(left) if left.era() < era => age >= LEAVING_HOLD,
+                LeavingEvidence::Stored(_) => age >= LEAVING_RETENTION,
+                // The announcement binds for as long as this start of the target lasts.
+                LeavingEvidence::Announced => age >= LEAVING_RETENTION && !self.contains(id),
+            }
+        };
+        let leaving = self.leaving.iter();
+        let expired: Vec<TargetId> =
+            leaving.filter(|(id, record)| is_expired(**id, record)).map(|(id, _)| *id).collect();
+        for target in expired {
+            self.leaving.remove(&target);
             self.index.take();
         }
     }
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -44,6 +44,10 @@
     assert_eq!(StoreRevision::new(0, 7).packed(), 7, "builds without eras read plain revisions");
     let limit = StoreRevision::new(u64::MAX, u64::MAX);
     assert!(limit > StoreRevision::new(1, 1) && limit.era() > 0);
+    let mut table = stable_table();
+    table.replace(at(5000), vec![ready("a", limit)], limit);
+    assert_eq!(ready_names(&table), ["a"]);
+    assert_ne!(table.digest(), TargetTable::new(at(0)).digest());
 }
 
 #[test]
@@ -133,11 +137,13 @@
     table.replace(at(5400), vec![ready("a", StoreRevision::new(1, 9))], StoreRevision::new(1, 10));
     table.record_contact(at(5500), false);
     table.record_contact(at(5600), true);
-    table.expire(at(120_000));
-    assert!(ready_names(&table).is_empty());
+    for millis in [120_000, 900_000] {
+        table.expire(at(millis));
+        assert!(ready_names(&table).is_empty(), "{millis}");
+    }
     let mut restarted = ready("a", StoreRevision::new(1, 30));
     restarted.started_unix_ms += 1;
-    table.apply(at(120_100), TargetChange::Present(restarted));
+    table.apply(at(900_100), TargetChange::Present(restarted));
     assert_eq!(ready_names(&table), ["a"]);
 }
 
