Ignore late older removals; split long files; two words for two kinds of pause

Cause, found on reading the change as a newcomer: `TargetTable::remove` stored the revision of any removal of an unknown name, so that a late, older one replaced a newer one, and an entry between the two was taken back.

Change: a removal that is not newer than the known one is ignored. Test: older_removal_does_not_replace_a_newer_one failed before.

Renamed: PauseMonitor is StreamMonitor, pause_limit stream_pause_limit, shortest_pause shortest_target_pause, since a stream's pause and a pause that a target asks for are two things; the settings reader's templated is optional_or_empty.

--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -1,6 +1,7 @@
 //! State machine of a router that sends requests directly to targets.
 
 mod placement_view;
+mod report_exchange;
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -14,25 +15,21 @@
 use crate::direct::fleet_retry_budget::FleetRetryBudget;
 use crate::direct::load_table::LoadTable;
 use crate::direct::mean_wait::MeanWait;
-use crate::direct::pause_monitor::PauseMonitor;
-use crate::direct::peer_report::PeerReport;
 use crate::direct::placement::{Placement, RefusalReason};
-use crate::direct::prefill_window::{PrefillUsage, PrefillWindow};
+use crate::direct::prefill_window::PrefillWindow;
 use crate::direct::prefix_map::PrefixMap;
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::refusal_tracker::RefusalTracker;
 use crate::direct::route_table::RouteTable;
+use crate::direct::stream_monitor::StreamMonitor;
 use crate::direct::target_health::{SendFailure, TargetHealth};
 use crate::direct::target_speed::TargetSpeed;
-use crate::direct::target_table::{REREGISTRATION_GRACE, StoreReachability, TargetId, TargetTable};
-use crate::direct::watch_election::{FleetVersions, StoreStatus, WatchElection};
+use crate::direct::target_table::{TargetId, TargetTable};
+use crate::direct::watch_election::WatchElection;
 
 /// Time within which broken connections and a later refused one are attributed to the same crash.
 const CRASH_WINDOW: Duration = Duration::from_millis(1500);
 
-/// Time for which new crash evidence is included in reports to the other routers.
-const EVIDENCE_REPORT_TIME: Duration = Duration::from_secs(2);
-
 /// Retry delay given to the caller of a quarantined request.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(60);
 
@@ -133,7 +130,7 @@
     budgets: HashMap<String, FleetRetryBudget>,
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
-    pauses: HashMap<String, PauseMonitor>,
+    stream_monitors: HashMap<String, StreamMonitor>,
     suspects: CrashSuspects,
     evidence: Vec<(CrashEvidence, MonotonicTime)>,
     broken: Vec<BrokenRun>,
@@ -164,7 +161,7 @@
             budgets: HashMap::new(),
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
-            pauses: HashMap::new(),
+            stream_monitors: HashMap::new(),
             suspects: CrashSuspects::default(),
             evidence: Vec::new(),
             broken: Vec::new(),
@@ -384,35 +381,6 @@
         }
     }
 
-    /// Returns the next report for the other routers.
-    pub fn report(&mut self, now: MonotonicTime) -> PeerReport {
-        self.next_report += 1;
-        self.evidence.retain(|(_, time)| now.since(*time) < EVIDENCE_REPORT_TIME);
-        PeerReport {
-            incarnation: self.incarnation,
-            sequence: self.next_report,
-            versions: self.versions(),
-            domain: self.policy.domain.clone(),
-            store_status: self.store_status(now),
-            targets: self.loads.own_usage(),
-            customers: self.ledger.own_usage(now),
-            crashes: self.evidence.iter().map(|(evidence, _)| *evidence).collect(),
-            refused: self.refusals.recent(now),
-        }
-    }
-
-    /// Returns this router's recent prefills for its report.
-    pub fn prefill_usage(&mut self, now: MonotonicTime) -> Vec<PrefillUsage> {
-        self.prefills.own_usage(now)
-    }
-
-    /// Applies the recent prefills that another router reported with its latest report.
-    pub fn apply_prefill(&mut self, incarnation: ProcessIncarnation, usages: &[PrefillUsage]) {
-        if incarnation != self.incarnation {
-            self.prefills.apply_report(incarnation, usages);
-        }
-    }
-
     /// Records the pauses between the events of a complete stream; returns whether prefill beside the
     /// service's streams is limited from now on, if that changed.
     pub fn record_stream(
@@ -422,50 +390,10 @@
         longest_pause: Duration,
         objective: Duration,
     ) -> Option<bool> {
-        let monitor = self.pauses.entry(service.to_owned()).or_default();
+        let monitor = self.stream_monitors.entry(service.to_owned()).or_default();
         monitor.record_stream(pauses, longest_pause > objective)
     }
 
-    /// Returns the versions of the configuration and the targets that this router knows.
-    pub fn versions(&self) -> FleetVersions {
-        FleetVersions {
-            config: self.config_version(),
-            targets_revision: self.targets.change_revision(),
-            targets_digest: self.targets.digest(),
-        }
-    }
-
-    /// Returns this router's connection to the store.
-    pub fn store_status(&self, now: MonotonicTime) -> StoreStatus {
-        if self.watch.is_store_unreachable(now) {
-            return StoreStatus::Unreachable;
-        }
-        match self.targets.reachability() {
-            StoreReachability::Unreachable(_) => StoreStatus::NotWatching,
-            StoreReachability::Reachable(since) if now.since(since) < REREGISTRATION_GRACE => {
-                StoreStatus::Recovering
-            }
-            StoreReachability::Reachable(_) => StoreStatus::Stable,
-        }
-    }
-
-    /// Applies another router's report; returns whether it is newer than the router's last one.
-    pub fn apply_report(&mut self, now: MonotonicTime, report: &PeerReport) -> bool {
-        let PeerReport { incarnation, sequence, .. } = *report;
-        if incarnation == self.incarnation {
-            return false;
-        }
-        if !self.loads.apply_report(now, incarnation, sequence, &report.targets) {
-            return false;
-        }
-        self.ledger.apply_report(incarnation, &report.customers);
-        self.refusals.apply_report(now, &report.refused);
-        for evidence in &report.crashes {
-            self.suspects.record(now, *evidence);
-        }
-        true
-    }
-
     /// Drops expired state; returns the names of targets that are now considered removed.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
         for incarnation in self.loads.expire(now) {
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -38,8 +38,8 @@
             rank: request.rank,
             is_caller_retry: self.refusals.is_caller_retry(now, request.fingerprint),
             mean_wait,
-            pause_limit: self.pause_limit(request.service),
-            shortest_pause: None,
+            stream_pause_limit: self.stream_pause_limit(request.service),
+            shortest_target_pause: None,
         }
     }
 
@@ -62,7 +62,7 @@
         let limits = PlacementLimits::new(&placement_request);
         let ranked = view.candidates();
         if ranked.is_empty() {
-            placement_request.shortest_pause = view.shortest_pause();
+            placement_request.shortest_target_pause = view.shortest_target_pause();
         }
         let candidates: Vec<PlacementTarget> =
             ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
@@ -75,8 +75,8 @@
     }
 
     /// Returns the longest pause of a service's streams while prefill beside them is limited.
-    fn pause_limit(&self, service: &str) -> Option<Duration> {
-        self.pauses.get(service).filter(|monitor| monitor.is_limiting())?;
+    fn stream_pause_limit(&self, service: &str) -> Option<Duration> {
+        self.stream_monitors.get(service).filter(|monitor| monitor.is_limiting())?;
         self.table.as_ref()?.pause_objective(service)
     }
 
@@ -150,7 +150,7 @@
     }
 
     /// Returns the shortest rest of the pauses that ready targets asked for.
-    fn shortest_pause(&self) -> Option<Duration> {
+    fn shortest_target_pause(&self) -> Option<Duration> {
         let left = |target: &ReadyTarget| self.router.health.pause_left(self.now, target.id);
         self.ready.iter().filter_map(left).min()
     }
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -0,0 +1,85 @@
+//! What a router reports to the other routers, and what it takes over from their reports.
+
+use std::time::Duration;
+
+use jackdaw_base::{MonotonicTime, ProcessIncarnation};
+
+use crate::direct::direct_router::DirectRouter;
+use crate::direct::peer_report::PeerReport;
+use crate::direct::prefill_window::PrefillUsage;
+use crate::direct::target_table::{REREGISTRATION_GRACE, StoreReachability};
+use crate::direct::watch_election::{FleetVersions, StoreStatus};
+
+/// Time for which new crash evidence is included in reports to the other routers.
+const EVIDENCE_REPORT_TIME: Duration = Duration::from_secs(2);
+
+impl DirectRouter {
+    /// Returns the next report for the other routers.
+    pub fn report(&mut self, now: MonotonicTime) -> PeerReport {
+        self.next_report += 1;
+        self.evidence.retain(|(_, time)| now.since(*time) < EVIDENCE_REPORT_TIME);
+        PeerReport {
+            incarnation: self.incarnation,
+            sequence: self.next_report,
+            versions: self.versions(),
+            domain: self.policy.domain.clone(),
+            store_status: self.store_status(now),
+            targets: self.loads.own_usage(),
+            customers: self.ledger.own_usage(now),
+            crashes: self.evidence.iter().map(|(evidence, _)| *evidence).collect(),
+            refused: self.refusals.recent(now),
+        }
+    }
+
+    /// Returns this router's recent prefills for its report.
+    pub fn prefill_usage(&mut self, now: MonotonicTime) -> Vec<PrefillUsage> {
+        self.prefills.own_usage(now)
+    }
+
+    /// Applies the recent prefills that another router reported with its latest report.
+    pub fn apply_prefill(&mut self, incarnation: ProcessIncarnation, usages: &[PrefillUsage]) {
+        if incarnation != self.incarnation {
+            self.prefills.apply_report(incarnation, usages);
+        }
+    }
+
+    /// Returns the versions of the configuration and the targets that this router knows.
+    pub fn versions(&self) -> FleetVersions {
+        FleetVersions {
+            config: self.config_version(),
+            targets_revision: self.targets.change_revision(),
+            targets_digest: self.targets.digest(),
+        }
+    }
+
+    /// Returns this router's connection to the store.
+    pub fn store_status(&self, now: MonotonicTime) -> StoreStatus {
+        if self.watch.is_store_unreachable(now) {
+            return StoreStatus::Unreachable;
+        }
+        match self.targets.reachability() {
+            StoreReachability::Unreachable(_) => StoreStatus::NotWatching,
+            StoreReachability::Reachable(since) if now.since(since) < REREGISTRATION_GRACE => {
+                StoreStatus::Recovering
+            }
+            StoreReachability::Reachable(_) => StoreStatus::Stable,
+        }
+    }
+
+    /// Applies another router's report; returns whether it is newer than the router's last one.
+    pub fn apply_report(&mut self, now: MonotonicTime, report: &PeerReport) -> bool {
+        let PeerReport { incarnation, sequence, .. } = *report;
+        if incarnation == self.incarnation {
+            return false;
+        }
+        if !self.loads.apply_report(now, incarnation, sequence, &report.targets) {
+            return false;
+        }
+        self.ledger.apply_report(incarnation, &report.customers);
+        self.refusals.apply_report(now, &report.refused);
+        for evidence in &report.crashes {
+            self.suspects.record(now, *evidence);
+        }
+        true
+    }
+}
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -82,10 +82,10 @@
     /// Moving average of the wait at the service's targets.
     pub mean_wait: Duration,
     /// Longest pause between events of the service's streams, if prefill beside them is limited.
-    pub pause_limit: Option<Duration>,
+    pub stream_pause_limit: Option<Duration>,
     /// Time until the first target accepts requests again, if all that could be used asked for a
     /// pause.
-    pub shortest_pause: Option<Duration>,
+    pub shortest_target_pause: Option<Duration>,
 }
 
 /// Properties of one target for the placement of one request.
@@ -196,7 +196,7 @@
     /// Returns whether the request's prefill leaves the events of running streams on time. Prefill
     /// shortly before and in the queue delays the same events.
     fn spares_streams(&self, request: &PlacementRequest<'_>) -> bool {
-        let Some(pause) = request.pause_limit.filter(|_| self.load.running > 0) else {
+        let Some(pause) = request.stream_pause_limit.filter(|_| self.load.running > 0) else {
             return true;
         };
         let room = pause.mul_f64(BURST_FRACTION).saturating_sub(self.prefill_time);
@@ -317,7 +317,7 @@
     let (shortest, longest) = RETRY_RANGE;
     let best = candidates.iter().min_by(|a, b| a.cost().total_cmp(&b.cost()));
     let Some(best) = best else {
-        let retry_after = match request.shortest_pause {
+        let retry_after = match request.shortest_target_pause {
             Some(pause) => pause.max(shortest),
             None => longest / 4,
         };
--- a/crates/jackdaw-policy/src/direct/pause_monitor.rs
+++ b/crates/jackdaw-policy/src/direct/stream_monitor.rs
@@ -16,12 +16,12 @@
 
 /// Moving share of streams with a long pause.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct PauseMonitor {
+pub struct StreamMonitor {
     late_share: f64,
     is_limiting: bool,
 }
 
-impl PauseMonitor {
+impl StreamMonitor {
     /// Records a complete stream with a number of pauses between its events; returns whether the
     /// prefill is limited from now on, if that changed.
     pub fn record_stream(&mut self, pauses: u32, has_long_pause: bool) -> Option<bool> {
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -9,6 +9,9 @@
 //! again. Revisions of its new era supersede all earlier ones, entries that it lacks count as
 //! expired, and a target that was known to leave stays excluded.
 
+mod leaving_targets;
+mod target_index;
+
 use std::cell::OnceCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -16,10 +19,12 @@
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
-use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::direct::store_revision::StoreRevision;
+use crate::direct::target_table::leaving_targets::LeavingTargets;
+pub use crate::direct::target_table::target_index::ReadyTarget;
+use crate::direct::target_table::target_index::TargetIndex;
 
 /// Time after the store is reachable again within which live targets have registered again, as
 /// specified by the platform.
@@ -29,14 +34,6 @@
 /// are ignored.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
 
-/// Time for which a target that left before a restore of the store is excluded if the restored
-/// entry says that it is ready. Targets that leave end within a minute.
-const LEAVING_HOLD: Duration = Duration::from_secs(60);
-
-/// Time for which a target that announced its leaving is remembered; the identifier of a later
-/// instance differs.
-const LEAVING_RETENTION: Duration = Duration::from_secs(600);
-
 plain_data! {
     copy
     /// Identifies one instance of a target; a restarted target gets another identifier.
@@ -116,71 +113,6 @@
     missing_since: Option<MonotonicTime>,
 }
 
-/// The properties of a ready target that placement needs.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReadyTarget {
-    /// Identifier of the target.
-    pub id: TargetId,
-    /// Number of requests that the target runs concurrently.
-    pub slots: u32,
-    /// Failure domain of the target.
-    pub domain: String,
-}
-
-/// Lookup tables derived from the entries. Decisions are far more frequent than changes of the
-/// entries, so the tables are rebuilt at the first lookup after a change.
-#[derive(Debug, Clone, Default)]
-struct TargetIndex {
-    /// Ready targets by service, in the order of their identifiers.
-    ready: HashMap<String, Rc<[ReadyTarget]>>,
-    names: FxHashMap<TargetId, String>,
-    digest: u64,
-}
-
-impl TargetIndex {
-    fn build(
-        targets: &HashMap<String, KnownTarget>,
-        leaving: &FxHashMap<TargetId, LeavingRecord>,
-    ) -> TargetIndex {
-        let mut index = TargetIndex::default();
-        let mut ready: HashMap<&str, Vec<ReadyTarget>> = HashMap::new();
-        for entry in targets.values().map(|target| &target.entry) {
-            let id = entry.id();
-            index.names.insert(id, entry.name.clone());
-            let state = entry.state as u64;
-            index.digest ^= xxh3_64_with_seed(
-                entry.name.as_bytes(),
-                entry.revision.packed().rotate_left(1) ^ state,
-            );
-            if entry.state == TargetState::Ready && !leaving.contains_key(&id) {
-                let target = ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone() };
-                ready.entry(&entry.service).or_default().push(target);
-            }
-        }
-        for (service, mut targets) in ready {
-            targets.sort_by_key(|target| target.id);
-            index.ready.insert(service.to_owned(), targets.into());
-        }
-        index
-    }
-}
-
-/// How a router knows that a target leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LeavingEvidence {
-    /// The target said so in a response, to this router or to another one.
-    Announced,
-    /// The store registered the target as draining or removed its entry at this revision.
-    Stored(StoreRevision),
-}
-
-/// Evidence that a target leaves, and when this router obtained it.
-#[derive(Debug, Clone, Copy)]
-struct LeavingRecord {
-    evidence: LeavingEvidence,
-    since: MonotonicTime,
-}
-
 /// Targets known to a router, by name, with the revisions of recent removals.
 #[derive(Debug, Clone)]
 pub struct TargetTable {
@@ -190,7 +122,7 @@
     /// Latest revision that changed the table.
     change_revision: StoreRevision,
     /// Targets that leave, including those whose entry says otherwise or is missing.
-    leaving: FxHashMap<TargetId, LeavingRecord>,
+    leaving: LeavingTargets,
     /// Revision of the first listing or snapshot of the latest era; later revisions of that era
     /// were written after the restore.
     era_start: StoreRevision,
@@ -221,7 +153,7 @@
             removals: HashMap::new(),
             reachability: StoreReachability::Unreachable(now),
             change_revision: StoreRevision::default(),
-            leaving: FxHashMap::default(),
+            leaving: LeavingTargets::default(),
             era_start: StoreRevision::default(),
             index: OnceCell::new(),
         }
@@ -256,31 +188,21 @@
     /// Records that a target announced its leaving; returns whether that is new. The target gets no
     /// further requests, whatever its entry says.
     pub fn record_leaving(&mut self, now: MonotonicTime, target: TargetId) -> bool {
-        let record = LeavingRecord { evidence: LeavingEvidence::Announced, since: now };
-        let previous = self.leaving.insert(target, record);
-        let is_new =
-            previous.is_none_or(|previous| previous.evidence != LeavingEvidence::Announced);
+        let is_new = self.leaving.announce(now, target);
         if is_new {
             self.index.take();
-        } else if let Some(previous) = previous {
-            self.leaving.insert(target, previous);
         }
         is_new
     }
 
     /// Returns the targets whose announcement this router learned of less than `age` ago.
     pub fn announced_leaving(&self, now: MonotonicTime, age: Duration) -> Vec<TargetId> {
-        let announced = self.leaving.iter().filter(|(_, record)| {
-            record.evidence == LeavingEvidence::Announced && now.since(record.since) < age
-        });
-        let mut targets: Vec<TargetId> = announced.map(|(target, _)| *target).collect();
-        targets.sort();
-        targets
+        self.leaving.announced(now, age)
     }
 
     /// Returns whether a target is known to leave.
     pub fn is_leaving(&self, target: TargetId) -> bool {
-        self.leaving.contains_key(&target)
+        self.leaving.contains(target)
     }
 
     /// Returns the latest revision that changed the table.
@@ -380,7 +302,11 @@
     /// Drops targets that did not register again within the grace period; returns their names.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<String> {
         self.removals.retain(|_, (_, time)| now.since(*time) < REMOVAL_RETENTION);
-        self.expire_leaving(now);
+        let registered: HashSet<TargetId> = self.entries().map(TargetEntry::id).collect();
+        let era = self.era();
+        if self.leaving.expire(now, era, |target| registered.contains(&target)) {
+            self.index.take();
+        }
         let StoreReachability::Reachable(since) = self.reachability else {
             return Vec::new();
         };
@@ -403,7 +329,7 @@
     /// Returns the entries of the targets of a service that accept requests.
     pub fn ready_targets(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
         let ready = self.entries().filter(|entry| {
-            entry.state == TargetState::Ready && !self.leaving.contains_key(&entry.id())
+            entry.state == TargetState::Ready && !self.leaving.contains(entry.id())
         });
         ready.filter(move |entry| entry.service == service)
     }
@@ -420,7 +346,8 @@
     }
 
     fn index(&self) -> &TargetIndex {
-        self.index.get_or_init(|| TargetIndex::build(&self.targets, &self.leaving))
+        let is_leaving = |target| self.leaving.contains(target);
+        self.index.get_or_init(|| TargetIndex::build(self.entries(), is_leaving))
     }
 
     /// Notes a revision of a listing or snapshot. The first one of a new era starts the grace period
@@ -436,52 +363,10 @@
         }
     }
 
-    /// Updates the evidence that a target leaves from an entry that supersedes the known one.
-    fn update_leaving(&mut self, now: MonotonicTime, entry: &TargetEntry) {
-        let (id, revision) = (entry.id(), entry.revision);
-        let known = self.leaving.get(&id).map(|record| record.evidence);
-        match (entry.state, known) {
-            (_, Some(LeavingEvidence::Announced)) | (TargetState::Ready, None) => {}
-            (TargetState::Draining, _) => {
-                let evidence = LeavingEvidence::Stored(revision);
-                self.leaving.insert(id, LeavingRecord { evidence, since: now });
-            }
-            (TargetState::Ready, Some(LeavingEvidence::Stored(left))) => {
-                // The copy of a restored store may be older than the leaving.
-                let is_copy = revision.era() > left.era() && revision <= self.era_start;
-                if revision > left && !is_copy {
-                    self.leaving.remove(&id);
-                }
-            }
-        }
-    }
-
-    /// Drops evidence that is no longer needed.
-    fn expire_leaving(&mut self, now: MonotonicTime) {
-        let era = self.era();
-        let is_expired = |id: TargetId, record: &LeavingRecord| {
-            let age = now.since(record.since);
-            match record.evidence {
-                LeavingEvidence::Stored(left) if left.era() < era => age >= LEAVING_HOLD,
-                LeavingEvidence::Stored(_) => age >= LEAVING_RETENTION,
-                // The announcement binds for as long as this start of the target lasts.
-                LeavingEvidence::Announced => age >= LEAVING_RETENTION && !self.contains(id),
-            }
-        };
-        let leaving = self.leaving.iter();
-        let expired: Vec<TargetId> =
-            leaving.filter(|(id, record)| is_expired(**id, record)).map(|(id, _)| *id).collect();
-        for target in expired {
-            self.leaving.remove(&target);
-            self.index.take();
-        }
-    }
-
     /// Removes the entry of a target that left at a revision.
     fn remove_known(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) {
         if let Some(target) = self.targets_mut().remove(name) {
-            let record = LeavingRecord { evidence: LeavingEvidence::Stored(revision), since: now };
-            self.leaving.entry(target.entry.id()).or_insert(record);
+            self.leaving.record_removal(now, target.entry.id(), revision);
         }
     }
 
@@ -527,7 +412,7 @@
             known.is_none_or(|known| known.entry != entry || known.missing_since.is_some());
         self.change_revision = self.change_revision.max(entry.revision);
         if is_change {
-            self.update_leaving(now, &entry);
+            self.leaving.update(now, &entry, self.era_start);
             let target = KnownTarget { entry, missing_since: None };
             self.targets_mut().insert(target.entry.name.clone(), target);
         }
@@ -539,6 +424,9 @@
             StoreReachability::Unreachable(_) => true,
             StoreReachability::Reachable(since) => now.since(since) < REREGISTRATION_GRACE,
         };
+        if self.removals.get(name).is_some_and(|(known, _)| *known >= revision) {
+            return false;
+        }
         let Some(known) = self.targets.get_mut(name) else {
             self.removals.insert(name.to_owned(), (revision, now));
             return false;
--- a/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
+++ b/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
@@ -5,8 +5,8 @@
 use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::placement::{PlacementTarget, choose_target};
 use jackdaw_policy::direct::{
-    PauseMonitor, Placement, PlacementRequest, PrefillUsage, PrefillWindow, ShareStatus, ShareTier,
-    TargetId, TargetLoad,
+    Placement, PlacementRequest, PrefillUsage, PrefillWindow, ShareStatus, ShareTier,
+    StreamMonitor, TargetId, TargetLoad,
 };
 
 use crate::common::{at, prompt};
@@ -47,7 +47,7 @@
 
 #[test]
 fn limit_starts_and_ends_with_the_pauses() {
-    let mut monitor = PauseMonitor::default();
+    let mut monitor = StreamMonitor::default();
     for _ in 0..50 {
         monitor.record_stream(10, false);
     }
@@ -64,7 +64,7 @@
 /// cost customers with long prompts more than the others gain.
 #[test]
 fn few_long_pauses_set_no_limit() {
-    let mut monitor = PauseMonitor::default();
+    let mut monitor = StreamMonitor::default();
     let changes = (0..2000).filter_map(|number| monitor.record_stream(10, number % 20 == 0));
     assert_eq!(changes.count(), 0, "{}", monitor.late_share());
     let short = (0..200).filter_map(|_| monitor.record_stream(1, true));
@@ -89,7 +89,7 @@
     }
 }
 
-fn is_sent(pause_limit: Option<Duration>, target: &PlacementTarget) -> bool {
+fn is_sent(stream_pause_limit: Option<Duration>, target: &PlacementTarget) -> bool {
     let prompt = prompt(1, 5000, 600);
     let request = PlacementRequest {
         prompt: Some(&prompt),
@@ -99,8 +99,8 @@
         rank: 0,
         is_caller_retry: false,
         mean_wait: Duration::ZERO,
-        pause_limit,
-        shortest_pause: None,
+        stream_pause_limit,
+        shortest_target_pause: None,
     };
     let targets = std::slice::from_ref(target);
     matches!(choose_target(&request, targets), Placement::Send { .. })
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -101,8 +101,8 @@
             mean_wait: *[Duration::ZERO, Duration::from_millis(200)]
                 .choose(&mut random)
                 .expect("a wait"),
-            pause_limit: None,
-            shortest_pause: None,
+            stream_pause_limit: None,
+            shortest_target_pause: None,
         };
         let expected = choose_from_ranking(&request, &targets);
         let chosen = match choose_target(&request, &targets) {
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -48,6 +48,19 @@
     assert!(table.is_empty());
 }
 
+/// A watch that continues from a stale listing delivers changes that this table has already learned
+/// of from another router.
+#[test]
+fn older_removal_does_not_replace_a_newer_one() {
+    let mut table = stable_table();
+    table.apply(at(5000), present("t", 3));
+    table.apply(at(5001), removed("t", 9));
+    assert!(!table.apply(at(5002), removed("t", 5)));
+    assert!(!table.apply(at(5003), present("t", 7)), "the entry is older than the last removal");
+    assert!(table.is_empty());
+    assert!(table.apply(at(5004), present("t", 10)));
+}
+
 #[test]
 fn removal_takes_effect_immediately() {
     let mut table = stable_table();
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -23,8 +23,8 @@
         rank: 0,
         is_caller_retry: false,
         mean_wait,
-        pause_limit: None,
-        shortest_pause: None,
+        stream_pause_limit: None,
+        shortest_target_pause: None,
     }
 }
 
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -134,17 +134,17 @@
         let caller_address = reader.required("listen", "callers", &ADDRESS);
         let readiness_address = reader.required("listen", "readiness", &ADDRESS);
         let peer_address = reader.required("listen", "peers", &ADDRESS);
-        let report_port = reader.templated("listen", "report_port", &PORT);
-        let metrics_port = reader.templated("listen", "metrics_port", &PORT);
-        let seeds = reader.templated("peers", "seeds", &SEEDS);
+        let report_port = reader.optional_or_empty("listen", "report_port", &PORT);
+        let metrics_port = reader.optional_or_empty("listen", "metrics_port", &PORT);
+        let seeds = reader.optional_or_empty("peers", "seeds", &SEEDS);
         let store_address = reader.required("store", "address", &ADDRESS);
-        let descriptors = reader.templated("limits", "descriptors", &AMOUNT);
-        let processor_share = reader.templated("limits", "processor_share", &CORES);
-        let grace = reader.templated("limits", "shutdown_grace_s", &SECONDS);
-        let share_window = reader.templated("limits", "share_window_s", &SECONDS);
-        let repeat_window = reader.templated("limits", "repeat_window_s", &SECONDS);
-        let repeat_ratio = reader.templated("limits", "repeat_ratio", &AMOUNT);
-        let repeat_allowance = reader.templated("limits", "repeat_allowance", &AMOUNT);
+        let descriptors = reader.optional_or_empty("limits", "descriptors", &AMOUNT);
+        let processor_share = reader.optional_or_empty("limits", "processor_share", &CORES);
+        let grace = reader.optional_or_empty("limits", "shutdown_grace_s", &SECONDS);
+        let share_window = reader.optional_or_empty("limits", "share_window_s", &SECONDS);
+        let repeat_window = reader.optional_or_empty("limits", "repeat_window_s", &SECONDS);
+        let repeat_ratio = reader.optional_or_empty("limits", "repeat_ratio", &AMOUNT);
+        let repeat_allowance = reader.optional_or_empty("limits", "repeat_allowance", &AMOUNT);
         let log = LogSettings::read(reader);
         let SocketAddr::V4(peer_address) = peer_address? else {
             reader.add_error("listen", "peers", "an IPv6 address".into(), "an IPv4 address".into());
--- a/crates/jackdaw-settings/src/reader.rs
+++ b/crates/jackdaw-settings/src/reader.rs
@@ -84,7 +84,7 @@
 
     /// Same as [`optional`](Self::optional), but an empty value counts as missing: a template
     /// leaves a value empty if the platform does not state it.
-    pub(crate) fn templated<T>(
+    pub(crate) fn optional_or_empty<T>(
         &mut self,
         section: &'static str,
         key: &'static str,
