--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -152,8 +152,10 @@
             state.pool.expire(|target| router.targets.contains(target));
             expired
         };
-        for target in expired {
-            log::info!(target:% = target; "target did not register again in time; removed");
+        for name in expired {
+            state.metrics.target_changes.add(&[("effect", "expired")], 1);
+            // `target` is the name of the module in each line.
+            log::info!(target_name = name; "target did not register again in time; removed");
         }
         update_levels(&state);
         LogBuffer::shared().drain();
@@ -165,6 +167,7 @@
     let levels = &state.metrics.levels;
     levels.set(&[("of", "config_version")], router.config_version() as i64);
     levels.set(&[("of", "targets")], router.targets.len() as i64);
+    levels.set(&[("of", "targets_missing")], router.targets.missing_count() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
     levels.set(&[("of", "lag_ms")], state.lag().as_millis() as i64);
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use jackdaw_policy::direct::{ChangeEffect, MergeEffect};
 use jackdaw_telemetry::{CounterFamily, GaugeFamily, HistogramFamily, MetricRegistry};
 use prometheus_client::metrics::counter::Counter;
 
@@ -25,6 +26,8 @@
     pub leavings: Counter,
     /// Pauses that targets asked this router for.
     pub pauses: Counter,
+    /// Changes of targets by their effect on this router's table.
+    pub target_changes: CounterFamily,
     /// Requests to the platform's store.
     pub store_calls: Counter,
     /// Datagrams with reports sent to other routers.
@@ -35,7 +38,7 @@
     pub first_byte: HistogramFamily,
     /// Time from receipt of a request to the end of its response, in seconds, by route.
     pub complete_response: HistogramFamily,
-    /// Current values: configuration version, targets, runs, peers, scheduling lag and dropped log
+    /// Current values: configuration version, targets, missing targets, runs, peers, scheduling lag and dropped log
     /// lines.
     pub levels: GaugeFamily,
 }
@@ -52,6 +55,8 @@
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
+            target_changes: registry
+                .counter("edge_target_changes", "Changes of targets by their effect"),
             store_calls: plain("edge_store_calls", "Calls to the platform's store"),
             reports_sent: plain("edge_reports_sent", "Reports sent to other routers"),
             reports_received: plain("edge_reports_heard", "Reports taken in from other routers"),
@@ -69,4 +74,23 @@
             registry: Arc::new(registry),
         }
     }
+
+    /// Counts a change that the store reported.
+    pub fn record_target_change(&self, effect: ChangeEffect) {
+        let effect = match effect {
+            ChangeEffect::Applied => "applied",
+            ChangeEffect::Deferred => "deferred",
+            ChangeEffect::Ignored => "ignored",
+        };
+        self.target_changes.add(&[("effect", effect)], 1);
+    }
+
+    /// Counts the changes that another router's snapshot brought.
+    pub fn record_target_merge(&self, effect: &MergeEffect) {
+        let count = |effect: &str, names: &[String]| {
+            self.target_changes.add(&[("effect", effect)], names.len() as u64);
+        };
+        count("withdrawn", &effect.withdrawn);
+        count("registered", &effect.registered);
+    }
 }
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -45,6 +45,9 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
+/// Maximum number of target names in one log line.
+const MAX_LOGGED_NAMES: usize = 12;
+
 /// Maximum number of reports in a bundle; a report takes up to about 3 KB.
 const MAX_BUNDLE_REPORTS: usize = 16;
 
@@ -336,9 +339,20 @@
     let is_installed = snapshot.config.is_some_and(|config| router.install_config(config));
     let revision = snapshot.targets.change_revision;
     let is_complete = snapshot.targets.is_complete;
-    router.targets.merge(state.now(), snapshot.targets);
+    let effect = router.targets.merge(state.now(), snapshot.targets);
+    state.metrics.record_target_merge(&effect);
     log::info!(
-        peer:% = peer, config = version, installed = is_installed, revision:% = revision, is_complete;
+        peer:% = peer, config = version, installed = is_installed, revision:% = revision, is_complete,
+        withdrawn = format_names(&effect.withdrawn), registered = format_names(&effect.registered);
         "applied a snapshot from another router"
     );
 }
+
+/// Lists the first names of targets for a log line.
+fn format_names(names: &[String]) -> String {
+    let (listed, rest) = names.split_at(names.len().min(MAX_LOGGED_NAMES));
+    match rest.len() {
+        0 => listed.join(" "),
+        count => format!("{} and {count} more", listed.join(" ")),
+    }
+}
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -224,11 +224,13 @@
         let mut router = state.router();
         let own = router.incarnation();
         let heard = same_domain.len();
-        if !router.watch.update(state.now(), own, same_domain.into_iter()) {
+        let now = state.now();
+        if !router.watch.update(now, own, same_domain.into_iter()) {
             return;
         }
         let is_watching = router.watch.is_watching();
-        log::info!(is_watching, heard; "store watch assignment changed");
+        let has_fetch_failed = router.watch.has_fetch_failed(now);
+        log::info!(is_watching, heard, has_fetch_failed; "store watch assignment changed");
         drop(router);
         state.notify_watch_review();
     }
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -245,7 +245,8 @@
         record_store_success(state);
         let count = entries.len();
         state.router().targets.replace(state.now(), entries, read);
-        log::info!(targets = count, revision:% = read; "targets listed");
+        let missing = state.router().targets.missing_count();
+        log::info!(targets = count, missing, revision:% = read; "targets listed");
         session.start_watch(read).await;
         return Ok(());
     };
@@ -254,8 +255,10 @@
             record_store_success(state);
             let has_changes = !changes.is_empty();
             for change in changes {
-                log::info!(change:? = change; "target changed");
-                state.router().targets.apply(state.now(), change);
+                let description = format!("{change:?}");
+                let effect = state.router().targets.apply(state.now(), change);
+                state.metrics.record_target_change(effect);
+                log::info!(change = description, effect:? = effect; "target changed");
             }
             session.revision = Some(next);
             if has_changes {
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -96,6 +96,26 @@
     }
 }
 
+/// Effect of one change from the store on a target table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeEffect {
+    /// The table changed.
+    Applied,
+    /// The entry is gone, but may only have expired; the target is kept for now.
+    Deferred,
+    /// The table already reflects this change or a later one.
+    Ignored,
+}
+
+/// Effect of another router's snapshot on a target table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct MergeEffect {
+    /// Names of the targets that were removed or started to drain.
+    pub withdrawn: Vec<String>,
+    /// Names of the targets whose entry was missing and counts as registered again.
+    pub registered: Vec<String>,
+}
+
 /// Whether the store answers this router's calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreReachability {
@@ -244,13 +264,23 @@
     }
 
     /// Merges another router's snapshot; its removals take effect without a grace period.
-    pub fn merge(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) {
+    pub fn merge(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) -> MergeEffect {
+        let mut effect = MergeEffect::default();
         self.enter_era(now, snapshot.change_revision);
         if snapshot.is_complete {
-            self.remove_unlisted(now, &snapshot);
+            effect.withdrawn = self.remove_unlisted(now, &snapshot);
         }
         for entry in snapshot.entries {
-            self.insert(now, entry);
+            let is_draining = entry.state == TargetState::Draining;
+            let is_reported = is_draining || self.is_missing(&entry.name);
+            let name = is_reported.then(|| entry.name.clone());
+            if self.insert(now, entry) == ChangeEffect::Ignored {
+                continue;
+            }
+            match is_draining {
+                true => effect.withdrawn.extend(name),
+                false => effect.registered.extend(name),
+            }
         }
         for (name, revision) in snapshot.removals {
             if self.removals.get(&name).is_some_and(|(known, _)| *known >= revision) {
@@ -258,14 +288,16 @@
             }
             if self.targets.get(&name).is_some_and(|known| known.entry.revision <= revision) {
                 self.remove_known(now, &name, revision);
+                effect.withdrawn.push(name.clone());
             }
             self.removals.insert(name, (revision, now));
         }
         self.change_revision = self.change_revision.max(snapshot.change_revision);
+        effect
     }
 
-    /// Applies one change from the store; returns whether it changed the table.
-    pub fn apply(&mut self, now: MonotonicTime, change: TargetChange) -> bool {
+    /// Applies one change from the store.
+    pub fn apply(&mut self, now: MonotonicTime, change: TargetChange) -> ChangeEffect {
         match change {
             TargetChange::Present(entry) => self.insert(now, entry),
             TargetChange::Removed { name, revision } => self.remove(now, &name, revision),
@@ -340,11 +372,20 @@
         self.targets.values().map(|target| &target.entry)
     }
 
+    /// Returns the number of targets whose entry is missing but may only have expired.
+    pub fn missing_count(&self) -> usize {
+        self.targets.values().filter(|target| target.missing_since.is_some()).count()
+    }
+
     /// Returns whether no target is known.
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
 
+    fn is_missing(&self, name: &str) -> bool {
+        self.targets.get(name).is_some_and(|target| target.missing_since.is_some())
+    }
+
     fn index(&self) -> &TargetIndex {
         let is_leaving = |target| self.leaving.contains(target);
         self.index.get_or_init(|| TargetIndex::build(self.entries(), is_leaving))
@@ -376,8 +417,9 @@
         &mut self.targets
     }
 
-    /// Removes entries that are missing from a complete snapshot and not newer than it.
-    fn remove_unlisted(&mut self, now: MonotonicTime, snapshot: &TargetSnapshot) {
+    /// Removes entries that are missing from a complete snapshot and not newer than it; returns
+    /// their names.
+    fn remove_unlisted(&mut self, now: MonotonicTime, snapshot: &TargetSnapshot) -> Vec<String> {
         let listed: HashSet<&str> =
             snapshot.entries.iter().map(|entry| entry.name.as_str()).collect();
         let is_listed = |name: &String| listed.contains(name.as_str());
@@ -385,9 +427,10 @@
             target.entry.revision <= snapshot.change_revision && !is_listed(name)
         });
         let names: Vec<String> = unlisted.map(|(name, _)| name.clone()).collect();
-        for name in names {
-            self.remove_unrevised(now, &name);
+        for name in &names {
+            self.remove_unrevised(now, name);
         }
+        names
     }
 
     /// Removes a target whose removal has no revision of its own in the store.
@@ -397,51 +440,52 @@
         }
     }
 
-    fn insert(&mut self, now: MonotonicTime, entry: TargetEntry) -> bool {
+    fn insert(&mut self, now: MonotonicTime, entry: TargetEntry) -> ChangeEffect {
         if entry.revision.era() < self.era() {
-            return false;
+            return ChangeEffect::Ignored;
         }
         if self.removals.get(&entry.name).is_some_and(|(revision, _)| *revision >= entry.revision) {
-            return false;
+            return ChangeEffect::Ignored;
         }
         let known = self.targets.get(&entry.name);
         if known.is_some_and(|known| known.entry.revision > entry.revision) {
-            return false;
+            return ChangeEffect::Ignored;
         }
         let is_change =
             known.is_none_or(|known| known.entry != entry || known.missing_since.is_some());
         self.change_revision = self.change_revision.max(entry.revision);
-        if is_change {
-            self.leaving.update(now, &entry, self.era_start);
-            let target = KnownTarget { entry, missing_since: None };
-            self.targets_mut().insert(target.entry.name.clone(), target);
+        if !is_change {
+            return ChangeEffect::Ignored;
         }
-        is_change
+        self.leaving.update(now, &entry, self.era_start);
+        let target = KnownTarget { entry, missing_since: None };
+        self.targets_mut().insert(target.entry.name.clone(), target);
+        ChangeEffect::Applied
     }
 
-    fn remove(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) -> bool {
+    fn remove(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) -> ChangeEffect {
         let may_have_expired = match self.reachability {
             StoreReachability::Unreachable(_) => true,
             StoreReachability::Reachable(since) => now.since(since) < REREGISTRATION_GRACE,
         };
         if self.removals.get(name).is_some_and(|(known, _)| *known >= revision) {
-            return false;
+            return ChangeEffect::Ignored;
         }
         let Some(known) = self.targets.get_mut(name) else {
             self.removals.insert(name.to_owned(), (revision, now));
-            return false;
+            return ChangeEffect::Ignored;
         };
         if known.entry.revision > revision {
-            return false;
+            return ChangeEffect::Ignored;
         }
         // A draining target does not register again.
         if may_have_expired && known.entry.state == TargetState::Ready {
             known.missing_since.get_or_insert(now);
-            return false;
+            return ChangeEffect::Deferred;
         }
         self.remove_known(now, name, revision);
         self.removals.insert(name.to_owned(), (revision, now));
         self.change_revision = self.change_revision.max(revision);
-        true
+        ChangeEffect::Applied
     }
 }
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -116,6 +116,11 @@
         self.fetch_failed_at = Some(now);
     }
 
+    /// Returns whether a fetch failed so recently that this router watches the store itself.
+    pub fn has_fetch_failed(&self, now: MonotonicTime) -> bool {
+        self.fetch_failed_at.is_some_and(|time| now.since(time) < FETCH_FALLBACK_SPAN)
+    }
+
     /// Returns whether the latest call to the store failed within the last seconds.
     pub fn is_store_unreachable(&self, now: MonotonicTime) -> bool {
         self.store_failed_at.is_some_and(|time| now.since(time) < UNREACHABLE_SPAN)
@@ -154,8 +159,7 @@
             peer.store_status != StoreStatus::Unreachable
                 && (is_unreachable || peer.incarnation.0 < own.0)
         };
-        let has_fetch_failed =
-            self.fetch_failed_at.is_some_and(|time| now.since(time) < FETCH_FALLBACK_SPAN);
+        let has_fetch_failed = self.has_fetch_failed(now);
         let was_watching = self.is_watching;
         let (mut lower, mut preceding) = (0, 0);
         for peer in peers {
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 use jackdaw_base::MonotonicTime;
-use jackdaw_policy::direct::{StoreRevision, TargetChange, TargetEntry, TargetState, TargetTable};
+use jackdaw_policy::direct::{
+    ChangeEffect, StoreRevision, TargetChange, TargetEntry, TargetState, TargetTable,
+};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -58,8 +60,14 @@
     table.replace(at(6000), vec![ready("a", era(10)), draining("b", era(12))], era(20));
     assert_eq!(ready_names(&table), ["a"]);
     // Changes of the earlier era arrive late, from whatever source.
-    assert!(!table.apply(at(6100), TargetChange::Present(ready("b", 70.into()))));
-    assert!(!table.apply(at(6100), TargetChange::Present(ready("c", 71.into()))));
+    assert_eq!(
+        table.apply(at(6100), TargetChange::Present(ready("b", 70.into()))),
+        ChangeEffect::Ignored
+    );
+    assert_eq!(
+        table.apply(at(6100), TargetChange::Present(ready("c", 71.into()))),
+        ChangeEffect::Ignored
+    );
     table.replace(at(6200), vec![ready("b", 72.into())], 80.into());
     let mut behind = stable_table();
     behind.replace(at(5000), vec![ready("b", 60.into()), ready("d", 61.into())], 90.into());
@@ -282,8 +290,12 @@
                 assert_eq!(watching.era(), era, "a late change opens no era");
             }
         }
-        65..85 => idle.merge(now, watching.snapshot(random.random_bool(0.5))),
-        85..90 => watching.merge(now, idle.snapshot(false)),
+        65..85 => {
+            idle.merge(now, watching.snapshot(random.random_bool(0.5)));
+        }
+        85..90 => {
+            watching.merge(now, idle.snapshot(false));
+        }
         90..92 => {
             let mut restarted = ready(NAMES[0], store.revision());
             restarted.started_unix_ms = u64::from(random.random::<u32>());
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -1,6 +1,6 @@
 //! Updates of a router's target table from the store and from other routers.
 
-use jackdaw_policy::direct::{TargetChange, TargetState, TargetTable};
+use jackdaw_policy::direct::{ChangeEffect, MergeEffect, TargetChange, TargetState, TargetTable};
 
 use crate::common::{SERVICE, at, entry};
 
@@ -33,9 +33,9 @@
 fn latest_revision_wins() {
     let mut table = stable_table();
     table.apply(at(5000), draining("t", 7));
-    assert!(!table.apply(at(5001), present("t", 6)));
+    assert_eq!(table.apply(at(5001), present("t", 6)), ChangeEffect::Ignored);
     assert_eq!(ready_count(&table), 0);
-    assert!(table.apply(at(5002), present("t", 8)));
+    assert_eq!(table.apply(at(5002), present("t", 8)), ChangeEffect::Applied);
     assert_eq!(ready_count(&table), 1);
 }
 
@@ -44,7 +44,7 @@
     let mut table = stable_table();
     table.apply(at(5000), present("t", 3));
     table.apply(at(5001), removed("t", 5));
-    assert!(!table.apply(at(5002), present("t", 4)));
+    assert_eq!(table.apply(at(5002), present("t", 4)), ChangeEffect::Ignored);
     assert!(table.is_empty());
 }
 
@@ -55,10 +55,14 @@
     let mut table = stable_table();
     table.apply(at(5000), present("t", 3));
     table.apply(at(5001), removed("t", 9));
-    assert!(!table.apply(at(5002), removed("t", 5)));
-    assert!(!table.apply(at(5003), present("t", 7)), "the entry is older than the last removal");
+    assert_eq!(table.apply(at(5002), removed("t", 5)), ChangeEffect::Ignored);
+    assert_eq!(
+        table.apply(at(5003), present("t", 7)),
+        ChangeEffect::Ignored,
+        "the entry is older than the last removal"
+    );
     assert!(table.is_empty());
-    assert!(table.apply(at(5004), present("t", 10)));
+    assert_eq!(table.apply(at(5004), present("t", 10)), ChangeEffect::Applied);
 }
 
 #[test]
@@ -136,7 +140,7 @@
     assert_eq!(ready_count(&idle), 3, "an incomplete snapshot removes no unlisted targets");
     idle.merge(at(6000), watching.snapshot(true));
     assert_eq!(ready_count(&idle), 2, "an entry newer than the snapshot stays");
-    assert!(!idle.apply(at(6500), present("missed", 2)));
+    assert_eq!(idle.apply(at(6500), present("missed", 2)), ChangeEffect::Ignored);
 }
 
 /// The removal of a target whose entry expired also reaches routers that do not watch the store.
@@ -156,6 +160,27 @@
     assert!(idle.is_empty());
 }
 
+/// Logs and metrics name the targets that a snapshot changed.
+#[test]
+fn merge_names_the_changed_targets() {
+    let mut watching = stable_table();
+    for (name, revision) in [("stays", 3), ("drains", 4), ("leaves", 5), ("lapses", 6)] {
+        watching.apply(at(5000), present(name, revision));
+    }
+    let mut idle = stable_table();
+    assert_eq!(idle.merge(at(5000), watching.snapshot(true)), MergeEffect::default());
+    watching.apply(at(5100), draining("drains", 8));
+    watching.apply(at(5100), removed("leaves", 9));
+    watching.apply(at(5200), present("lapses", 10));
+    idle.record_contact(at(5100), false);
+    assert_eq!(idle.apply(at(5100), removed("lapses", 7)), ChangeEffect::Deferred);
+    assert_eq!(idle.missing_count(), 1);
+    let effect = idle.merge(at(5300), watching.snapshot(true));
+    assert_eq!(effect.withdrawn, ["leaves", "drains"]);
+    assert_eq!(effect.registered, ["lapses"]);
+    assert_eq!(idle.missing_count(), 0);
+}
+
 #[test]
 fn restart_with_the_same_name_is_another_target() {
     let before = entry("t", 3);
