--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -6,7 +6,7 @@
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, describe_report};
 use jackdaw_platform::{ConfigUpdate, ListingAge, StoreClient, TargetUpdate};
-use jackdaw_policy::direct::{FleetConfig, StoreRevision};
+use jackdaw_policy::direct::{FleetConfig, StoreContact, StoreRevision};
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
@@ -158,7 +158,8 @@
                 session.backoff.reset();
             }
             Err(report) => {
-                record_store_failure(&state);
+                let now = state.now();
+                state.router().watch.record_store_call(now, false);
                 log_failure("configuration", &report, session.backoff.failures);
                 let longest = state.router().watch.longest_retry_pause();
                 session.backoff.wait(longest).await;
@@ -212,9 +213,8 @@
     let mut session = WatchSession::open(&state);
     loop {
         if !state.watches_store() {
-            // Changes until the next watch are missed.
             let now = state.now();
-            state.router().targets.record_contact(now, false);
+            state.router().record_store_contact(now, StoreContact::Ended);
         }
         session.prepare(&state).await;
         let outcome = poll_targets(&state, &mut session).await;
@@ -222,9 +222,8 @@
         match outcome {
             Ok(()) => session.backoff.reset(),
             Err(report) => {
-                record_store_failure(&state);
                 let now = state.now();
-                let is_lost = state.router().targets.record_contact(now, false);
+                let is_lost = state.router().record_store_contact(now, StoreContact::Failed);
                 if is_lost || session.backoff.failures == 0 {
                     log_failure("targets", &report, session.backoff.failures);
                 }
@@ -275,18 +274,11 @@
 
 fn record_store_success(state: &EdgeState) {
     let now = state.now();
-    let mut router = state.router();
-    router.watch.record_store_call(now, true);
-    if router.targets.record_contact(now, true) {
+    if state.router().record_store_contact(now, StoreContact::Answered) {
         log::info!("target watch recovered");
     }
 }
 
-fn record_store_failure(state: &EdgeState) {
-    let now = state.now();
-    state.router().watch.record_store_call(now, false);
-}
-
 /// Logs every tenth consecutive failure, starting with the first.
 fn log_failure(subject: &str, report: &Report<ErrorKind>, failures: u32) {
     if failures.is_multiple_of(10) {
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -7,7 +7,7 @@
 use crate::direct::direct_router::DirectRouter;
 use crate::direct::peer_report::PeerReport;
 use crate::direct::prefill_window::PrefillUsage;
-use crate::direct::target_table::{REREGISTRATION_GRACE, StoreReachability};
+use crate::direct::target_table::{REREGISTRATION_GRACE, StoreContact, StoreReachability};
 use crate::direct::watch_election::{FleetVersions, StoreStatus};
 
 /// Time for which new crash evidence is included in reports to the other routers.
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Records the router's contact with the store; returns whether its reachability changed.
+    pub fn record_store_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
+        match contact {
+            StoreContact::Answered => self.watch.record_store_call(now, true),
+            StoreContact::Failed => self.watch.record_store_call(now, false),
+            StoreContact::Ended => {}
+        }
+        self.targets.record_contact(now, contact)
+    }
+
     /// Returns this router's connection to the store.
     pub fn store_status(&self, now: MonotonicTime) -> StoreStatus {
         if self.watch.is_store_unreachable(now) {
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -116,6 +116,17 @@
     pub registered: Vec<String>,
 }
 
+/// What a router learned about its contact with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreContact {
+    /// A call was answered.
+    Answered,
+    /// A call failed.
+    Failed,
+    /// The router stopped watching the store, which has not failed.
+    Ended,
+}
+
 /// Whether the store answers this router's calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreReachability {
@@ -179,20 +190,18 @@
         }
     }
 
-    /// Records whether the store answers; returns whether its reachability changed.
-    pub fn record_contact(&mut self, now: MonotonicTime, is_reachable: bool) -> bool {
-        match (self.reachability, is_reachable) {
-            (StoreReachability::Reachable(_), true)
-            | (StoreReachability::Unreachable(_), false) => false,
-            (_, true) => {
-                self.reachability = StoreReachability::Reachable(now);
-                true
+    /// Records contact with the store; returns whether its reachability changed.
+    pub fn record_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
+        let reachability = match (self.reachability, contact) {
+            (StoreReachability::Reachable(_), StoreContact::Answered)
+            | (StoreReachability::Unreachable(_), StoreContact::Failed | StoreContact::Ended) => {
+                return false;
             }
-            (_, false) => {
-                self.reachability = StoreReachability::Unreachable(now);
-                true
-            }
-        }
+            (_, StoreContact::Answered) => StoreReachability::Reachable(now),
+            (_, StoreContact::Failed | StoreContact::Ended) => StoreReachability::Unreachable(now),
+        };
+        self.reachability = reachability;
+        true
     }
 
     /// Returns whether the store answers, and since when.
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -6,9 +6,10 @@
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{
     CallerLimits, CustomerConfig, DirectPolicy, DirectRequest, DirectRouter, FleetConfig,
-    PromptPart, PromptShape, RequestKind, RouteConfig, ServiceConfig, ServiceWeight, TargetChange,
-    TargetEntry, TargetState,
+    PromptPart, PromptShape, RequestKind, RouteConfig, ServiceConfig, ServiceWeight, StoreContact,
+    TargetChange, TargetEntry, TargetState,
 };
+use rand::Rng;
 use smallvec::smallvec;
 
 pub(crate) const SERVICE: &str = "engines";
@@ -111,3 +112,13 @@
         fingerprint,
     }
 }
+
+/// Returns an answered call with the probability `answered`, otherwise a failed one or the end of the
+/// watch.
+pub(crate) fn random_contact(random: &mut impl Rng, answered: f64) -> StoreContact {
+    match random.random_bool(answered) {
+        true => StoreContact::Answered,
+        false if random.random_bool(0.5) => StoreContact::Failed,
+        false => StoreContact::Ended,
+    }
+}
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -19,3 +19,4 @@
 mod target_table;
 mod wait_tiers;
 mod watch_election;
+mod watch_takeover;
--- a/crates/jackdaw-policy/tests/direct/random_updates.rs
+++ b/crates/jackdaw-policy/tests/direct/random_updates.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::common::{SERVICE, at, config, entry, prompt, request, router};
+use crate::common::{SERVICE, at, config, entry, prompt, random_contact, request, router};
 
 const STEPS: usize = 4000;
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -79,7 +79,8 @@
             }
         }
         3 => {
-            router.targets.record_contact(now, random.random_bool(0.5));
+            let contact = random_contact(random, 0.5);
+            router.targets.record_contact(now, contact);
         }
         4 => {
             router.expire(now);
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -5,13 +5,13 @@
 
 use jackdaw_base::MonotonicTime;
 use jackdaw_policy::direct::{
-    ChangeEffect, StoreRevision, TargetChange, TargetEntry, TargetState, TargetTable,
+    ChangeEffect, StoreContact, StoreRevision, TargetChange, TargetEntry, TargetState, TargetTable,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::common::{SERVICE, at, entry};
+use crate::common::{SERVICE, at, entry, random_contact};
 
 const SEEDS: u64 = 40;
 const STEPS: usize = 4000;
@@ -34,7 +34,7 @@
 
 fn stable_table() -> TargetTable {
     let mut table = TargetTable::new(at(0));
-    table.record_contact(at(0), true);
+    table.record_contact(at(0), StoreContact::Answered);
     table
 }
 
@@ -143,8 +143,8 @@
     // Neither a later entry of the same start, nor a restore, nor a lapse undoes it.
     table.apply(at(5300), TargetChange::Present(ready("a", 70.into())));
     table.replace(at(5400), vec![ready("a", StoreRevision::new(1, 9))], StoreRevision::new(1, 10));
-    table.record_contact(at(5500), false);
-    table.record_contact(at(5600), true);
+    table.record_contact(at(5500), StoreContact::Failed);
+    table.record_contact(at(5600), StoreContact::Answered);
     for millis in [120_000, 900_000] {
         table.expire(at(millis));
         assert!(ready_names(&table).is_empty(), "{millis}");
@@ -304,7 +304,7 @@
             announced.push(id);
         }
         92..96 => {
-            watching.record_contact(now, random.random_bool(0.7));
+            watching.record_contact(now, random_contact(random, 0.7));
         }
         _ => {
             watching.expire(now);
@@ -320,7 +320,7 @@
     idle: &mut TargetTable,
     millis: u64,
 ) {
-    watching.record_contact(at(millis), true);
+    watching.record_contact(at(millis), StoreContact::Answered);
     watching.replace(at(millis), store.list(), store.revision());
     for after in [3000, 90_000] {
         watching.expire(at(millis + after));
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -1,6 +1,8 @@
 //! Updates of a router's target table from the store and from other routers.
 
-use jackdaw_policy::direct::{ChangeEffect, MergeEffect, TargetChange, TargetState, TargetTable};
+use jackdaw_policy::direct::{
+    ChangeEffect, MergeEffect, StoreContact, TargetChange, TargetState, TargetTable,
+};
 
 use crate::common::{SERVICE, at, entry};
 
@@ -25,7 +27,7 @@
 /// Returns a table whose store has been reachable for longer than the grace period.
 fn stable_table() -> TargetTable {
     let mut table = TargetTable::new(at(0));
-    table.record_contact(at(0), true);
+    table.record_contact(at(0), StoreContact::Answered);
     table
 }
 
@@ -77,8 +79,8 @@
 fn target_of_an_expired_entry_is_kept_for_the_grace_period() {
     let mut table = stable_table();
     table.apply(at(5000), present("t", 3));
-    table.record_contact(at(6000), false);
-    table.record_contact(at(9000), true);
+    table.record_contact(at(6000), StoreContact::Failed);
+    table.record_contact(at(9000), StoreContact::Answered);
     table.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(ready_count(&table), 1, "the entry may have expired during the outage");
     assert!(table.expire(at(10_000)).is_empty());
@@ -91,19 +93,62 @@
 fn target_that_does_not_register_again_is_removed() {
     let mut table = stable_table();
     table.apply(at(5000), present("t", 3));
-    table.record_contact(at(6000), false);
-    table.record_contact(at(9000), true);
+    table.record_contact(at(6000), StoreContact::Failed);
+    table.record_contact(at(9000), StoreContact::Answered);
     table.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(table.expire(at(11_000)), vec!["t".to_owned()]);
     assert_eq!(ready_count(&table), 0);
 }
 
+/// Returns a table with a target whose entry is gone after an outage and may only have expired.
+fn table_with_missing_target() -> TargetTable {
+    let mut table = stable_table();
+    table.apply(at(5000), present("t", 3));
+    table.record_contact(at(6000), StoreContact::Failed);
+    table.record_contact(at(9000), StoreContact::Answered);
+    assert_eq!(table.apply(at(9100), removed("t", 5)), ChangeEffect::Deferred);
+    table
+}
+
+/// Guards against requests to a removed target because another router's copy still lists it.
+#[test]
+fn copied_entry_is_no_registration() {
+    let mut table = table_with_missing_target();
+    let effect = table.merge(at(9200), table_with_missing_target().snapshot(false));
+    assert_eq!(effect, MergeEffect::default());
+    assert_eq!(table.expire(at(11_000)), ["t"]);
+    assert_eq!(ready_count(&table), 0);
+}
+
+/// Guards against requests to a removed target because the router stopped watching the store before
+/// the grace period ended.
+#[test]
+fn missing_target_is_removed_without_a_watch() {
+    let mut table = table_with_missing_target();
+    table.record_contact(at(9500), StoreContact::Ended);
+    assert!(table.expire(at(10_000)).is_empty());
+    assert_eq!(table.expire(at(11_100)), ["t"]);
+    assert_eq!(ready_count(&table), 0);
+}
+
+/// Guards against requests to a removed target because the router has just begun to watch a store
+/// that was not away.
+#[test]
+fn removal_after_the_start_of_a_watch_takes_effect_immediately() {
+    let mut table = stable_table();
+    table.apply(at(5000), present("t", 3));
+    table.record_contact(at(6000), StoreContact::Ended);
+    table.record_contact(at(9000), StoreContact::Answered);
+    assert_eq!(table.apply(at(9100), removed("t", 5)), ChangeEffect::Applied);
+    assert_eq!(ready_count(&table), 0);
+}
+
 #[test]
 fn missing_draining_target_is_removed_immediately() {
     let mut table = stable_table();
     table.apply(at(5000), draining("t", 3));
-    table.record_contact(at(6000), false);
-    table.record_contact(at(9000), true);
+    table.record_contact(at(6000), StoreContact::Failed);
+    table.record_contact(at(9000), StoreContact::Answered);
     table.replace(at(9000), Vec::new(), 20.into());
     assert!(table.is_empty());
 }
@@ -117,7 +162,7 @@
     let mut disconnected = stable_table();
     disconnected.merge(at(5000), connected.snapshot(false));
     assert_eq!(ready_count(&disconnected), 3);
-    disconnected.record_contact(at(6000), false);
+    disconnected.record_contact(at(6000), StoreContact::Failed);
     connected.apply(at(6500), draining("drains", 8));
     connected.apply(at(6500), removed("leaves", 9));
     assert!(connected.change_revision() > disconnected.change_revision());
@@ -151,8 +196,8 @@
     let mut idle = TargetTable::new(at(0));
     idle.merge(at(5000), watching.snapshot(true));
     assert_eq!(idle.digest(), watching.digest());
-    watching.record_contact(at(6000), false);
-    watching.record_contact(at(9000), true);
+    watching.record_contact(at(6000), StoreContact::Failed);
+    watching.record_contact(at(9000), StoreContact::Answered);
     watching.replace(at(9000), Vec::new(), 20.into());
     assert_eq!(watching.expire(at(11_000)).len(), 1);
     assert_ne!(idle.digest(), watching.digest());
@@ -172,7 +217,7 @@
     watching.apply(at(5100), draining("drains", 8));
     watching.apply(at(5100), removed("leaves", 9));
     watching.apply(at(5200), present("lapses", 10));
-    idle.record_contact(at(5100), false);
+    idle.record_contact(at(5100), StoreContact::Failed);
     assert_eq!(idle.apply(at(5100), removed("lapses", 7)), ChangeEffect::Deferred);
     assert_eq!(idle.missing_count(), 1);
     let effect = idle.merge(at(5300), watching.snapshot(true));
