--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -280,6 +280,11 @@
             effect.withdrawn = self.remove_unlisted(now, &snapshot);
         }
         for entry in snapshot.entries {
+            // A copy of the known revision does not tell whether a missing entry is registered again.
+            let known = self.targets.get(&entry.name);
+            if known.is_some_and(|known| known.entry.revision >= entry.revision) {
+                continue;
+            }
             let is_draining = entry.state == TargetState::Draining;
             let is_reported = is_draining || self.is_missing(&entry.name);
             let name = is_reported.then(|| entry.name.clone());
