Remove missing targets also after the router stopped watching

Cause: the end of a watch counted as an unreachable store.

The reachability distinguishes a watch that ended from calls that fail, and keeps the end of the grace period instead of the start of the contact. A store whose calls fail still keeps missing targets. The time at which an entry went missing was never read, a flag replaces it.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -48,7 +48,7 @@
     /// Creates the state of a router that has neither configuration nor targets yet.
     pub fn new(settings: EdgeSettings) -> Rc<EdgeState> {
         let policy = direct_policy(&settings);
-        let router = DirectRouter::new(MonotonicTime(0), policy, ProcessIncarnation::random());
+        let router = DirectRouter::new(policy, ProcessIncarnation::random());
         Rc::new(EdgeState {
             metrics: EdgeMetrics::register(),
             pool: TargetPool::default(),
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -328,7 +328,7 @@
         retry_allowance: 100.0,
     };
     let now = MonotonicTime(0);
-    let mut router = DirectRouter::new(now, policy, ProcessIncarnation(1 + index as u64));
+    let mut router = DirectRouter::new(policy, ProcessIncarnation(1 + index as u64));
     router.install_config(model_config(profile));
     for entry in entries {
         let mut entry = entry.clone();
--- a/crates/jackdaw-policy/examples/direct_slopes.rs
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -92,7 +92,7 @@
         retry_allowance: 100.0,
     };
     let now = MonotonicTime(0);
-    let mut router = DirectRouter::new(now, policy, ProcessIncarnation(incarnation));
+    let mut router = DirectRouter::new(policy, ProcessIncarnation(incarnation));
     for index in 0..targets {
         let entry = TargetEntry {
             name: format!("target-{index}"),
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -142,17 +142,13 @@
 
 impl DirectRouter {
     /// Creates a router without a configuration and without targets.
-    pub fn new(
-        now: MonotonicTime,
-        policy: DirectPolicy,
-        incarnation: ProcessIncarnation,
-    ) -> DirectRouter {
+    pub fn new(policy: DirectPolicy, incarnation: ProcessIncarnation) -> DirectRouter {
         DirectRouter {
             ledger: CustomerLedger::new(policy.share_window),
             policy,
             incarnation,
             table: None,
-            targets: TargetTable::new(now),
+            targets: TargetTable::default(),
             watch: WatchElection::default(),
             loads: LoadTable::default(),
             speeds: TargetSpeed::default(),
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -7,7 +7,7 @@
 use crate::direct::direct_router::DirectRouter;
 use crate::direct::peer_report::PeerReport;
 use crate::direct::prefill_window::PrefillUsage;
-use crate::direct::target_table::{REREGISTRATION_GRACE, StoreContact, StoreReachability};
+use crate::direct::target_table::{StoreContact, StoreReachability};
 use crate::direct::watch_election::{FleetVersions, StoreStatus};
 
 /// Time for which new crash evidence is included in reports to the other routers.
@@ -68,11 +68,13 @@
             return StoreStatus::Unreachable;
         }
         match self.targets.reachability() {
-            StoreReachability::Unreachable(_) => StoreStatus::NotWatching,
-            StoreReachability::Reachable(since) if now.since(since) < REREGISTRATION_GRACE => {
+            StoreReachability::Unreachable | StoreReachability::Unwatched { .. } => {
+                StoreStatus::NotWatching
+            }
+            StoreReachability::Reachable { settled_at } if now < settled_at => {
                 StoreStatus::Recovering
             }
-            StoreReachability::Reachable(_) => StoreStatus::Stable,
+            StoreReachability::Reachable { .. } => StoreStatus::Stable,
         }
     }
 
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -128,24 +128,37 @@
 }
 
 /// Whether the store answers this router's calls.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+///
+/// An entry that is gone before `settled_at` may have expired while the store was away, and the
+/// target may register again until then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum StoreReachability {
-    /// The store has answered since this time.
-    Reachable(MonotonicTime),
-    /// The store has not answered since this time.
-    Unreachable(MonotonicTime),
+    /// The store answers.
+    Reachable {
+        /// End of the grace period.
+        settled_at: MonotonicTime,
+    },
+    /// The router does not watch the store, which did not fail.
+    Unwatched {
+        /// End of the grace period.
+        settled_at: MonotonicTime,
+    },
+    /// The latest call failed.
+    #[default]
+    Unreachable,
 }
 
 /// Entry with the router's local state about it.
 #[derive(Debug, Clone)]
 struct KnownTarget {
     entry: TargetEntry,
-    /// Time at which the entry went missing, if it may only have expired.
-    missing_since: Option<MonotonicTime>,
+    /// Whether the entry is gone from the store but may only have expired.
+    is_missing: bool,
 }
 
-/// Targets known to a router, by name, with the revisions of recent removals.
-#[derive(Debug, Clone)]
+/// Targets known to a router, by name, with the revisions of recent removals. In an empty table the
+/// store counts as unreachable.
+#[derive(Debug, Clone, Default)]
 pub struct TargetTable {
     targets: HashMap<String, KnownTarget>,
     removals: HashMap<String, (StoreRevision, MonotonicTime)>,
@@ -177,34 +190,27 @@
 }
 
 impl TargetTable {
-    /// Creates an empty table; the store counts as unreachable since `now`.
-    pub fn new(now: MonotonicTime) -> TargetTable {
-        TargetTable {
-            targets: HashMap::new(),
-            removals: HashMap::new(),
-            reachability: StoreReachability::Unreachable(now),
-            change_revision: StoreRevision::default(),
-            leaving: LeavingTargets::default(),
-            era_start: StoreRevision::default(),
-            index: OnceCell::new(),
-        }
-    }
-
     /// Records contact with the store; returns whether its reachability changed.
     pub fn record_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
         let reachability = match (self.reachability, contact) {
-            (StoreReachability::Reachable(_), StoreContact::Answered)
-            | (StoreReachability::Unreachable(_), StoreContact::Failed | StoreContact::Ended) => {
+            (StoreReachability::Reachable { .. }, StoreContact::Answered)
+            | (StoreReachability::Unwatched { .. }, StoreContact::Ended)
+            | (StoreReachability::Unreachable, StoreContact::Failed | StoreContact::Ended) => {
                 return false;
             }
-            (_, StoreContact::Answered) => StoreReachability::Reachable(now),
-            (_, StoreContact::Failed | StoreContact::Ended) => StoreReachability::Unreachable(now),
+            (_, StoreContact::Answered) => {
+                StoreReachability::Reachable { settled_at: now.after(REREGISTRATION_GRACE) }
+            }
+            (StoreReachability::Reachable { settled_at }, StoreContact::Ended) => {
+                StoreReachability::Unwatched { settled_at }
+            }
+            (_, StoreContact::Failed) => StoreReachability::Unreachable,
         };
         self.reachability = reachability;
         true
     }
 
-    /// Returns whether the store answers, and since when.
+    /// Returns whether the store answers.
     pub fn reachability(&self) -> StoreReachability {
         self.reachability
     }
@@ -353,13 +359,10 @@
         if self.leaving.expire(now, era, |target| registered.contains(&target)) {
             self.index.take();
         }
-        let StoreReachability::Reachable(since) = self.reachability else {
-            return Vec::new();
-        };
-        if now.since(since) < REREGISTRATION_GRACE {
+        if !self.is_settled(now) {
             return Vec::new();
         }
-        let missing = self.targets.iter().filter(|(_, target)| target.missing_since.is_some());
+        let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
         let names: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
         for name in &names {
             self.remove_unrevised(now, name);
@@ -388,7 +391,7 @@
 
     /// Returns the number of targets whose entry is missing but may only have expired.
     pub fn missing_count(&self) -> usize {
-        self.targets.values().filter(|target| target.missing_since.is_some()).count()
+        self.targets.values().filter(|target| target.is_missing).count()
     }
 
     /// Returns whether no target is known.
@@ -396,8 +399,17 @@
         self.targets.is_empty()
     }
 
+    /// Returns whether all targets have had time to register again after the latest known outage.
+    fn is_settled(&self, now: MonotonicTime) -> bool {
+        match self.reachability {
+            StoreReachability::Reachable { settled_at }
+            | StoreReachability::Unwatched { settled_at } => now >= settled_at,
+            StoreReachability::Unreachable => false,
+        }
+    }
+
     fn is_missing(&self, name: &str) -> bool {
-        self.targets.get(name).is_some_and(|target| target.missing_since.is_some())
+        self.targets.get(name).is_some_and(|target| target.is_missing)
     }
 
     fn index(&self) -> &TargetIndex {
@@ -413,8 +425,12 @@
         }
         self.era_start = revision;
         self.change_revision = self.change_revision.max(revision);
-        if let StoreReachability::Reachable(_) = self.reachability {
-            self.reachability = StoreReachability::Reachable(now);
+        match &mut self.reachability {
+            StoreReachability::Reachable { settled_at }
+            | StoreReachability::Unwatched { settled_at } => {
+                *settled_at = now.after(REREGISTRATION_GRACE);
+            }
+            StoreReachability::Unreachable => {}
         }
     }
 
@@ -465,23 +481,19 @@
         if known.is_some_and(|known| known.entry.revision > entry.revision) {
             return ChangeEffect::Ignored;
         }
-        let is_change =
-            known.is_none_or(|known| known.entry != entry || known.missing_since.is_some());
+        let is_change = known.is_none_or(|known| known.entry != entry || known.is_missing);
         self.change_revision = self.change_revision.max(entry.revision);
         if !is_change {
             return ChangeEffect::Ignored;
         }
         self.leaving.update(now, &entry, self.era_start);
-        let target = KnownTarget { entry, missing_since: None };
+        let target = KnownTarget { entry, is_missing: false };
         self.targets_mut().insert(target.entry.name.clone(), target);
         ChangeEffect::Applied
     }
 
     fn remove(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) -> ChangeEffect {
-        let may_have_expired = match self.reachability {
-            StoreReachability::Unreachable(_) => true,
-            StoreReachability::Reachable(since) => now.since(since) < REREGISTRATION_GRACE,
-        };
+        let may_have_expired = !self.is_settled(now);
         if self.removals.get(name).is_some_and(|(known, _)| *known >= revision) {
             return ChangeEffect::Ignored;
         }
@@ -494,7 +506,7 @@
         }
         // A draining target does not register again.
         if may_have_expired && known.entry.state == TargetState::Ready {
-            known.missing_since.get_or_insert(now);
+            known.is_missing = true;
             return ChangeEffect::Deferred;
         }
         self.remove_known(now, name, revision);
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -81,7 +81,7 @@
         retry_ratio: 0.2,
         retry_allowance: 100.0,
     };
-    let mut router = DirectRouter::new(at(0), policy, ProcessIncarnation(incarnation));
+    let mut router = DirectRouter::new(policy, ProcessIncarnation(incarnation));
     router.install_config(config(1));
     for index in 0..targets {
         let entry = entry(&format!("target-{index}"), 1 + index as u64);
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -33,7 +33,7 @@
 }
 
 fn stable_table() -> TargetTable {
-    let mut table = TargetTable::new(at(0));
+    let mut table = TargetTable::default();
     table.record_contact(at(0), StoreContact::Answered);
     table
 }
@@ -49,7 +49,7 @@
     let mut table = stable_table();
     table.replace(at(5000), vec![ready("a", limit)], limit);
     assert_eq!(ready_names(&table), ["a"]);
-    assert_ne!(table.digest(), TargetTable::new(at(0)).digest());
+    assert_ne!(table.digest(), TargetTable::default().digest());
 }
 
 #[test]
@@ -236,7 +236,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut store = RestorableStore { number: 1, ..RestorableStore::default() };
         let mut watching = stable_table();
-        let mut idle = TargetTable::new(at(0));
+        let mut idle = TargetTable::default();
         let mut announced = Vec::new();
         let mut millis = 5000;
         for step in 0..STEPS {
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -26,7 +26,7 @@
 
 /// Returns a table whose store has been reachable for longer than the grace period.
 fn stable_table() -> TargetTable {
-    let mut table = TargetTable::new(at(0));
+    let mut table = TargetTable::default();
     table.record_contact(at(0), StoreContact::Answered);
     table
 }
@@ -193,7 +193,7 @@
 fn expiry_spreads_by_snapshots() {
     let mut watching = stable_table();
     watching.apply(at(5000), present("t", 3));
-    let mut idle = TargetTable::new(at(0));
+    let mut idle = TargetTable::default();
     idle.merge(at(5000), watching.snapshot(true));
     assert_eq!(idle.digest(), watching.digest());
     watching.record_contact(at(6000), StoreContact::Failed);
