Defer removals only after an outage of the store

Cause: entries may expire while the store is away, so a removed target is kept for 1.9 s after the store's return. That time started with every contact of a router, also when it began to watch a store that had answered others all the time. Each takeover of the watch thus kept targets that had left for good.

A router that begins to watch now keeps the end of the grace period that it knows. It expects an outage if the other routers of its failure domain reported one within the last 1.9 s and none of them reached the store all the time; a failed call of its own counts as before.

--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -54,8 +54,15 @@
 
     /// Records the router's contact with the store; returns whether its reachability changed.
     pub fn record_store_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
+        let is_start = matches!(self.targets.reachability(), StoreReachability::Unwatched { .. });
         match contact {
-            StoreContact::Answered => self.watch.record_store_call(now, true),
+            StoreContact::Answered => {
+                if is_start && self.watch.has_recent_outage(now) {
+                    // Others saw an outage that this router, which did not watch, has missed.
+                    self.targets.record_contact(now, StoreContact::Failed);
+                }
+                self.watch.record_store_call(now, true);
+            }
             StoreContact::Failed => self.watch.record_store_call(now, false),
             StoreContact::Ended => {}
         }
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -198,9 +198,12 @@
             | (StoreReachability::Unreachable, StoreContact::Failed | StoreContact::Ended) => {
                 return false;
             }
-            (_, StoreContact::Answered) => {
+            (StoreReachability::Unreachable, StoreContact::Answered) => {
                 StoreReachability::Reachable { settled_at: now.after(REREGISTRATION_GRACE) }
             }
+            (StoreReachability::Unwatched { settled_at }, StoreContact::Answered) => {
+                StoreReachability::Reachable { settled_at }
+            }
             (StoreReachability::Reachable { settled_at }, StoreContact::Ended) => {
                 StoreReachability::Unwatched { settled_at }
             }
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -10,6 +10,7 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 
 use crate::direct::store_revision::StoreRevision;
+use crate::direct::target_table::REREGISTRATION_GRACE;
 
 /// Routers per failure domain that watch the store; with two, changes keep arriving if one fails.
 pub const WATCHERS_PER_DOMAIN: usize = 2;
@@ -81,6 +82,8 @@
     is_primary: bool,
     store_failed_at: Option<MonotonicTime>,
     fetch_failed_at: Option<MonotonicTime>,
+    /// Time until which a router that begins to watch has to expect an outage that just ended.
+    outage_known_until: Option<MonotonicTime>,
 }
 
 impl Default for WatchElection {
@@ -91,6 +94,7 @@
             is_primary: true,
             store_failed_at: None,
             fetch_failed_at: None,
+            outage_known_until: None,
         }
     }
 }
@@ -126,6 +130,12 @@
         self.store_failed_at.is_some_and(|time| now.since(time) < UNREACHABLE_SPAN)
     }
 
+    /// Returns whether the other routers reported an outage of the store so recently that targets may
+    /// not have registered again yet.
+    pub fn has_recent_outage(&self, now: MonotonicTime) -> bool {
+        self.outage_known_until.is_some_and(|time| now < time)
+    }
+
     /// Returns how urgently to fetch from another router, given both routers' versions and the
     /// other router's connection to the store.
     pub fn fetch_urgency(
@@ -162,9 +172,18 @@
         let has_fetch_failed = self.has_fetch_failed(now);
         let was_watching = self.is_watching;
         let (mut lower, mut preceding) = (0, 0);
+        let (mut has_stable, mut has_unreachable) = (false, false);
         for peer in peers {
             lower += usize::from(peer.incarnation.0 < own.0);
             preceding += usize::from(has_precedence(&peer));
+            has_stable |= peer.store_status == StoreStatus::Stable;
+            has_unreachable |= peer.store_status == StoreStatus::Unreachable;
+        }
+        // A store that answers one router all the time turned the others away.
+        match (has_stable, has_unreachable) {
+            (true, _) => self.outage_known_until = None,
+            (false, true) => self.outage_known_until = Some(now.after(REREGISTRATION_GRACE)),
+            (false, false) => {}
         }
         self.is_primary = lower < WATCHERS_PER_DOMAIN;
         self.is_watching = has_fetch_failed || preceding < WATCHERS_PER_DOMAIN;
--- a/crates/jackdaw-policy/tests/direct/watch_takeover.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_takeover.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use jackdaw_base::MonotonicTime;
+use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{
-    DirectRouter, FetchUrgency, StoreContact, StoreStatus, TargetChange, TargetEntry, WatchPeer,
+    ChangeEffect, DirectRouter, FetchUrgency, StoreContact, StoreStatus, TargetChange, TargetEntry,
+    WatchPeer,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -109,6 +110,10 @@
         for name in names {
             fleet.store.put(0, name);
         }
+        // Each router reads the store once before it receives reports.
+        for index in 0..fleet.routers.len() {
+            fleet.watch_store(index);
+        }
         fleet.advance(5000);
         assert!(names.iter().all(|name| fleet.users(name) == WATCHERS + FOLLOWERS));
         let watching = fleet.routers.iter().filter(|member| member.watched.is_some()).count();
@@ -290,3 +295,29 @@
         }
     }
 }
+
+/// A router that begins to watch just after an outage keeps targets whose entries expired in it,
+/// though no call of its own failed. If one router reached the store all the time, there was no outage.
+#[test]
+fn outage_reported_by_others_starts_the_grace_period() {
+    let outcomes = [
+        (StoreStatus::Unreachable, 6000, ChangeEffect::Deferred),
+        (StoreStatus::Stable, 6000, ChangeEffect::Applied),
+        (StoreStatus::Unreachable, 60_000, ChangeEffect::Applied),
+    ];
+    for (status, contact, effect) in outcomes {
+        let mut router = router(9, 0);
+        router.record_store_contact(at(0), StoreContact::Answered);
+        router.targets.apply(at(0), TargetChange::Present(entry("t", 1)));
+        router.record_store_contact(at(1000), StoreContact::Ended);
+        let peer = |number, store_status| WatchPeer {
+            incarnation: ProcessIncarnation(number),
+            store_status,
+        };
+        let peers = [peer(1, StoreStatus::Unreachable), peer(2, status)];
+        router.watch.update(at(5900), router.incarnation(), peers.into_iter());
+        router.record_store_contact(at(contact), StoreContact::Answered);
+        let removed = TargetChange::Removed { name: "t".to_owned(), revision: 2.into() };
+        assert_eq!(router.targets.apply(at(contact), removed), effect, "{status:?} at {contact}");
+    }
+}
