Name the targets that a listing withdraws or registers again

Routers that take the watch over learn of leaving targets by a listing, whose line did not say which. Needed to measure how late each router learns of a leaving. No decision changed.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jackdaw_policy::direct::{ChangeEffect, MergeEffect};
+use jackdaw_policy::direct::{ChangeEffect, UpdateEffect};
 use jackdaw_telemetry::{CounterFamily, GaugeFamily, HistogramFamily, MetricRegistry};
 use prometheus_client::metrics::counter::Counter;
 
@@ -85,8 +85,8 @@
         self.target_changes.add(&[("effect", effect)], 1);
     }
 
-    /// Counts the changes that another router's snapshot brought.
-    pub fn record_target_merge(&self, effect: &MergeEffect) {
+    /// Counts the changes that a listing or another router's snapshot brought.
+    pub fn record_target_update(&self, effect: &UpdateEffect) {
         let count = |effect: &str, names: &[String]| {
             self.target_changes.add(&[("effect", effect)], names.len() as u64);
         };
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod run_guard;
 pub mod settings_file;
 pub mod store_watch;
+mod target_names;
 pub mod target_pool;
 pub mod target_send;
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -20,6 +20,7 @@
 use crate::edge_state::EdgeState;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::{PeerTable, RouterPrefills, RouterReport};
+use crate::target_names::format_names;
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -45,9 +46,6 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
-/// Maximum number of target names in one log line.
-const MAX_LOGGED_NAMES: usize = 12;
-
 /// Maximum number of reports in a bundle; a report takes up to about 3 KB.
 const MAX_BUNDLE_REPORTS: usize = 16;
 
@@ -340,19 +338,10 @@
     let revision = snapshot.targets.change_revision;
     let is_complete = snapshot.targets.is_complete;
     let effect = router.targets.merge(state.now(), snapshot.targets);
-    state.metrics.record_target_merge(&effect);
+    state.metrics.record_target_update(&effect);
     log::info!(
         peer:% = peer, config = version, installed = is_installed, revision:% = revision, is_complete,
         withdrawn = format_names(&effect.withdrawn), registered = format_names(&effect.registered);
         "applied a snapshot from another router"
     );
 }
-
-/// Lists the first names of targets for a log line.
-fn format_names(names: &[String]) -> String {
-    let (listed, rest) = names.split_at(names.len().min(MAX_LOGGED_NAMES));
-    match rest.len() {
-        0 => listed.join(" "),
-        count => format!("{} and {count} more", listed.join(" ")),
-    }
-}
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
+use crate::target_names::format_names;
 
 /// How long the store may hold a long-poll request. A connection that went silent is detected after
 /// this time, within the three seconds after which the platform expects an undisturbed machine to
@@ -243,9 +244,15 @@
         let (entries, read) = session.client.list_targets(session.listing_age).await?;
         record_store_success(state);
         let count = entries.len();
-        state.router().targets.replace(state.now(), entries, read);
+        let effect = state.router().targets.replace(state.now(), entries, read);
+        state.metrics.record_target_update(&effect);
         let missing = state.router().targets.missing_count();
-        log::info!(targets = count, missing, revision:% = read; "targets listed");
+        log::info!(
+            targets = count, missing, revision:% = read,
+            withdrawn = format_names(&effect.withdrawn),
+            registered = format_names(&effect.registered);
+            "targets listed"
+        );
         session.start_watch(read).await;
         return Ok(());
     };
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -55,8 +55,8 @@
 pub use target_health::{SendFailure, TargetHealth};
 pub use target_speed::TargetSpeed;
 pub use target_table::{
-    ChangeEffect, MergeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange,
-    TargetEntry, TargetId, TargetSnapshot, TargetState, TargetTable,
+    ChangeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange, TargetEntry,
+    TargetId, TargetSnapshot, TargetState, TargetTable, UpdateEffect,
 };
 pub use watch_election::{
     FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection, WatchPeer,
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -107,9 +107,9 @@
     Ignored,
 }
 
-/// Effect of another router's snapshot on a target table.
+/// Effect of a listing or of another router's snapshot on a target table.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct MergeEffect {
+pub struct UpdateEffect {
     /// Names of the targets that were removed or started to drain.
     pub withdrawn: Vec<String>,
     /// Names of the targets whose entry was missing and counts as registered again.
@@ -282,8 +282,8 @@
     }
 
     /// Merges another router's snapshot; its removals take effect without a grace period.
-    pub fn merge(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) -> MergeEffect {
-        let mut effect = MergeEffect::default();
+    pub fn merge(&mut self, now: MonotonicTime, snapshot: TargetSnapshot) -> UpdateEffect {
+        let mut effect = UpdateEffect::default();
         self.enter_era(now, snapshot.change_revision);
         if snapshot.is_complete {
             effect.withdrawn = self.remove_unlisted(now, &snapshot);
@@ -294,16 +294,7 @@
             if known.is_some_and(|known| known.entry.revision >= entry.revision) {
                 continue;
             }
-            let is_draining = entry.state == TargetState::Draining;
-            let is_reported = is_draining || self.is_missing(&entry.name);
-            let name = is_reported.then(|| entry.name.clone());
-            if self.insert(now, entry) == ChangeEffect::Ignored {
-                continue;
-            }
-            match is_draining {
-                true => effect.withdrawn.extend(name),
-                false => effect.registered.extend(name),
-            }
+            self.insert_reporting(now, entry, &mut effect);
         }
         for (name, revision) in snapshot.removals {
             if self.removals.get(&name).is_some_and(|(known, _)| *known >= revision) {
@@ -334,14 +325,15 @@
         now: MonotonicTime,
         entries: Vec<TargetEntry>,
         revision: StoreRevision,
-    ) {
+    ) -> UpdateEffect {
+        let mut effect = UpdateEffect::default();
         self.enter_era(now, revision);
         if revision.era() < self.era() {
-            return;
+            return effect;
         }
         let listed: HashSet<String> = entries.iter().map(|entry| entry.name.clone()).collect();
         for entry in entries {
-            self.insert(now, entry);
+            self.insert_reporting(now, entry, &mut effect);
         }
         let mut absent: Vec<String> = Vec::new();
         for (name, target) in &self.targets {
@@ -350,8 +342,11 @@
             }
         }
         for name in absent {
-            self.remove(now, &name, revision);
+            if self.remove(now, &name, revision) == ChangeEffect::Applied {
+                effect.withdrawn.push(name);
+            }
         }
+        effect
     }
 
     /// Drops targets that did not register again within the grace period; returns their names.
@@ -473,6 +468,25 @@
         }
     }
 
+    /// Inserts an entry and adds its target to `effect` if that withdraws it, or registers it again.
+    fn insert_reporting(
+        &mut self,
+        now: MonotonicTime,
+        entry: TargetEntry,
+        effect: &mut UpdateEffect,
+    ) {
+        let is_draining = entry.state == TargetState::Draining;
+        let is_reported = is_draining || self.is_missing(&entry.name);
+        let name = is_reported.then(|| entry.name.clone());
+        if self.insert(now, entry) == ChangeEffect::Ignored {
+            return;
+        }
+        match is_draining {
+            true => effect.withdrawn.extend(name),
+            false => effect.registered.extend(name),
+        }
+    }
+
     fn insert(&mut self, now: MonotonicTime, entry: TargetEntry) -> ChangeEffect {
         if entry.revision.era() < self.era() {
             return ChangeEffect::Ignored;
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -282,7 +282,9 @@
             }
         }
         40..42 => store.restore(random),
-        42..55 => watching.replace(now, store.list(), store.revision()),
+        42..55 => {
+            watching.replace(now, store.list(), store.revision());
+        }
         55..65 => {
             if let Some(change) = store.changes.choose(random).cloned() {
                 let era = watching.era();
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -1,7 +1,7 @@
 //! Updates of a router's target table from the store and from other routers.
 
 use jackdaw_policy::direct::{
-    ChangeEffect, MergeEffect, StoreContact, TargetChange, TargetState, TargetTable,
+    ChangeEffect, StoreContact, TargetChange, TargetState, TargetTable, UpdateEffect,
 };
 
 use crate::common::{SERVICE, at, entry};
@@ -115,7 +115,7 @@
 fn copied_entry_is_no_registration() {
     let mut table = table_with_missing_target();
     let effect = table.merge(at(9200), table_with_missing_target().snapshot(false));
-    assert_eq!(effect, MergeEffect::default());
+    assert_eq!(effect, UpdateEffect::default());
     assert_eq!(table.expire(at(11_000)), ["t"]);
     assert_eq!(ready_count(&table), 0);
 }
@@ -213,7 +213,7 @@
         watching.apply(at(5000), present(name, revision));
     }
     let mut idle = stable_table();
-    assert_eq!(idle.merge(at(5000), watching.snapshot(true)), MergeEffect::default());
+    assert_eq!(idle.merge(at(5000), watching.snapshot(true)), UpdateEffect::default());
     watching.apply(at(5100), draining("drains", 8));
     watching.apply(at(5100), removed("leaves", 9));
     watching.apply(at(5200), present("lapses", 10));
