Let routers in contact decide on missing targets for those that are not

A router that watches but has not been answered for the whole grace period now also fetches, after the usual 350 ms, from a router that has been and whose targets differ. Routers that do not watch do so already. The assertions of fetch_urgency_depends_on_the_own_watch are all kept and name the own connection.

--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -177,11 +177,9 @@
             is_same_domain: report.domain == state.settings().domain,
         });
         let router = state.router();
-        record.ahead_since = match router.watch.fetch_urgency(
-            &router.versions(),
-            &report.versions,
-            report.store_status,
-        ) {
+        let own = (&router.versions(), router.store_status(state.now()));
+        let peer = (&report.versions, report.store_status);
+        record.ahead_since = match router.watch.fetch_urgency(own, peer) {
             FetchUrgency::None => None,
             FetchUrgency::Deferred | FetchUrgency::Immediate => {
                 Some(record.ahead_since.unwrap_or(now))
@@ -238,15 +236,12 @@
     /// Returns a router to fetch a snapshot from, preferably one in the same failure domain.
     pub(crate) fn snapshot_source(&self, state: &EdgeState) -> Option<Ipv4Addr> {
         let router = state.router();
-        let own = router.versions();
+        let own = (&router.versions(), router.store_status(state.now()));
         let wanted = self.peers.iter().filter(|(_, record)| {
             let since = record.ahead_since.map_or(Duration::ZERO, |since| since.elapsed());
             record.last.as_ref().is_some_and(|last| {
-                match router.watch.fetch_urgency(
-                    &own,
-                    &last.report.versions,
-                    last.report.store_status,
-                ) {
+                let peer = (&last.report.versions, last.report.store_status);
+                match router.watch.fetch_urgency(own, peer) {
                     FetchUrgency::None => false,
                     FetchUrgency::Deferred => since >= AHEAD_TOLERANCE,
                     FetchUrgency::Immediate => true,
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -136,21 +136,22 @@
         self.outage_known_until.is_some_and(|time| now < time)
     }
 
-    /// Returns how urgently to fetch from another router, given both routers' versions and the
-    /// other router's connection to the store.
+    /// Returns how urgently to fetch from another router, given both routers' versions and
+    /// connections to the store.
     pub fn fetch_urgency(
         &self,
-        own: &FleetVersions,
-        peer: &FleetVersions,
-        store_status: StoreStatus,
+        (own, own_status): (&FleetVersions, StoreStatus),
+        (peer, peer_status): (&FleetVersions, StoreStatus),
     ) -> FetchUrgency {
         let is_ahead = peer.config > own.config || peer.targets_revision > own.targets_revision;
         // Expired entries change the targets without a revision of their own.
-        let has_different_targets = store_status == StoreStatus::Stable
+        let has_different_targets = peer_status == StoreStatus::Stable
             && peer.targets_digest != own.targets_digest
             && peer.targets_revision >= own.targets_revision;
+        // A router that the store answered all the time knows which missing entries have expired.
+        let needs_decision = has_different_targets && own_status != StoreStatus::Stable;
         match self.is_watching && own.config > 0 {
-            true if is_ahead => FetchUrgency::Deferred,
+            true if is_ahead || needs_decision => FetchUrgency::Deferred,
             false if is_ahead || has_different_targets => FetchUrgency::Immediate,
             _ => FetchUrgency::None,
         }
--- a/crates/jackdaw-policy/tests/direct/watch_election.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_election.rs
@@ -115,26 +115,29 @@
     let mut not_watching = WatchElection::default();
     let others = [peer(1, stable), peer(2, stable)];
     not_watching.update(at(0), ProcessIncarnation(9), others.into_iter());
-    assert_eq!(watching.fetch_urgency(&own, &versions(4, 10, 77), stable), FetchUrgency::Deferred);
-    assert_eq!(
-        not_watching.fetch_urgency(&own, &versions(4, 10, 77), stable),
-        FetchUrgency::Immediate
-    );
-    assert_eq!(
-        not_watching.fetch_urgency(&own, &versions(3, 10, 78), stable),
-        FetchUrgency::Immediate
-    );
-    assert_eq!(
-        not_watching.fetch_urgency(&own, &versions(3, 10, 78), StoreStatus::Recovering),
-        FetchUrgency::None
-    );
-    assert_eq!(not_watching.fetch_urgency(&own, &versions(3, 9, 78), stable), FetchUrgency::None);
-    assert_eq!(watching.fetch_urgency(&own, &versions(3, 10, 78), stable), FetchUrgency::None);
+    let urgency = |election: &WatchElection, peer: FleetVersions, status| {
+        election.fetch_urgency((&own, stable), (&peer, status))
+    };
+    let immediate = FetchUrgency::Immediate;
+    assert_eq!(urgency(&watching, versions(4, 10, 77), stable), FetchUrgency::Deferred);
+    assert_eq!(urgency(&not_watching, versions(4, 10, 77), stable), immediate);
+    assert_eq!(urgency(&not_watching, versions(3, 10, 78), stable), immediate);
+    let recovering = StoreStatus::Recovering;
+    assert_eq!(urgency(&not_watching, versions(3, 10, 78), recovering), FetchUrgency::None);
+    assert_eq!(urgency(&not_watching, versions(3, 9, 78), stable), FetchUrgency::None);
+    assert_eq!(urgency(&watching, versions(3, 10, 78), stable), FetchUrgency::None);
     let empty = versions(0, 0, 0);
-    assert_eq!(
-        watching.fetch_urgency(&empty, &versions(4, 10, 77), stable),
-        FetchUrgency::Immediate
-    );
+    let from_stable = (&versions(4, 10, 77), stable);
+    assert_eq!(watching.fetch_urgency((&empty, stable), from_stable), immediate);
+    // After a failed call, the router cannot tell on its own which entries have expired.
+    for (own_status, peer_status, expected) in [
+        (recovering, stable, FetchUrgency::Deferred),
+        (StoreStatus::Unreachable, stable, FetchUrgency::Deferred),
+        (recovering, recovering, FetchUrgency::None),
+    ] {
+        let peer = (&versions(3, 10, 78), peer_status);
+        assert_eq!(watching.fetch_urgency((&own, own_status), peer), expected);
+    }
 }
 
 /// Pattern: a store that is down for all. Every router takes over in turn, but only those that
--- a/crates/jackdaw-policy/tests/direct/watch_takeover.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_takeover.rs
@@ -84,6 +84,8 @@
     fetch_fails_at: Option<u64>,
     /// Whether other routers can fetch from this one.
     serves_snapshots: bool,
+    /// Probability that the router's call of one step fails though the store is not away.
+    failure_rate: f64,
 }
 
 struct SimulatedFleet {
@@ -102,6 +104,7 @@
             ahead_since: BTreeMap::new(),
             fetch_fails_at: None,
             serves_snapshots: true,
+            failure_rate: 0.0,
         });
         let routers = routers.collect();
         let random = ChaCha8Rng::seed_from_u64(seed);
@@ -158,13 +161,13 @@
     fn watch_store(&mut self, index: usize) {
         let (millis, store) = (self.millis, &self.store);
         let now = at(millis);
-        let SimulatedRouter { router, watched, .. } = &mut self.routers[index];
+        let SimulatedRouter { router, watched, failure_rate, .. } = &mut self.routers[index];
         if !router.watch.is_watching() {
             router.record_store_contact(now, StoreContact::Ended);
             *watched = None;
             return;
         }
-        if store.is_away {
+        if store.is_away || self.random.random_bool(*failure_rate) {
             router.record_store_contact(now, StoreContact::Failed);
             return;
         }
@@ -213,8 +216,9 @@
         let mut sources = Vec::new();
         for other in (0..self.routers.len()).filter(|other| *other != index) {
             let (own, peer) = (&self.routers[index].router, &self.routers[other].router);
-            let status = peer.store_status(now);
-            let urgency = own.watch.fetch_urgency(&own.versions(), &peer.versions(), status);
+            let own_state = (&own.versions(), own.store_status(now));
+            let peer_state = (&peer.versions(), peer.store_status(now));
+            let urgency = own.watch.fetch_urgency(own_state, peer_state);
             let ahead_since = &mut self.routers[index].ahead_since;
             if urgency == FetchUrgency::None {
                 ahead_since.remove(&other);
@@ -265,6 +269,31 @@
     }
 }
 
+/// Guards against requests to a removed target because failed calls prolong the grace period.
+///
+/// Pattern: routers that took the watch over for a while reach the store only now and then, while the
+/// two that always watch reach it all the time.
+#[test]
+fn removed_target_is_dropped_despite_failed_calls() {
+    for seed in 0..SEEDS {
+        let mut fleet = SimulatedFleet::start(seed, &["stays", "leaves"]);
+        let removed = 6000 + fleet.random.random_range(0..20) * STEP;
+        for millis in (5000..removed + DRAIN_LIMIT).step_by(1000) {
+            for follower in &mut fleet.routers[WATCHERS..] {
+                follower.failure_rate = 0.05;
+                follower.router.watch.record_failed_fetch(at(millis));
+            }
+            fleet.advance(millis.min(removed));
+        }
+        fleet.store.remove(removed, "leaves");
+        // A later change raises the revision that all routers know.
+        fleet.store.put(removed, "joins");
+        fleet.advance(removed + DRAIN_LIMIT);
+        assert_eq!(fleet.users("leaves"), 0, "seed {seed}: routers that still use the target");
+        assert_eq!(fleet.users("stays"), WATCHERS + FOLLOWERS, "seed {seed}");
+    }
+}
+
 /// Targets whose entries expire while the store is away are kept by all routers, whichever watch
 /// the store after its return.
 #[test]
