--- a/crates/jackdaw-soak/src/fault_plan.rs
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -79,6 +79,11 @@
     TargetAnnounced(usize),
     /// A target turns all requests away and asks for a pause.
     TargetPaused(usize),
+    /// A target's entry is removed without having registered as draining; the target keeps serving
+    /// and is replaced by another one.
+    TargetRemoved(usize),
+    /// A new configuration has many routes more.
+    ConfigGrown,
 }
 
 impl FaultKind {
@@ -97,6 +102,8 @@
                 | FaultKind::StoreRestored
                 | FaultKind::TargetAnnounced(_)
                 | FaultKind::TargetPaused(_)
+                | FaultKind::TargetRemoved(_)
+                | FaultKind::ConfigGrown
         )
     }
 
@@ -156,6 +163,7 @@
             }
         }
         faults.extend(FaultPlan::draw_announced_faults(seed, size));
+        faults.extend(FaultPlan::draw_removals(seed, size));
         faults.sort_by_key(|fault| fault.start);
         FaultPlan { faults }
     }
@@ -184,6 +192,26 @@
         }
     }
 
+    /// Draws removals of targets beside growing configurations, with a generator of their own as well.
+    fn draw_removals(seed: u64, size: &SoakSize) -> Vec<PlannedFault> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ REMOVAL_STREAM);
+        let end = size.fault_window.as_millis() as u64;
+        let mut faults = Vec::new();
+        let mut start = 0;
+        loop {
+            start += rng.random_range(1..=2 * MEAN_REMOVAL_INTERVAL_MS);
+            if start >= end {
+                return faults;
+            }
+            let kind = match rng.random_range(0..3) {
+                0 => FaultKind::ConfigGrown,
+                _ => FaultKind::TargetRemoved(rng.random_range(0..size.targets)),
+            };
+            let start = Duration::from_millis(start);
+            faults.push(PlannedFault { kind, start, duration: Duration::ZERO });
+        }
+    }
+
     /// Returns whether routers may not have learned within `[from, to]` what the store registered
     /// at `from`, or before it.
     pub fn may_delay_updates(&self, from: Duration, to: Duration) -> bool {
@@ -214,6 +242,12 @@
 /// Separates the random numbers of announced faults from those of the others.
 const ANNOUNCED_STREAM: u64 = 0x616e_6e6f_756e_6365;
 
+/// Mean time between two faults of [`FaultPlan::draw_removals`] in milliseconds.
+const MEAN_REMOVAL_INTERVAL_MS: u64 = 1500;
+
+/// Separates the random numbers of removals from those of the others.
+const REMOVAL_STREAM: u64 = 0x7265_6d6f_7661_6c73;
+
 /// Time after a fault within which routers catch up with the store.
 const UPDATE_GRACE: Duration = Duration::from_secs(4);
 
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -9,7 +9,7 @@
 use http::StatusCode;
 use jackdaw_platform_standins::{
     CallerAnswer, DEFAULT_API_KEY, RouterEndpoints, StoreMode, StoreStandin, UnwantedReason,
-    build_request_with_key, sample_config, send_request,
+    build_request_with_key, sample_config, sample_config_with_routes, send_request,
 };
 use jackdaw_proofs::ProcessSignal;
 
@@ -23,6 +23,9 @@
 /// Maximum number of routers listed as seeds in the settings of all routers.
 const SEED_ROUTERS: usize = 2;
 
+/// Routes by which the configuration grows at a time.
+const GROWN_ROUTES: usize = 1000;
+
 /// Interval at which a router is polled until it serves.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -74,6 +77,8 @@
     caller_links: Vec<FaultProxy>,
     store_links: Vec<FaultProxy>,
     config_version: Cell<u64>,
+    /// Number of routes beyond those of the sample configuration.
+    added_routes: Cell<usize>,
     checks: Cell<u64>,
     violations: RefCell<Vec<String>>,
 }
@@ -135,6 +140,7 @@
             caller_links: Vec::new(),
             store_links: Vec::new(),
             config_version: Cell::new(1),
+            added_routes: Cell::new(0),
             checks: Cell::new(0),
             violations: RefCell::default(),
         };
@@ -197,6 +203,8 @@
             FaultKind::StoreRestored => self.restore_store(duration).await,
             FaultKind::TargetAnnounced(target) => self.targets.announce(&self.store, target).await,
             FaultKind::TargetPaused(target) => self.targets.pause(target, duration).await,
+            FaultKind::TargetRemoved(target) => self.targets.withdraw(&self.store, target).await,
+            FaultKind::ConfigGrown => self.grow_config(),
         }
     }
 
@@ -217,15 +225,22 @@
         self.store.set_mode(StoreMode::Available);
         tokio::time::sleep(REWRITE_DELAY).await;
         self.targets.rewrite_entries(&self.store, &mut rand::rng());
-        let version = self.config_version.get();
-        self.store.put_config(&sample_config(version, &[DEFAULT_API_KEY, &version_key(version)]));
+        self.put_config(self.config_version.get());
     }
 
     fn rotate_key(&self) {
-        let version = self.config_version.get() + 1;
+        self.put_config(self.config_version.get() + 1);
+    }
+
+    fn grow_config(&self) {
+        self.added_routes.set(self.added_routes.get() + GROWN_ROUTES);
+        self.put_config(self.config_version.get() + 1);
+    }
+
+    fn put_config(&self, version: u64) {
         self.config_version.set(version);
         let keys = [DEFAULT_API_KEY, &version_key(version)];
-        self.store.put_config(&sample_config(version, &keys));
+        self.store.put_config(&sample_config_with_routes(version, &keys, self.added_routes.get()));
     }
 
     /// Returns the violations among the requests that targets did not want. What only the store
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -94,6 +94,15 @@
         self.remove_entry(store, &name);
     }
 
+    /// Removes the entry of a target that does not register as draining and keeps serving, and
+    /// replaces the target.
+    pub(crate) async fn withdraw(&self, store: &StoreStandin, index: usize) {
+        let (name, target) = self.current(index);
+        self.remove_entry(store, &name);
+        target.retire();
+        self.install_successor(store, index, &name).await;
+    }
+
     /// Lets a target announce its leaving, and drains and replaces it after a time.
     pub(crate) async fn announce(&self, store: &StoreStandin, index: usize) {
         let (_, target) = self.current(index);
