Do not renew announcements of targets that are gone

Evidence: copied_announcements_are_forgotten failed before (70 minutes of exchanges after the target is gone, it is still known) and passes now.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -148,22 +148,32 @@
         !overload.lag(now).is_zero() || overload.has_accept_backlog(now)
     }
 
-    /// Records that a target announced its leaving, and closes the idle connections to it. `source`
-    /// is the request whose response said so, or the address of the router that passed it on.
+    /// Records that a target announced its leaving. `source` is the request whose response said so,
+    /// or the address of the router whose report passed it on.
     pub fn record_leaving(&self, target: TargetId, source: &str) {
-        let (is_new, name) = {
-            let mut router = self.router();
-            let name = router.targets.find(target).map(|entry| entry.name.clone());
-            (router.record_leaving(self.now(), target), name)
-        };
+        let is_new = self.router().record_leaving(self.now(), target);
         if is_new {
-            let name = name.unwrap_or_default();
-            self.metrics.leavings.inc();
-            log::info!(target_name = name, target_id = target.0, source; "target announced its leaving");
-            self.pool.close_idle(target);
+            self.handle_leaving(target, source);
         }
     }
 
+    /// As [`EdgeState::record_leaving`], for an announcement in the snapshot of the router `source`.
+    pub fn record_copied_leaving(&self, target: TargetId, source: &str) {
+        let is_new = self.router().targets.record_copied_leaving(self.now(), target);
+        if is_new {
+            self.handle_leaving(target, source);
+        }
+    }
+
+    /// Closes the idle connections to a target that is newly known to leave.
+    fn handle_leaving(&self, target: TargetId, source: &str) {
+        let name = self.router().targets.find(target).map(|entry| entry.name.clone());
+        let name = name.unwrap_or_default();
+        self.metrics.leavings.inc();
+        log::info!(target_name = name, target_id = target.0, source; "target announced its leaving");
+        self.pool.close_idle(target);
+    }
+
     /// Records whether a connection was already pending when the server was ready to accept one.
     pub fn record_accept(&self, was_pending: bool) {
         self.overload.borrow_mut().record_accept(self.now(), was_pending);
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -317,7 +317,7 @@
                 apply_snapshot(state, peer, snapshot);
                 let source = peer.to_string();
                 for target in extension.leaving {
-                    state.record_leaving(target, &source);
+                    state.record_copied_leaving(target, &source);
                 }
             }
             Err(error) => {
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -233,6 +233,13 @@
         is_new
     }
 
+    /// Records that a target announced its leaving according to another router's snapshot, as
+    /// [`TargetTable::record_leaving`]. Snapshots do not state when the target did, so announcements
+    /// of targets that are not registered are ignored: routers would pass them on for good.
+    pub fn record_copied_leaving(&mut self, now: MonotonicTime, target: TargetId) -> bool {
+        self.contains(target) && self.record_leaving(now, target)
+    }
+
     /// Returns the targets whose announcement this router learned of less than `age` ago.
     pub fn announced_leaving(&self, now: MonotonicTime, age: Duration) -> Vec<TargetId> {
         self.leaving.announced(now, age)
--- a/crates/jackdaw-policy/tests/direct/store_restores.rs
+++ b/crates/jackdaw-policy/tests/direct/store_restores.rs
@@ -168,6 +168,36 @@
     assert_eq!(table.announced_leaving(at(8500), std::time::Duration::MAX), [id]);
 }
 
+/// Guards against announcements that routers pass on to each other for good: their snapshots, which
+/// contain all known ones, would grow with each release.
+#[test]
+fn copied_announcements_are_forgotten() {
+    let mut tables = [stable_table(), stable_table(), stable_table()];
+    let id = ready("a", 50.into()).id();
+    for table in &mut tables {
+        table.replace(at(5000), vec![ready("a", 50.into())], 50.into());
+    }
+    tables[0].record_leaving(at(5000), id);
+    for step in 1..600 {
+        let now = at(5000 + step * 7000);
+        let (source, receiver) = (step as usize % 3, (step as usize + 1) % 3);
+        for known in tables[source].announced_leaving(now, std::time::Duration::MAX) {
+            tables[receiver].record_copied_leaving(now, known);
+        }
+        if step == 4 {
+            assert!(tables.iter().all(|table| table.is_leaving(id)), "all learned of it");
+            let removal = TargetChange::Removed { name: "a".to_owned(), revision: 60.into() };
+            for table in &mut tables {
+                assert_eq!(table.apply(now, removal.clone()), ChangeEffect::Applied);
+            }
+        }
+        for table in &mut tables {
+            table.expire(now);
+        }
+    }
+    assert!(tables.iter().all(|table| !table.is_leaving(id)));
+}
+
 /// A store with its history and copies of its past states.
 #[derive(Default)]
 struct RestorableStore {
