Soak: let removed targets serve long enough to be checked

A removal near the end of the faults was not checked, as the load ended before the three seconds after which a request is a violation.

--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -27,9 +27,10 @@
 /// Service of all targets, as in the sample configuration.
 const SERVICE: &str = "s";
 
-/// Time from the announcement of a leaving to its registration in the store. It is long enough for
-/// requests to arrive that a router should no longer send.
-const ANNOUNCED_TIME: Duration = Duration::from_millis(4500);
+/// Time from the announcement of a leaving to its registration in the store, and from the removal of
+/// an entry until the target may end. It is long enough for requests to arrive that a router should
+/// no longer send.
+const LEAVING_TIME: Duration = Duration::from_millis(4500);
 
 /// Pause that targets ask for, in seconds; longer than most faults.
 const PAUSE_SECONDS: &str = "2.5";
@@ -101,13 +102,14 @@
         self.remove_entry(store, &name);
         target.retire();
         self.install_successor(store, index, &name).await;
+        tokio::time::sleep(LEAVING_TIME).await;
     }
 
     /// Lets a target announce its leaving, and drains and replaces it after a time.
     pub(crate) async fn announce(&self, store: &StoreStandin, index: usize) {
         let (_, target) = self.current(index);
         target.announce_leaving();
-        tokio::time::sleep(ANNOUNCED_TIME).await;
+        tokio::time::sleep(LEAVING_TIME).await;
         self.replace(store, index).await;
     }
 
