--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -38,8 +38,8 @@
     pub first_byte: HistogramFamily,
     /// Time from receipt of a request to the end of its response, in seconds, by route.
     pub complete_response: HistogramFamily,
-    /// Current values: configuration version, targets, missing targets, runs, peers, scheduling lag and dropped log
-    /// lines.
+    /// Current values: configuration version, targets, missing targets, runs, peers, scheduling lag
+    /// and dropped log lines.
     pub levels: GaugeFamily,
 }
 
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -10,6 +10,7 @@
 //! expired, and a target that was known to leave stays excluded.
 
 mod leaving_targets;
+mod store_reachability;
 mod target_index;
 
 use std::cell::OnceCell;
@@ -23,13 +24,12 @@
 
 use crate::direct::store_revision::StoreRevision;
 use crate::direct::target_table::leaving_targets::LeavingTargets;
+pub use crate::direct::target_table::store_reachability::{
+    REREGISTRATION_GRACE, StoreContact, StoreReachability,
+};
 pub use crate::direct::target_table::target_index::ReadyTarget;
 use crate::direct::target_table::target_index::TargetIndex;
 
-/// Time after the store is reachable again within which live targets have registered again, as
-/// specified by the platform.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
-
 /// Time for which the revision of a removed entry is kept, so that older changes that arrive late
 /// are ignored.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
@@ -116,38 +116,6 @@
     pub registered: Vec<String>,
 }
 
-/// What a router learned about its contact with the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreContact {
-    /// A call was answered.
-    Answered,
-    /// A call failed.
-    Failed,
-    /// The router stopped watching the store, which has not failed.
-    Ended,
-}
-
-/// Whether the store answers this router's calls.
-///
-/// An entry that is gone before `settled_at` may have expired while the store was away, and the
-/// target may register again until then.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum StoreReachability {
-    /// The store answers.
-    Reachable {
-        /// End of the grace period.
-        settled_at: MonotonicTime,
-    },
-    /// The router does not watch the store, which did not fail.
-    Unwatched {
-        /// End of the grace period.
-        settled_at: MonotonicTime,
-    },
-    /// The latest call failed.
-    #[default]
-    Unreachable,
-}
-
 /// Entry with the router's local state about it.
 #[derive(Debug, Clone)]
 struct KnownTarget {
@@ -192,25 +160,7 @@
 impl TargetTable {
     /// Records contact with the store; returns whether its reachability changed.
     pub fn record_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
-        let reachability = match (self.reachability, contact) {
-            (StoreReachability::Reachable { .. }, StoreContact::Answered)
-            | (StoreReachability::Unwatched { .. }, StoreContact::Ended)
-            | (StoreReachability::Unreachable, StoreContact::Failed | StoreContact::Ended) => {
-                return false;
-            }
-            (StoreReachability::Unreachable, StoreContact::Answered) => {
-                StoreReachability::Reachable { settled_at: now.after(REREGISTRATION_GRACE) }
-            }
-            (StoreReachability::Unwatched { settled_at }, StoreContact::Answered) => {
-                StoreReachability::Reachable { settled_at }
-            }
-            (StoreReachability::Reachable { settled_at }, StoreContact::Ended) => {
-                StoreReachability::Unwatched { settled_at }
-            }
-            (_, StoreContact::Failed) => StoreReachability::Unreachable,
-        };
-        self.reachability = reachability;
-        true
+        self.reachability.record(now, contact)
     }
 
     /// Returns whether the store answers.
@@ -364,7 +314,7 @@
         if self.leaving.expire(now, era, |target| registered.contains(&target)) {
             self.index.take();
         }
-        if !self.is_settled(now) {
+        if !self.reachability.is_settled(now) {
             return Vec::new();
         }
         let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
@@ -404,15 +354,6 @@
         self.targets.is_empty()
     }
 
-    /// Returns whether all targets have had time to register again after the latest known outage.
-    fn is_settled(&self, now: MonotonicTime) -> bool {
-        match self.reachability {
-            StoreReachability::Reachable { settled_at }
-            | StoreReachability::Unwatched { settled_at } => now >= settled_at,
-            StoreReachability::Unreachable => false,
-        }
-    }
-
     fn is_missing(&self, name: &str) -> bool {
         self.targets.get(name).is_some_and(|target| target.is_missing)
     }
@@ -430,13 +371,7 @@
         }
         self.era_start = revision;
         self.change_revision = self.change_revision.max(revision);
-        match &mut self.reachability {
-            StoreReachability::Reachable { settled_at }
-            | StoreReachability::Unwatched { settled_at } => {
-                *settled_at = now.after(REREGISTRATION_GRACE);
-            }
-            StoreReachability::Unreachable => {}
-        }
+        self.reachability.restart_grace(now);
     }
 
     /// Removes the entry of a target that left at a revision.
@@ -517,7 +452,7 @@
     }
 
     fn remove(&mut self, now: MonotonicTime, name: &str, revision: StoreRevision) -> ChangeEffect {
-        let may_have_expired = !self.is_settled(now);
+        let may_have_expired = !self.reachability.is_settled(now);
         if self.removals.get(name).is_some_and(|(known, _)| *known >= revision) {
             return ChangeEffect::Ignored;
         }
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -59,7 +59,8 @@
 pub enum FetchUrgency {
     /// The other router has no newer state.
     None,
-    /// The other router is ahead, but this router's own watch should deliver the change shortly.
+    /// The other router is ahead, or knows which missing targets are gone, but this router's own watch
+    /// should settle that shortly.
     Deferred,
     /// The other router is ahead and this router has no other source for the change.
     Immediate,
