Log crashes of targets with their suspects and prompt parts

The logs could not tell whether crashes are not recognised (hypothesis 2) or the evidence never meets (hypothesis 1): a recognised crash left no line, and a broken run did not name its parts.

Added: the line "target crashed" (target, suspects, new evidence), a counter edge_target_crashes, and `parts` and `has_event` in the lines of broken runs. No decision changes.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -26,6 +26,8 @@
     pub leavings: Counter,
     /// Pauses that targets asked this router for.
     pub pauses: Counter,
+    /// Crashes of targets that this router recognised.
+    pub target_crashes: Counter,
     /// Changes of targets by their effect on this router's table.
     pub target_changes: CounterFamily,
     /// Requests to the platform's store.
@@ -55,6 +57,7 @@
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
+            target_crashes: plain("edge_target_crashes", "Crashes of targets seen by own runs"),
             target_changes: registry
                 .counter("edge_target_changes", "Changes of targets by their effect"),
             store_calls: plain("edge_store_calls", "Calls to the platform's store"),
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -174,6 +174,23 @@
         self.pool.close_idle(target);
     }
 
+    /// Logs and counts the crashes of targets that were recognised since the last call.
+    pub fn log_crashes(&self) {
+        let notices = self.router().take_crash_notices();
+        for notice in notices {
+            let entry = self.router().targets.find(notice.target).cloned();
+            let target_name = entry.map_or_else(String::new, |entry| entry.name);
+            self.metrics.target_crashes.inc();
+            log::info!(
+                target_name,
+                target_id = notice.target.0,
+                suspects = notice.suspects,
+                new_evidence = notice.new_evidence;
+                "target crashed"
+            );
+        }
+    }
+
     /// Records whether a connection was already pending when the server was ready to accept one.
     pub fn record_accept(&self, was_pending: bool) {
         self.overload.borrow_mut().record_accept(self.now(), was_pending);
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -145,6 +145,8 @@
             target_name = self.inner.target_name(),
             target_id = self.inner.last_target.get(),
             runs = self.inner.runs.get(),
+            has_event = self.inner.first_byte.get().is_some(),
+            parts = self.inner.shared_parts(),
             error:% = error;
             "target connection failed during the stream"
         );
@@ -270,6 +272,14 @@
         }
     }
 
+    /// Returns the identifiers of the shared prompt parts, in hexadecimal as the caller sent them.
+    pub(crate) fn shared_parts(&self) -> String {
+        let parts = self.request.head.prompt.as_ref().map(|prompt| prompt.parts.as_slice());
+        let shared = parts.and_then(|parts| parts.split_last()).map_or(&[][..], |(_, rest)| rest);
+        let ids: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Returns the name of the last selected target; empty if there is none.
     pub(crate) fn target_name(&self) -> String {
         self.last_target_name.borrow().clone()
--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -55,6 +55,7 @@
         };
         let now = self.state.now();
         let is_excluded = self.state.router().end_run(now, run, outcome);
+        self.state.log_crashes();
         if is_excluded {
             let target = self.connection.as_ref().map_or(0, |connection| connection.target().0);
             let entry = self.state.router().targets.find(TargetId(target)).cloned();
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -162,7 +162,9 @@
             Err(TransferError::Broken(error)) => {
                 log::info!(
                     request:% = inner.request.head.id,
-                    target:% = name,
+                    target_name = name.as_str(),
+                    target_id = target.0,
+                    parts = inner.shared_parts(),
                     error:% = error;
                     "target connection failed before the response"
                 );
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -30,7 +30,9 @@
 pub mod watch_election;
 
 pub use customer_ledger::{CustomerLedger, ShareStatus, ShareTier};
-pub use direct_router::{DirectPolicy, DirectRequest, DirectRouter, RunId, RunOutcome};
+pub use direct_router::{
+    CrashNotice, DirectPolicy, DirectRequest, DirectRouter, RunId, RunOutcome,
+};
 pub use fleet_config::{
     CallerLimits, CustomerConfig, FleetConfig, RequestKind, RouteConfig, ServiceConfig,
     ServiceWeight,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -104,6 +104,17 @@
     is_started: bool,
 }
 
+/// Crash of a target as this router recognised it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashNotice {
+    /// Target that crashed.
+    pub target: TargetId,
+    /// Number of own runs that broke at the target and are now suspected of having caused it.
+    pub suspects: usize,
+    /// Number of these against which the evidence is new.
+    pub new_evidence: usize,
+}
+
 /// A run whose connection broke, kept as possible evidence of a crash.
 #[derive(Debug, Clone, Copy)]
 struct BrokenRun {
@@ -134,6 +145,7 @@
     suspects: CrashSuspects,
     evidence: Vec<(CrashEvidence, MonotonicTime)>,
     broken: Vec<BrokenRun>,
+    crash_notices: Vec<CrashNotice>,
     refusals: RefusalTracker,
     runs: HashMap<RunId, RunRecord>,
     next_run: u64,
@@ -161,6 +173,7 @@
             suspects: CrashSuspects::default(),
             evidence: Vec::new(),
             broken: Vec::new(),
+            crash_notices: Vec::new(),
             refusals: RefusalTracker::default(),
             runs: HashMap::new(),
             next_run: 0,
@@ -416,13 +429,25 @@
     /// refuses connections.
     fn record_crash(&mut self, now: MonotonicTime, target: TargetId) {
         let broken = self.broken.extract_if(.., |run| run.target == target);
-        for run in broken.collect::<Vec<_>>() {
+        let broken: Vec<BrokenRun> = broken.collect();
+        if broken.is_empty() {
+            return;
+        }
+        let mut notice = CrashNotice { target, suspects: broken.len(), new_evidence: 0 };
+        for run in broken {
             let evidence =
                 CrashEvidence { fingerprint: run.fingerprint, target: Some(VmId(target.0)) };
             if self.suspects.record(now, evidence) {
                 self.evidence.push((evidence, now));
+                notice.new_evidence += 1;
             }
         }
+        self.crash_notices.push(notice);
+    }
+
+    /// Returns the crashes recognised since the last call.
+    pub fn take_crash_notices(&mut self) -> Vec<CrashNotice> {
+        std::mem::take(&mut self.crash_notices)
     }
 
     /// Withdraws crash evidence against a request that has completed.
