Reproduce the crashes by a shared prompt part in failing tests

Requests that have nothing but one shared part in common crash one target after the other; sound requests share customer, route and first part with them and must be served.

The platform's bound is five.

--- a/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
+++ b/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
@@ -2,7 +2,7 @@
 
 use jackdaw_policy::direct::{DirectRouter, Placement, RefusalReason, RunOutcome, TargetId};
 
-use crate::common::{at, request, router};
+use crate::common::{at, prompt, request, router};
 
 const FINGERPRINT: u64 = 77;
 
@@ -60,3 +60,29 @@
     }
     assert_eq!(refusal(&mut router, 5000), None);
 }
+
+/// Requests that share only a prompt part have different fingerprints, whose crashes never add up.
+#[test]
+fn shared_part_that_crashes_targets_is_quarantined() {
+    let mut router = router(1, 8);
+    let mut crashes = 0;
+    for number in 0..8 {
+        let prompt = prompt(0xdead, 500, 100);
+        let request = request(Some(&prompt), 1000 + number);
+        let time = 1000 + 500 * number;
+        let Placement::Send { target, prefill_tokens, .. } = router.place(at(time), &request, &[])
+        else {
+            continue;
+        };
+        let run = router.start_run(at(time), &request, target, prefill_tokens);
+        router.end_run(at(time + 100), run, RunOutcome::Broken);
+        let next = self::request(None, 1);
+        let run = router.start_run(at(time + 101), &next, target, 0);
+        router.end_run(at(time + 102), run, RunOutcome::Unreachable);
+        crashes += 1;
+    }
+    assert!(crashes <= 5, "{crashes} targets crashed");
+    let sound = prompt(0x50, 500, 100);
+    let sound = request(Some(&sound), 2000);
+    assert!(matches!(router.place(at(6000), &sound, &[]), Placement::Send { .. }));
+}
