Hold crashes against prompt parts as well as whole requests

What callers saw: requests that had one prompt part in common crashed one target after the other for as long as they came. Each crash broke all streams of that target; it was back three seconds later without its parts.

Cause: crash evidence was counted by a digest of customer, method, path and body. No two of these requests are alike, so no digest ever had two crashes. Class of fault: evidence kept under an identity narrower than its cause. Beside it, reports carried evidence for two seconds only, so that a router which started later knew nothing of what was refused.

Fix: each request has a set of possible causes, its digest and each shared part, and each crash leaves a finding on each of them. A run that was sent in knowledge of a finding and breaks at the next crash makes it more severe; a run sent in that knowledge whose response proceeds clears it. Why that works: the first part, customer and route of the deadly requests are used by others, whose answers clear them within a report period; the deadly part has no answer. Targets that fail together count once, as their runs were all sent before. Two parts that only come together are told apart by single requests that have one of them. Findings are only added, raised or cleared, so routers merge them in any order, and a router that was frozen undoes nothing. Those behind a refusal are in all datagrams.

PeerReport.crashes stays in the format and is always empty now; older builds in a mixed fleet exchange their own evidence there. routers_share_crash_evidence hands findings over instead of reports, with the same bound.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
-use jackdaw_policy::direct::{DirectPolicy, DirectRouter, OverloadDetector, ShedAction, TargetId};
+use jackdaw_policy::direct::{
+    CrashNotice, DirectPolicy, DirectRouter, OverloadDetector, ShedAction, TargetId,
+};
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
 
 use crate::caller_connections::CallerConnections;
 use crate::edge_metrics::EdgeMetrics;
+use crate::log_lists::format_parts;
 use crate::target_pool::TargetPool;
 
 /// Interval of the housekeeping tick. Late ticks reveal how far the process lags behind.
@@ -174,20 +177,29 @@
         self.pool.close_idle(target);
     }
 
-    /// Logs and counts the crashes of targets that were recognised since the last call.
-    pub fn log_crashes(&self) {
+    /// Logs and counts what became known about crashes since the last call.
+    pub fn log_crash_notices(&self) {
         let notices = self.router().take_crash_notices();
         for notice in notices {
-            let entry = self.router().targets.find(notice.target).cloned();
-            let target_name = entry.map_or_else(String::new, |entry| entry.name);
-            self.metrics.target_crashes.inc();
-            log::info!(
-                target_name,
-                target_id = notice.target.0,
-                suspects = notice.suspects,
-                new_evidence = notice.new_evidence;
-                "target crashed"
-            );
+            match notice {
+                CrashNotice::Crashed { target, suspects, parts } => {
+                    self.metrics.target_crashes.inc();
+                    let entry = self.router().targets.find(target).cloned();
+                    let target_name = entry.map_or_else(String::new, |entry| entry.name);
+                    let parts = format_parts(parts);
+                    log::info!(
+                        target_name, target_id = target.0, suspects, parts;
+                        "target crashed"
+                    );
+                }
+                CrashNotice::Changed { cause, change } => {
+                    let refused_causes = self.router().refused_cause_count();
+                    log::warn!(
+                        cause:% = cause, change:? = change, refused_causes;
+                        "standing of a crash cause changed"
+                    );
+                }
+            }
         }
     }
 
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -13,14 +13,15 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::{TargetId, uses_relays};
+use jackdaw_policy::direct::{CrashFinding, TargetId, uses_relays};
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
+use crate::log_lists::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::{PeerTable, RouterPrefills, RouterReport};
-use crate::target_names::format_names;
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -73,6 +74,18 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`DatagramExtension`], as known to builds that track crashes.
+    #[derive(Default)]
+    struct CrashExtension {
+        /// Findings that the sender knows, from whatever source.
+        findings: Vec<CrashFinding>,
+    }
+}
+
+/// A datagram with all that follows it.
+type ReceivedDatagram = (ReportDatagram, DatagramExtension, CrashExtension);
+
 /// Background tasks that exchange reports.
 pub struct PeerReports {
     tasks: Vec<JoinHandle<()>>,
@@ -126,7 +139,8 @@
     }
 
     /// Processes a datagram, and forwards it within the failure domain if it is a bundle.
-    fn receive(&self, sender: Ipv4Addr, datagram: ReportDatagram, extension: DatagramExtension) {
+    fn receive(&self, sender: Ipv4Addr, received: ReceivedDatagram) {
+        let (datagram, extension, crashes) = received;
         self.add(sender);
         for ip in &datagram.known {
             self.add(*ip);
@@ -163,6 +177,8 @@
         for target in extension.leaving {
             self.state.record_leaving(target, &source);
         }
+        self.state.router().apply_crash_findings(now, &crashes.findings);
+        self.state.log_crash_notices();
     }
 
     /// Answers a router of the failure domain `domain` with the routers that it has to know, which
@@ -218,8 +234,9 @@
     ) {
         let now = self.state.now();
         let leaving = self.state.router().targets.announced_leaving(now, LEAVING_REPORT_TIME);
-        let bytes = match postcard::to_stdvec(&(datagram, DatagramExtension { leaving, prefills }))
-        {
+        let extension = DatagramExtension { leaving, prefills };
+        let crashes = CrashExtension { findings: self.state.router().crash_findings(now) };
+        let bytes = match postcard::to_stdvec(&(datagram, extension, crashes)) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "report exceeds the datagram size limit");
@@ -281,9 +298,9 @@
             continue;
         };
         match decode_datagram(&bytes[..length]) {
-            Ok((datagram, extension)) => {
+            Ok(received) => {
                 exchange.state.metrics.reports_received.inc();
-                exchange.receive(*sender.ip(), datagram, extension);
+                exchange.receive(*sender.ip(), received);
             }
             Err(error) => {
                 log::warn!(peer:% = sender, error:% = error; "failed to decode a report");
@@ -292,14 +309,21 @@
     }
 }
 
-/// Decodes a datagram and what follows it; nothing does if the sender runs an older build.
-fn decode_datagram(bytes: &[u8]) -> postcard::Result<(ReportDatagram, DatagramExtension)> {
+/// Decodes a datagram and what follows it; older builds send only the first of the extensions, or
+/// none.
+fn decode_datagram(bytes: &[u8]) -> postcard::Result<ReceivedDatagram> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let extension = match rest {
-        [] => DatagramExtension::default(),
-        rest => postcard::from_bytes(rest)?,
-    };
-    Ok((datagram, extension))
+    let (extension, rest) = take_extension(rest)?;
+    let (crashes, _) = take_extension(rest)?;
+    Ok((datagram, extension, crashes))
+}
+
+/// Decodes an extension, which is empty if the bytes end before it, and returns the bytes after it.
+fn take_extension<T: DeserializeOwned + Default>(bytes: &[u8]) -> postcard::Result<(T, &[u8])> {
+    match bytes {
+        [] => Ok((T::default(), bytes)),
+        bytes => postcard::take_from_bytes(bytes),
+    }
 }
 
 /// Fetches snapshots from other routers for changes that this router's watch does not deliver.
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -8,10 +8,13 @@
 use http::request::Parts;
 use jackdaw_base::{CustomerId, ErrorKind};
 use jackdaw_platform::RequestHead;
-use jackdaw_policy::direct::{DirectRequest, Placement, RouteConfig, ShareStatus, TargetId};
+use jackdaw_policy::direct::{
+    DirectRequest, Placement, PromptShape, RouteConfig, ShareStatus, TargetId,
+};
 
 use crate::edge_state::{EdgeState, OpenRequest};
 use crate::local_response::LocalResponse;
+use crate::log_lists::format_parts;
 
 /// Limit of sends per request that no target ran, including failed connection attempts.
 const MAX_UNRUN_SENDS: u32 = 3;
@@ -272,12 +275,10 @@
         }
     }
 
-    /// Returns the identifiers of the shared prompt parts, in hexadecimal as the caller sent them.
+    /// Returns the identifiers of the shared prompt parts.
     pub(crate) fn shared_parts(&self) -> String {
-        let parts = self.request.head.prompt.as_ref().map(|prompt| prompt.parts.as_slice());
-        let shared = parts.and_then(|parts| parts.split_last()).map_or(&[][..], |(_, rest)| rest);
-        let ids: Vec<String> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
-        ids.join(",")
+        let shared = self.request.head.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
+        format_parts(shared.iter().map(|part| part.id))
     }
 
     /// Returns the name of the last selected target; empty if there is none.
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -117,6 +117,9 @@
                 }
                 self.context.record_bytes();
                 let events = self.framer.push(bytes);
+                if let (false, RelayPhase::Streaming(source)) = (events.is_empty(), &self.phase) {
+                    source.guard.mark_events();
+                }
                 (!events.is_empty()).then_some(Some(Ok(events)))
             }
             Some(Err(error)) => {
--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -30,6 +30,13 @@
         self.connection.as_mut()
     }
 
+    /// Records that the response has begun.
+    pub fn mark_begun(&self) {
+        if let Some(run) = self.run {
+            self.state.router().record_head(run);
+        }
+    }
+
     /// Records that bytes of the response arrived.
     pub fn mark_started(&self) {
         if let Some(run) = self.run {
@@ -37,6 +44,14 @@
         }
     }
 
+    /// Records that one or more events of the response are complete.
+    pub fn mark_events(&self) {
+        if let Some(run) = self.run {
+            self.state.router().record_events(self.state.now(), run);
+            self.state.log_crash_notices();
+        }
+    }
+
     /// Ends the run. The connection is reused only if the response was read completely.
     pub fn end(mut self, outcome: RunOutcome) {
         self.finish(outcome);
@@ -55,7 +70,7 @@
         };
         let now = self.state.now();
         let is_excluded = self.state.router().end_run(now, run, outcome);
-        self.state.log_crashes();
+        self.state.log_crash_notices();
         if is_excluded {
             let target = self.connection.as_ref().map_or(0, |connection| connection.target().0);
             let entry = self.state.router().targets.find(TargetId(target)).cloned();
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -290,7 +290,10 @@
                 guard.end(RunOutcome::Broken);
                 SendOutcome::MayHaveRun
             }
-            ResponseSource::Ran => self.receive_response(guard, head, Box::new(parts), body).await,
+            ResponseSource::Ran => {
+                guard.mark_begun();
+                self.receive_response(guard, head, Box::new(parts), body).await
+            }
         }
     }
 
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -7,6 +7,7 @@
 //! the receivers, [`WatchElection`] the routers that watch the platform's store for all others,
 //! and [`OverloadDetector`] detects that a router is too busy to accept more work.
 
+pub mod crash_ledger;
 pub mod customer_ledger;
 pub mod direct_router;
 pub mod fleet_config;
@@ -29,6 +30,10 @@
 pub mod target_table;
 pub mod watch_election;
 
+pub use crash_ledger::{
+    CauseChange, CrashCause, CrashFinding, CrashLedger, CrashVerdict, LedgerPosition,
+    RequestCauses, RunPhase, SuspectRun,
+};
 pub use customer_ledger::{CustomerLedger, ShareStatus, ShareTier};
 pub use direct_router::{
     CrashNotice, DirectPolicy, DirectRequest, DirectRouter, RunId, RunOutcome,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -1,15 +1,21 @@
 //! State machine of a router that sends requests directly to targets.
 
+mod crash_tracking;
 mod placement_view;
 mod report_exchange;
 
+use crash_tracking::BrokenRun;
+pub use crash_tracking::CrashNotice;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jackdaw_base::{CrashEvidence, CustomerId, MonotonicTime, ProcessIncarnation, VmId};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
 
-use crate::crash_suspects::{CrashSuspects, SuspectStatus};
+use crate::direct::crash_ledger::{
+    CrashCause, CrashLedger, LedgerPosition, RequestCauses, RunPhase,
+};
 use crate::direct::customer_ledger::{CustomerLedger, ShareStatus};
 use crate::direct::fleet_config::FleetConfig;
 use crate::direct::fleet_retry_budget::FleetRetryBudget;
@@ -27,12 +33,6 @@
 use crate::direct::target_table::{TargetId, TargetTable};
 use crate::direct::watch_election::WatchElection;
 
-/// Time within which broken connections and a later refused one are attributed to the same crash.
-const CRASH_WINDOW: Duration = Duration::from_millis(1500);
-
-/// Retry delay given to the caller of a quarantined request.
-const QUARANTINE_RETRY: Duration = Duration::from_secs(60);
-
 /// Configured parameters of a router's decisions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DirectPolicy {
@@ -65,6 +65,16 @@
     pub fingerprint: u64,
 }
 
+impl DirectRequest<'_> {
+    /// Returns the properties of the request that may crash targets: its content, and each prompt
+    /// part that it shares with others.
+    fn causes(&self) -> RequestCauses {
+        let shared = self.prompt.map_or(&[][..], PromptShape::shared_parts);
+        let parts = shared.iter().map(|part| CrashCause::Part(part.id));
+        std::iter::once(CrashCause::Request(self.fingerprint)).chain(parts).collect()
+    }
+}
+
 /// Identifies a run, one attempt to execute a request on a target, within one router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct RunId(u64);
@@ -94,7 +104,11 @@
 #[derive(Debug, Clone)]
 struct RunRecord {
     target: TargetId,
-    fingerprint: u64,
+    /// Properties of the request that may crash the target.
+    causes: RequestCauses,
+    /// Position of the crash ledger when the run was sent.
+    position: LedgerPosition,
+    phase: RunPhase,
     prefill_tokens: u64,
     memory_tokens: u64,
     /// Tokens queued for prefill at the target when the run was sent, including its own.
@@ -104,25 +118,6 @@
     is_started: bool,
 }
 
-/// Crash of a target as this router recognised it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct CrashNotice {
-    /// Target that crashed.
-    pub target: TargetId,
-    /// Number of own runs that broke at the target and are now suspected of having caused it.
-    pub suspects: usize,
-    /// Number of these against which the evidence is new.
-    pub new_evidence: usize,
-}
-
-/// A run whose connection broke, kept as possible evidence of a crash.
-#[derive(Debug, Clone, Copy)]
-struct BrokenRun {
-    fingerprint: u64,
-    target: TargetId,
-    time: MonotonicTime,
-}
-
 /// Routing state and decisions of one router.
 #[derive(Debug)]
 pub struct DirectRouter {
@@ -142,10 +137,9 @@
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
     stream_monitors: HashMap<String, StreamMonitor>,
-    suspects: CrashSuspects,
-    evidence: Vec<(CrashEvidence, MonotonicTime)>,
+    crashes: CrashLedger,
     broken: Vec<BrokenRun>,
-    crash_notices: Vec<CrashNotice>,
+    notices: Vec<CrashNotice>,
     refusals: RefusalTracker,
     runs: HashMap<RunId, RunRecord>,
     next_run: u64,
@@ -170,10 +164,9 @@
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
             stream_monitors: HashMap::new(),
-            suspects: CrashSuspects::default(),
-            evidence: Vec::new(),
+            crashes: CrashLedger::default(),
             broken: Vec::new(),
-            crash_notices: Vec::new(),
+            notices: Vec::new(),
             refusals: RefusalTracker::default(),
             runs: HashMap::new(),
             next_run: 0,
@@ -249,9 +242,8 @@
         request: &DirectRequest<'_>,
         tried: &[TargetId],
     ) -> Placement {
-        if self.suspects.status(now, request.fingerprint) == SuspectStatus::Refused {
-            let reason = RefusalReason::Quarantined;
-            return Placement::Refuse { reason, retry_after: QUARANTINE_RETRY };
+        if let Some(retry_after) = self.quarantine_delay(now, &request.causes()) {
+            return Placement::Refuse { reason: RefusalReason::Quarantined, retry_after };
         }
         self.prefills.expire(now);
         let placement = self.choose(now, request, tried);
@@ -300,11 +292,15 @@
                 self.ledger.record_started(now, customer, prompt.charged_tokens());
             }
         }
+        let causes = request.causes();
+        self.crashes.record_send(now, &causes);
         let run = RunId(self.next_run);
         self.next_run += 1;
         let record = RunRecord {
             target,
-            fingerprint: request.fingerprint,
+            causes,
+            position: self.crashes.position(),
+            phase: RunPhase::Waiting,
             prefill_tokens,
             memory_tokens,
             tokens_ahead,
@@ -368,7 +364,7 @@
             RunOutcome::Whole => {
                 self.health.record_acceptance(now, target);
                 self.health.record_success(now, target);
-                self.clear_suspect(now, record.fingerprint);
+                self.clear_causes(now, &record.causes, record.position);
                 false
             }
             RunOutcome::Failed => self.health.record_failure(now, target, SendFailure::Failed),
@@ -379,12 +375,11 @@
             }
             RunOutcome::Replaced => self.health.record_failure(now, target, SendFailure::Replaced),
             RunOutcome::Unreachable => {
-                self.record_crash(now, target);
+                self.record_unreachable(now, target);
                 self.health.record_failure(now, target, SendFailure::Unreachable)
             }
             RunOutcome::Broken => {
-                let fingerprint = record.fingerprint;
-                self.broken.push(BrokenRun { fingerprint, target, time: now });
+                self.broken.extend(BrokenRun::new(now, record));
                 self.health.record_failure(now, target, SendFailure::Broken)
             }
         }
@@ -409,7 +404,7 @@
             self.ledger.remove_peer(incarnation);
             self.prefills.remove_peer(incarnation);
         }
-        self.broken.retain(|run| now.since(run.time) < CRASH_WINDOW);
+        self.expire_crashes(now);
         let removed = self.targets.expire(now);
         if !removed.is_empty() {
             self.forget_removed_targets(now);
@@ -424,39 +419,4 @@
         self.health.retain(now, |target| targets.contains(target));
         self.prefixes.retain(|target| targets.contains(target));
     }
-
-    /// Turns the runs that recently broke at a target into crash evidence, now that the target
-    /// refuses connections.
-    fn record_crash(&mut self, now: MonotonicTime, target: TargetId) {
-        let broken = self.broken.extract_if(.., |run| run.target == target);
-        let broken: Vec<BrokenRun> = broken.collect();
-        if broken.is_empty() {
-            return;
-        }
-        let mut notice = CrashNotice { target, suspects: broken.len(), new_evidence: 0 };
-        for run in broken {
-            let evidence =
-                CrashEvidence { fingerprint: run.fingerprint, target: Some(VmId(target.0)) };
-            if self.suspects.record(now, evidence) {
-                self.evidence.push((evidence, now));
-                notice.new_evidence += 1;
-            }
-        }
-        self.crash_notices.push(notice);
-    }
-
-    /// Returns the crashes recognised since the last call.
-    pub fn take_crash_notices(&mut self) -> Vec<CrashNotice> {
-        std::mem::take(&mut self.crash_notices)
-    }
-
-    /// Withdraws crash evidence against a request that has completed.
-    fn clear_suspect(&mut self, now: MonotonicTime, fingerprint: u64) {
-        if self.suspects.status(now, fingerprint) != SuspectStatus::Suspect {
-            return;
-        }
-        let evidence = CrashEvidence { fingerprint, target: None };
-        self.suspects.record(now, evidence);
-        self.evidence.push((evidence, now));
-    }
 }
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -0,0 +1,179 @@
+//! Crashes of targets, and requests that are refused because they may cause them.
+
+use std::time::Duration;
+
+use jackdaw_base::{MonotonicTime, VmId};
+
+use crate::direct::crash_ledger::{
+    CauseChange, CrashCause, CrashFinding, CrashVerdict, LedgerPosition, RunPhase, SuspectRun,
+};
+use crate::direct::direct_router::{DirectRouter, RunId, RunRecord};
+use crate::direct::target_table::TargetId;
+use crate::rendezvous::rendezvous_weight;
+
+/// Time within which broken connections and a later refused one are attributed to the same crash.
+const CRASH_WINDOW: Duration = Duration::from_millis(1500);
+
+/// Retry delay of a request while another one with the same refused cause is in progress.
+const PROBE_RETRY: Duration = Duration::from_secs(1);
+
+/// Change of what the router knows about crashes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashNotice {
+    /// A target crashed.
+    Crashed {
+        /// Target that crashed.
+        target: TargetId,
+        /// Number of own runs that broke there and whose requests may have caused the crash.
+        suspects: usize,
+        /// Prompt parts of these requests.
+        parts: Vec<u64>,
+    },
+    /// The standing of a cause changed.
+    Changed {
+        /// The cause.
+        cause: CrashCause,
+        /// Its new standing.
+        change: CauseChange,
+    },
+}
+
+/// A run whose connection broke, kept as possible evidence of a crash.
+#[derive(Debug, Clone)]
+pub(super) struct BrokenRun {
+    target: TargetId,
+    time: MonotonicTime,
+    run: SuspectRun,
+}
+
+impl BrokenRun {
+    /// Returns the run as possible evidence; `None` if its response had proceeded, which shows that
+    /// the request does not crash targets.
+    pub(super) fn new(time: MonotonicTime, record: RunRecord) -> Option<BrokenRun> {
+        let RunRecord { target, causes, position, phase, .. } = record;
+        let is_suspect = phase < RunPhase::Proceeding;
+        is_suspect.then_some(BrokenRun {
+            target,
+            time,
+            run: SuspectRun { causes, position, phase },
+        })
+    }
+}
+
+impl DirectRouter {
+    /// Records that the response to a run has begun.
+    pub fn record_head(&mut self, run: RunId) {
+        if let Some(record) = self.runs.get_mut(&run) {
+            record.phase = record.phase.max(RunPhase::Begun);
+        }
+    }
+
+    /// Records that one or more events of a run's response are complete.
+    pub fn record_events(&mut self, now: MonotonicTime, run: RunId) {
+        let Some(record) = self.runs.get_mut(&run) else {
+            return;
+        };
+        record.phase = match record.phase {
+            RunPhase::Waiting | RunPhase::Begun => RunPhase::Answering,
+            RunPhase::Answering => RunPhase::Proceeding,
+            RunPhase::Proceeding => return,
+        };
+        if record.phase == RunPhase::Proceeding {
+            let (causes, position) = (record.causes.clone(), record.position);
+            self.clear_causes(now, &causes, position);
+        }
+    }
+
+    /// Records that a target refuses connections. If own runs broke there shortly before, it crashed.
+    pub fn record_unreachable(&mut self, now: MonotonicTime, target: TargetId) {
+        let broken = self.broken.extract_if(.., |broken| broken.target == target);
+        let runs: Vec<SuspectRun> = broken.map(|broken| broken.run).collect();
+        if runs.is_empty() {
+            return;
+        }
+        let causes = runs.iter().flat_map(|run| &run.causes);
+        let parts = causes.filter_map(|cause| match cause {
+            CrashCause::Part(id) => Some(*id),
+            CrashCause::Request(_) => None,
+        });
+        let mut parts: Vec<u64> = parts.collect();
+        parts.sort_unstable();
+        parts.dedup();
+        self.notices.push(CrashNotice::Crashed { target, suspects: runs.len(), parts });
+        let changes = self.crashes.record_crash(now, target, &runs);
+        self.note_changes(changes);
+    }
+
+    /// Returns the findings on crashes for the other routers.
+    pub fn crash_findings(&self, now: MonotonicTime) -> Vec<CrashFinding> {
+        self.crashes.report(now)
+    }
+
+    /// Merges the findings of another router.
+    pub fn apply_crash_findings(&mut self, now: MonotonicTime, findings: &[CrashFinding]) {
+        let changes = findings.iter().filter_map(|finding| self.crashes.merge(now, finding));
+        let changes: Vec<_> = changes.collect();
+        self.note_changes(changes);
+    }
+
+    /// Returns the number of causes whose requests are refused.
+    pub fn refused_cause_count(&self) -> usize {
+        self.crashes.refused_count()
+    }
+
+    /// Returns what has become known about crashes since the last call.
+    pub fn take_crash_notices(&mut self) -> Vec<CrashNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Returns the retry delay of a request that must not be sent because it may crash its target.
+    pub(super) fn quarantine_delay(
+        &self,
+        now: MonotonicTime,
+        causes: &[CrashCause],
+    ) -> Option<Duration> {
+        match self.crashes.verdict(now, causes, |cause| self.is_prober(cause)) {
+            CrashVerdict::Clear => None,
+            CrashVerdict::Refused(delay) => Some(delay),
+            CrashVerdict::Probe => {
+                let mut runs = self.runs.values();
+                let is_probing = runs.any(|run| self.crashes.share_refused(causes, &run.causes));
+                is_probing.then_some(PROBE_RETRY)
+            }
+        }
+    }
+
+    /// Clears what was held against the causes of a run whose response proceeded.
+    pub(super) fn clear_causes(
+        &mut self,
+        now: MonotonicTime,
+        causes: &[CrashCause],
+        position: LedgerPosition,
+    ) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        let changes = self.crashes.clear(now, causes, position);
+        self.note_changes(changes);
+    }
+
+    pub(super) fn expire_crashes(&mut self, now: MonotonicTime) {
+        self.broken.retain(|broken| now.since(broken.time) < CRASH_WINDOW);
+        self.crashes.expire(now);
+    }
+
+    /// Returns whether this router probes a cause for the fleet: all routers that know the same
+    /// others agree on one.
+    fn is_prober(&self, cause: CrashCause) -> bool {
+        let (CrashCause::Request(key) | CrashCause::Part(key)) = cause;
+        let own = rendezvous_weight(key, VmId(self.incarnation.0));
+        let mut others = self.loads.peers();
+        others.all(|peer| rendezvous_weight(key, VmId(peer.0)) < own)
+    }
+
+    fn note_changes(&mut self, changes: impl IntoIterator<Item = (CrashCause, CauseChange)>) {
+        let notices = changes.into_iter();
+        let notices = notices.map(|(cause, change)| CrashNotice::Changed { cause, change });
+        self.notices.extend(notices);
+    }
+}
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -1,7 +1,5 @@
 //! What a router reports to the other routers, and what it takes over from their reports.
 
-use std::time::Duration;
-
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 
 use crate::direct::direct_router::DirectRouter;
@@ -10,14 +8,10 @@
 use crate::direct::target_table::{StoreContact, StoreReachability};
 use crate::direct::watch_election::{FleetVersions, StoreStatus};
 
-/// Time for which new crash evidence is included in reports to the other routers.
-const EVIDENCE_REPORT_TIME: Duration = Duration::from_secs(2);
-
 impl DirectRouter {
     /// Returns the next report for the other routers.
     pub fn report(&mut self, now: MonotonicTime) -> PeerReport {
         self.next_report += 1;
-        self.evidence.retain(|(_, time)| now.since(*time) < EVIDENCE_REPORT_TIME);
         PeerReport {
             incarnation: self.incarnation,
             sequence: self.next_report,
@@ -26,7 +20,7 @@
             store_status: self.store_status(now),
             targets: self.loads.own_usage(),
             customers: self.ledger.own_usage(now),
-            crashes: self.evidence.iter().map(|(evidence, _)| *evidence).collect(),
+            crashes: Vec::new(),
             refused: self.refusals.recent(now),
         }
     }
@@ -96,9 +90,6 @@
         }
         self.ledger.apply_report(incarnation, &report.customers);
         self.refusals.apply_report(now, &report.refused);
-        for evidence in &report.crashes {
-            self.suspects.record(now, *evidence);
-        }
         true
     }
 }
--- a/crates/jackdaw-policy/src/direct/load_table.rs
+++ b/crates/jackdaw-policy/src/direct/load_table.rs
@@ -168,6 +168,11 @@
         self.peers.len()
     }
 
+    /// Returns the other routers that currently report.
+    pub fn peers(&self) -> impl Iterator<Item = ProcessIncarnation> {
+        self.peers.keys().copied()
+    }
+
     fn remove_peer(&mut self, incarnation: ProcessIncarnation) {
         let Some(peer) = self.peers.remove(&incarnation) else {
             return;
--- a/crates/jackdaw-policy/src/direct/peer_report.rs
+++ b/crates/jackdaw-policy/src/direct/peer_report.rs
@@ -22,7 +22,8 @@
         pub targets: Vec<TargetUsage>,
         /// Service of customers at the sender within the share window.
         pub customers: Vec<CustomerUsage>,
-        /// Crash evidence that the sender has recently collected.
+        /// Always empty. Older builds report crash evidence here, by request only; findings follow
+        /// the report in its datagram.
         pub crashes: Vec<CrashEvidence>,
         /// Requests that the sender has recently refused with a retry delay.
         pub refused: Vec<RefusedRequest>,
--- a/crates/jackdaw-policy/src/direct/prompt_shape.rs
+++ b/crates/jackdaw-policy/src/direct/prompt_shape.rs
@@ -39,10 +39,14 @@
         }
     }
 
-    /// Returns the total length of the shared parts, which are all but the last, in tokens.
+    /// Returns the shared parts, which are all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
+    /// Returns the total length of the shared parts, in tokens.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Returns the number of prompt tokens that belong to this request alone.
--- a/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
+++ b/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
@@ -42,9 +42,9 @@
     let mut first = router(1, 6);
     let mut second = router(2, 6);
     let target = crash(&mut first, 1000, &[]);
-    second.apply_report(at(1100), &first.report(at(1100)));
+    second.apply_crash_findings(at(1100), &first.crash_findings(at(1100)));
     crash(&mut second, 2000, &[target]);
-    first.apply_report(at(2100), &second.report(at(2100)));
+    first.apply_crash_findings(at(2100), &second.crash_findings(at(2100)));
     assert_eq!(refusal(&mut first, 3000), Some(RefusalReason::Quarantined));
     assert_eq!(refusal(&mut second, 3000), Some(RefusalReason::Quarantined));
 }
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a router that sends requests directly to targets.
 
 mod common;
+mod crash_ledger;
 mod crash_quarantine;
 mod customer_shares;
 mod fleet_retry_budget;
