Check at once whether a target whose connection broke has crashed

What callers saw: more targets crashed than needed before the cause was refused, and with little traffic none of the crashes counted.

Cause: a router took a broken run for a crash only if one of its own later requests to the same target was refused a connection within 1.5 s. The router that had the request is rarely the next to connect, and its evidence lapsed.

Fix: after a run broke, the router opens a connection to the target. Refused means crashed; an opened one goes into the pool in place of the one that broke. One check per target at a time, 250 ms at most. A retry waits for it, so that it is sent in knowledge of the crash and its own crash counts.

--- /dev/null
+++ b/crates/jackdaw-edge/src/crash_check.rs
@@ -0,0 +1,80 @@
+//! Checks whether a target whose connection broke has crashed, by connecting to it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
+use jackdaw_policy::direct::TargetId;
+use tokio::time::timeout;
+
+use crate::edge_state::EdgeState;
+
+/// Timeout of a check. A crashed process refuses connections at once; one that does not answer is
+/// not known to have crashed.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which a check also answers for other connections to the same target.
+const CHECK_VALIDITY: Duration = Duration::from_millis(100);
+
+/// Checks in progress and recent ones, by target.
+#[derive(Default)]
+pub struct CrashChecks {
+    checks: RefCell<HashMap<TargetId, CrashCheck>>,
+}
+
+struct CrashCheck {
+    started: Instant,
+    done: Shared<LocalBoxFuture<'static, ()>>,
+}
+
+impl CrashChecks {
+    /// Drops checks that are no longer valid.
+    pub fn expire(&self) {
+        self.checks.borrow_mut().retain(|_, check| check.started.elapsed() < CHECK_TIMEOUT);
+    }
+}
+
+/// Checks a target after a connection to it broke, and records a crash if it refuses connections.
+/// The check goes on if the returned future is dropped.
+pub(crate) fn check_crash(
+    state: &Rc<EdgeState>,
+    target: TargetId,
+) -> Shared<LocalBoxFuture<'static, ()>> {
+    let mut checks = state.crash_checks.checks.borrow_mut();
+    if let Some(check) = checks.get(&target) {
+        let is_running = check.done.peek().is_none();
+        if is_running || check.started.elapsed() < CHECK_VALIDITY {
+            return check.done.clone();
+        }
+    }
+    let done = run_check(Rc::clone(state), target).boxed_local().shared();
+    tokio::task::spawn_local(done.clone());
+    checks.insert(target, CrashCheck { started: Instant::now(), done: done.clone() });
+    done
+}
+
+async fn run_check(state: Rc<EdgeState>, target: TargetId) {
+    let entry = state.router().targets.find(target).map(|entry| entry.address);
+    let Some(address) = entry else {
+        return;
+    };
+    state.metrics.connections.inc();
+    match timeout(CHECK_TIMEOUT, state.pool.connect(target, address)).await {
+        Ok(Ok(connection)) => state.pool.return_idle(connection),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            let now = state.now();
+            state.router().record_unreachable(now, target);
+            state.log_crash_notices();
+        }
+        Ok(Err(error)) => {
+            log::info!(target_id = target.0, error:% = error; "crash check without a result");
+        }
+        Err(_) => {
+            log::info!(target_id = target.0, error = "timeout"; "crash check without a result");
+        }
+    }
+}
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -152,6 +152,7 @@
             state.pool.expire(|target| router.targets.contains(target));
             expired
         };
+        state.crash_checks.expire();
         for name in expired {
             state.metrics.target_changes.add(&[("effect", "expired")], 1);
             // `target` is the name of the module in each line.
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::caller_connections::CallerConnections;
+use crate::crash_check::CrashChecks;
 use crate::edge_metrics::EdgeMetrics;
 use crate::log_lists::format_parts;
 use crate::target_pool::TargetPool;
@@ -37,6 +38,8 @@
     pub metrics: EdgeMetrics,
     /// Pooled connections to targets.
     pub pool: TargetPool,
+    /// Checks whether targets crashed.
+    pub crash_checks: CrashChecks,
     /// Open connections of callers.
     pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
@@ -55,6 +58,7 @@
         Rc::new(EdgeState {
             metrics: EdgeMetrics::register(),
             pool: TargetPool::default(),
+            crash_checks: CrashChecks::default(),
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request passes through these modules: [`caller_server`] accepts the connection;
 //! [`http_exchange`] reads and admits the request; [`target_send`] sends it to the target that
 //! [`jackdaw_policy::direct`] selects, on a connection from the [`target_pool`]; and
-//! [`response_relay`] forwards the response. In the background, [`store_watch`] watches the
+//! [`response_relay`] forwards the response. If a connection to a target breaks, [`crash_check`] finds
+//! out whether the target crashed. In the background, [`store_watch`] watches the
 //! configuration and the targets on a few routers of each failure domain, [`peer_reports`]
 //! exchanges load and customer usage with the other routers, and [`peer_snapshot`] copies
 //! configuration and targets to routers that do not watch the store or cannot reach it.
@@ -11,6 +12,7 @@
 pub mod caller_connections;
 pub mod caller_server;
 pub mod caller_stream;
+pub mod crash_check;
 pub mod edge_daemon;
 pub mod edge_metrics;
 pub mod edge_state;
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -9,6 +9,7 @@
 use jackdaw_platform::{FleetHeaders, ResponseHead, ResponseSource, build_target_request};
 use jackdaw_policy::direct::{Placement, RequestKind, RunOutcome, TargetId};
 
+use crate::crash_check::check_crash;
 use crate::local_response::LocalResponse;
 use crate::request_context::RequestContext;
 use crate::response_relay::RelaySource;
@@ -49,6 +50,7 @@
     context: RequestContext,
     after: Option<u64>,
 ) -> Option<RelaySource> {
+    context.check_crash().await;
     if !context.may_retry() {
         return None;
     }
@@ -88,6 +90,7 @@
                     SendOutcome::Answered(response) => return Ok(response),
                     SendOutcome::NotRun => context.check_unrun_sends()?,
                     SendOutcome::MayHaveRun => {
+                        context.check_crash().await;
                         if !context.may_retry() {
                             return Err(LocalResponse::interrupted());
                         }
@@ -99,6 +102,13 @@
 }
 
 impl RequestContext {
+    /// Waits until it is known whether the last target crashed with this request, so that a retry is
+    /// decided with that knowledge.
+    async fn check_crash(&self) {
+        let target = TargetId(self.inner.last_target.get());
+        check_crash(&self.inner.state, target).await;
+    }
+
     /// Sends the request to one target and classifies the result.
     async fn send(
         &self,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -376,7 +376,7 @@
             RunOutcome::Replaced => self.health.record_failure(now, target, SendFailure::Replaced),
             RunOutcome::Unreachable => {
                 self.record_unreachable(now, target);
-                self.health.record_failure(now, target, SendFailure::Unreachable)
+                true
             }
             RunOutcome::Broken => {
                 self.broken.extend(BrokenRun::new(now, record));
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -8,6 +8,7 @@
     CauseChange, CrashCause, CrashFinding, CrashVerdict, LedgerPosition, RunPhase, SuspectRun,
 };
 use crate::direct::direct_router::{DirectRouter, RunId, RunRecord};
+use crate::direct::target_health::SendFailure;
 use crate::direct::target_table::TargetId;
 use crate::rendezvous::rendezvous_weight;
 
@@ -84,8 +85,10 @@
         }
     }
 
-    /// Records that a target refuses connections. If own runs broke there shortly before, it crashed.
+    /// Records that a target cannot be reached, which excludes it for a while. If own runs broke there
+    /// shortly before, it crashed.
     pub fn record_unreachable(&mut self, now: MonotonicTime, target: TargetId) {
+        self.health.record_failure(now, target, SendFailure::Unreachable);
         let broken = self.broken.extract_if(.., |broken| broken.target == target);
         let runs: Vec<SuspectRun> = broken.map(|broken| broken.run).collect();
         if runs.is_empty() {
