Treat streams that end inside an event as broken off

Cause: the relay took every end of the body for the end of the stream and sent what was left in the framer after it.

Fix: an end inside an event, and an end that only the connection marks before the first event, interrupt the stream as a failed connection does: it is resumed where the route allows that, and otherwise broken off. An end between events without a reset stays complete; the bytes say nothing else.

Evidence: three of the seven tests in unframed_answers failed before: stream_that_ends_inside_an_event_is_broken_off, the same with chunks, and unframed_stream_without_events_is_broken_off. RawTarget is a stand-in that writes prescribed bytes.

--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -41,6 +41,11 @@
         self.partial.clear();
     }
 
+    /// Returns whether the bytes end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|byte| !matches!(byte, b'\n' | b'\r'))
+    }
+
     /// Returns the identifier of the last complete event that had one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -1,6 +1,7 @@
 //! Per-request state, and the log and metrics entries written when the request ends.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -141,8 +142,8 @@
         inner.state.metrics.first_byte.observe(&labels, elapsed.as_secs_f64());
     }
 
-    /// Logs that the connection to the target failed during a stream.
-    pub fn log_interruption(&self, error: &hyper::Error) {
+    /// Logs that a stream broke off.
+    pub fn log_interruption(&self, error: &dyn fmt::Display) {
         log::info!(
             request:% = self.inner.request.head.id,
             target_name = self.inner.target_name(),
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -39,6 +39,8 @@
     context: RequestContext,
     phase: RelayPhase,
     framer: EventFramer,
+    /// Whether an event was forwarded.
+    has_events: bool,
     deadline: Pin<Box<Sleep>>,
 }
 
@@ -48,6 +50,8 @@
     pub guard: RunGuard,
     /// The body received from the target.
     pub body: Incoming,
+    /// Whether a length or chunks mark the end of the body.
+    pub is_framed: bool,
 }
 
 /// Current state of the relay.
@@ -72,6 +76,7 @@
             context,
             phase: RelayPhase::Streaming(source),
             framer: EventFramer::default(),
+            has_events: false,
             deadline,
         }
     }
@@ -117,6 +122,7 @@
                 }
                 self.context.record_bytes();
                 let events = self.framer.push(bytes);
+                self.has_events |= !events.is_empty();
                 if let (false, RelayPhase::Streaming(source)) = (events.is_empty(), &self.phase) {
                     source.guard.mark_events();
                 }
@@ -126,6 +132,14 @@
                 self.interrupt(&error);
                 None
             }
+            None if self.framer.is_inside_event() => {
+                self.interrupt(&"the stream ended inside an event");
+                None
+            }
+            None if self.lacks_events() => {
+                self.interrupt(&"the connection ended before the first event");
+                None
+            }
             None => {
                 if let RelayPhase::Streaming(source) = self.end_phase() {
                     source.guard.end(RunOutcome::Whole);
@@ -137,8 +151,18 @@
         }
     }
 
-    /// Ends the run of a failed connection and starts resuming the stream at another target.
-    fn interrupt(&mut self, error: &hyper::Error) {
+    /// Returns whether there has been no event of a stream whose end only its connection marks. A
+    /// target that crashes before its first event leaves the same bytes.
+    fn lacks_events(&self) -> bool {
+        let is_framed = match &self.phase {
+            RelayPhase::Streaming(source) => source.is_framed,
+            RelayPhase::Resuming(_) | RelayPhase::Ended => true,
+        };
+        !is_framed && !self.has_events
+    }
+
+    /// Ends the run of a stream that broke off and starts resuming it at another target.
+    fn interrupt(&mut self, error: &dyn fmt::Display) {
         if let RelayPhase::Streaming(source) = self.end_phase() {
             source.guard.end(RunOutcome::Broken);
         }
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -334,7 +334,7 @@
         if is_stream && head.is_signed_success() {
             return SendOutcome::Answered(TargetResponse::Stream(
                 parts,
-                RelaySource { guard, body },
+                RelaySource { guard, body, is_framed: head.is_framed },
             ));
         }
         guard.mark_started();
