Cut off targets that send bytes without end

What callers saw: with interim responses, or the zeros of a chunk size, without end the answer came at the deadline (504 after 4 s) while the router read and parsed all of it; an event without end was forwarded in pieces until then.

Cause: the HTTP client bounds a head that it buffers, but skips interim responses and leading zeros for as long as they come; the framer handed on an event over its limit in parts. Buffered bodies had a limit each (8 MiB) and none together: twelve at once are more than the smallest VM has.

Fix: a connection to a target counts the bytes read since the response last advanced, by its head or data of its body, and fails at 256 KiB; the client buffers 64 KiB at most. An event over 256 KiB (1 MiB before) breaks its stream off. Bodies that are buffered share 16 MiB beyond 64 KiB each, so that small ones always pass. The framer searches only what is new for the end of an event. Log lines of broken connections state the source of the error.

BodyBuffer's budget has a test of its own.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -11,10 +11,11 @@
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
 
+use crate::body_buffer::BodyBuffer;
 use crate::caller_connections::CallerConnections;
 use crate::crash_check::CrashChecks;
 use crate::edge_metrics::EdgeMetrics;
-use crate::log_lists::format_parts;
+use crate::log_text::format_parts;
 use crate::target_pool::TargetPool;
 
 /// Interval of the housekeeping tick. Late ticks reveal how far the process lags behind.
@@ -38,6 +39,8 @@
     pub metrics: EdgeMetrics,
     /// Pooled connections to targets.
     pub pool: TargetPool,
+    /// Budget for response bodies that are buffered.
+    pub body_buffer: BodyBuffer,
     /// Checks whether targets crashed.
     pub crash_checks: CrashChecks,
     /// Open connections of callers.
@@ -58,6 +61,7 @@
         Rc::new(EdgeState {
             metrics: EdgeMetrics::register(),
             pool: TargetPool::default(),
+            body_buffer: BodyBuffer::default(),
             crash_checks: CrashChecks::default(),
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -2,8 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Size limit of a buffered partial event, in bytes; a longer event is forwarded in parts.
-const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
+/// Size limit of an event, in bytes; far above the events of targets, which hold a few tokens.
+const EVENT_LIMIT_BYTES: usize = 256 * 1024;
 
 /// Buffers the bytes of a partial event until the event is complete.
 #[derive(Debug, Default)]
@@ -19,14 +19,13 @@
             self.record_id(&bytes);
             return bytes;
         }
+        // What was buffered before has no boundary, but may end with the first half of one.
+        let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(&bytes);
-        let Some(end) = find_last_boundary(&self.partial) else {
-            if self.partial.len() > EVENT_LIMIT_BYTES {
-                return self.take_partial();
-            }
+        let Some(end) = find_last_boundary(&self.partial[searched..]) else {
             return Bytes::new();
         };
-        let events = self.partial.split_to(end).freeze();
+        let events = self.partial.split_to(searched + end).freeze();
         self.record_id(&events);
         events
     }
@@ -41,6 +40,12 @@
         self.partial.clear();
     }
 
+    /// Returns whether the buffered part of an event is over the limit, so that the stream must not be
+    /// read further.
+    pub fn is_over_limit(&self) -> bool {
+        self.partial.len() > EVENT_LIMIT_BYTES
+    }
+
     /// Returns whether the bytes end inside an event.
     pub fn is_inside_event(&self) -> bool {
         self.partial.iter().any(|byte| !matches!(byte, b'\n' | b'\r'))
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -9,6 +9,7 @@
 //! exchanges load and customer usage with the other routers, and [`peer_snapshot`] copies
 //! configuration and targets to routers that do not watch the store or cannot reach it.
 
+pub mod body_buffer;
 pub mod caller_connections;
 pub mod caller_server;
 pub mod caller_stream;
@@ -20,10 +21,11 @@
 pub mod http_exchange;
 pub mod internal_server;
 pub mod local_response;
-mod log_lists;
+mod log_text;
 pub mod peer_reports;
 pub mod peer_snapshot;
 mod peer_table;
+pub mod read_meter;
 pub mod request_context;
 pub mod response_relay;
 pub mod run_guard;
--- a/crates/jackdaw-edge/src/log_lists.rs
+++ b/crates/jackdaw-edge/src/log_text.rs
@@ -1,4 +1,6 @@
-//! Lists in log lines.
+//! Text of values in log lines.
+
+use std::error::Error;
 
 /// Maximum number of entries of a list in one log line.
 const MAX_LOGGED_ENTRIES: usize = 12;
@@ -18,3 +20,11 @@
     let names: Vec<String> = parts.into_iter().map(|part| format!("{part:x}")).collect();
     format_names(&names)
 }
+
+/// Formats an error of the HTTP client with its source, which says what went wrong.
+pub(crate) fn format_error(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
-use crate::log_lists::format_names;
+use crate::log_text::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::{PeerTable, RouterPrefills, RouterReport};
 
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -1,7 +1,6 @@
 //! Per-request state, and the log and metrics entries written when the request ends.
 
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +14,7 @@
 
 use crate::edge_state::{EdgeState, OpenRequest};
 use crate::local_response::LocalResponse;
-use crate::log_lists::format_parts;
+use crate::log_text::format_parts;
 
 /// Limit of sends per request that no target ran, including failed connection attempts.
 const MAX_UNRUN_SENDS: u32 = 3;
@@ -143,7 +142,7 @@
     }
 
     /// Logs that a stream broke off.
-    pub fn log_interruption(&self, error: &dyn fmt::Display) {
+    pub fn log_interruption(&self, error: &str) {
         log::info!(
             request:% = self.inner.request.head.id,
             target_name = self.inner.target_name(),
@@ -151,7 +150,7 @@
             runs = self.inner.runs.get(),
             has_event = self.inner.first_byte.get().is_some(),
             parts = self.inner.shared_parts(),
-            error:% = error;
+            error;
             "target connection failed during the stream"
         );
     }
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 use jackdaw_policy::direct::RunOutcome;
 use tokio::time::Sleep;
 
 use crate::event_framer::EventFramer;
+use crate::log_text::format_error;
+use crate::read_meter::MeteredBody;
 use crate::request_context::RequestContext;
 use crate::run_guard::RunGuard;
 use crate::target_send::resume_stream;
@@ -49,7 +50,7 @@
     /// Guard of the run that produces the body.
     pub guard: RunGuard,
     /// The body received from the target.
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// Whether a length or chunks mark the end of the body.
     pub is_framed: bool,
 }
@@ -122,6 +123,10 @@
                 }
                 self.context.record_bytes();
                 let events = self.framer.push(bytes);
+                if self.framer.is_over_limit() {
+                    self.interrupt("an event is over the limit");
+                    return None;
+                }
                 self.has_events |= !events.is_empty();
                 if let (false, RelayPhase::Streaming(source)) = (events.is_empty(), &self.phase) {
                     source.guard.mark_events();
@@ -129,15 +134,15 @@
                 (!events.is_empty()).then_some(Some(Ok(events)))
             }
             Some(Err(error)) => {
-                self.interrupt(&error);
+                self.interrupt(&format_error(&error));
                 None
             }
             None if self.framer.is_inside_event() => {
-                self.interrupt(&"the stream ended inside an event");
+                self.interrupt("the stream ended inside an event");
                 None
             }
             None if self.lacks_events() => {
-                self.interrupt(&"the connection ended before the first event");
+                self.interrupt("the connection ended before the first event");
                 None
             }
             None => {
@@ -162,12 +167,12 @@
     }
 
     /// Ends the run of a stream that broke off and starts resuming it at another target.
-    fn interrupt(&mut self, error: &dyn fmt::Display) {
+    fn interrupt(&mut self, reason: &str) {
         if let RelayPhase::Streaming(source) = self.end_phase() {
             source.guard.end(RunOutcome::Broken);
         }
         self.framer.discard_partial();
-        self.context.log_interruption(error);
+        self.context.log_interruption(reason);
         let resumption = resume_stream(self.context.clone(), self.framer.last_id());
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
     }
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::edge_state::EdgeState;
-use crate::log_lists::format_names;
+use crate::log_text::format_names;
 
 /// How long the store may hold a long-poll request. A connection that went silent is detected after
 /// this time, within the three seconds after which the platform expects an undisturbed machine to
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -9,8 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use jackdaw_policy::direct::TargetId;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +17,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::read_meter::{CLIENT_BUFFER_BYTES, MeteredBody, MeteredStream, ReadMeter};
+
 /// Timeout for opening a connection to a target: below the shortest latency objectives, and far
 /// above the round trip between failure domains.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -42,6 +43,7 @@
 pub struct TargetConnection {
     target: TargetId,
     sender: SendRequest<Full<Bytes>>,
+    meter: ReadMeter,
     driver: AbortHandle,
     idle_lifetime: Duration,
     idle_since: Instant,
@@ -89,7 +91,10 @@
         let probes =
             TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
         SockRef::from(&stream).set_tcp_keepalive(&probes)?;
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let meter = ReadMeter::default();
+        let stream = TokioIo::new(MeteredStream::new(stream, &meter));
+        let client = Builder::new().max_buf_size(CLIENT_BUFFER_BYTES).to_owned();
+        let handshake = client.handshake(stream).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // Errors of a request are returned by `send`, so the driver only logs them.
@@ -100,6 +105,7 @@
         Ok(TargetConnection {
             target,
             sender,
+            meter,
             driver: driver.abort_handle(),
             idle_lifetime: DEFAULT_IDLE_LIFETIME,
             idle_since: Instant::now(),
@@ -152,7 +158,8 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<MeteredBody>, SendError> {
+        self.meter.reset();
         let result = self.sender.try_send_request(request).await;
         let response = result.map_err(|mut error| match error.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
@@ -161,7 +168,8 @@
         if let Some(lifetime) = parse_idle_timeout(response.headers()) {
             self.idle_lifetime = lifetime;
         }
-        Ok(response)
+        self.meter.reset();
+        Ok(response.map(|body| MeteredBody::new(body, &self.meter)))
     }
 
     /// Returns the target of the connection.
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -4,21 +4,19 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use jackdaw_platform::{FleetHeaders, ResponseHead, ResponseSource, build_target_request};
 use jackdaw_policy::direct::{Placement, RequestKind, RunOutcome, TargetId};
 
 use crate::crash_check::check_crash;
 use crate::local_response::LocalResponse;
+use crate::log_text::format_error;
+use crate::read_meter::MeteredBody;
 use crate::request_context::RequestContext;
 use crate::response_relay::RelaySource;
 use crate::run_guard::RunGuard;
 use crate::target_pool::{SendError, TargetConnection};
 
-/// Size limit of a response that is buffered completely before it is forwarded, in bytes.
-const BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// A response received from a target.
 pub(crate) enum TargetResponse {
     /// A completely buffered response.
@@ -175,7 +173,7 @@
                     target_name = name.as_str(),
                     target_id = target.0,
                     parts = inner.shared_parts(),
-                    error:% = error;
+                    error = format_error(&error);
                     "target connection failed before the response"
                 );
                 guard.end(RunOutcome::Broken);
@@ -232,7 +230,7 @@
         request: Request<Full<Bytes>>,
         target: TargetId,
         address: SocketAddr,
-    ) -> Result<Response<Incoming>, TransferError> {
+    ) -> Result<Response<MeteredBody>, TransferError> {
         // The target may have asked for a pause or announced its leaving during the connect.
         if !self.accepts_placed(target) {
             return Err(TransferError::Withheld);
@@ -269,7 +267,7 @@
     async fn classify_response(
         &self,
         guard: RunGuard,
-        response: Response<Incoming>,
+        response: Response<MeteredBody>,
     ) -> SendOutcome {
         let inner = &self.inner;
         let (parts, body) = response.into_parts();
@@ -327,7 +325,7 @@
         guard: RunGuard,
         head: ResponseHead,
         parts: Box<response::Parts>,
-        body: Incoming,
+        body: MeteredBody,
     ) -> SendOutcome {
         let inner = &self.inner;
         let is_stream = matches!(inner.request.route.kind, RequestKind::Stream { .. });
@@ -338,9 +336,8 @@
             ));
         }
         guard.mark_started();
-        let body = Limited::new(body, BUFFERED_RESPONSE_BYTES).collect().await;
-        let body = match body {
-            Ok(body) => body.to_bytes(),
+        let body = match inner.state.body_buffer.collect(body).await {
+            Ok(body) => body,
             Err(error) => {
                 log::info!(
                     request:% = inner.request.head.id,
--- a/crates/jackdaw-edge/tests/edge/event_bounds.rs
+++ b/crates/jackdaw-edge/tests/edge/event_bounds.rs
@@ -45,3 +45,16 @@
     framer.discard_partial();
     assert_eq!(push(&mut framer, "id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
 }
+
+/// Bytes without the end of an event are no event, however many there are.
+#[test]
+fn event_without_end_exceeds_the_limit() {
+    let mut framer = EventFramer::default();
+    let mut pushed = 0;
+    while !framer.is_over_limit() {
+        assert!(push(&mut framer, "data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa").is_empty());
+        pushed += 1;
+        assert!(pushed < 100_000, "no limit");
+    }
+    assert!(framer.is_inside_event());
+}
--- a/crates/jackdaw-edge/tests/edge/main.rs
+++ b/crates/jackdaw-edge/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of single components of the edge router.
 
+mod body_buffer;
 mod caller_stream;
 mod command_line;
 mod connection_limit;
