Read and log the limits that targets state

Nothing in the logs told that a target was limited, since no code read the header.

Added: ResponseHead reads `Server-Limit` (a fraction, zero, a huge or an unreadable value); TargetLimits keeps what a router learns from its own responses; "target states a limit" and "target states no limit any more", a counter and a level. No decision depends on it.

--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -169,6 +169,7 @@
     levels.set(&[("of", "config_version")], router.config_version() as i64);
     levels.set(&[("of", "targets")], router.targets.len() as i64);
     levels.set(&[("of", "targets_missing")], router.targets.missing_count() as i64);
+    levels.set(&[("of", "targets_limited")], router.limited_count() as i64);
     levels.set(&[("of", "refused_causes")], router.refused_cause_count() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -26,6 +26,8 @@
     pub leavings: Counter,
     /// Pauses that targets asked this router for.
     pub pauses: Counter,
+    /// Changes of limits that targets stated.
+    pub limits: Counter,
     /// Crashes of targets that this router recognised.
     pub target_crashes: Counter,
     /// Changes of targets by their effect on this router's table.
@@ -57,6 +59,7 @@
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
+            limits: plain("edge_target_limits", "Changes of limits that targets stated"),
             target_crashes: plain("edge_target_crashes", "Crashes of targets seen by own runs"),
             target_changes: registry
                 .counter("edge_target_changes", "Changes of targets by their effect"),
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -6,7 +6,7 @@
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{
-    CrashNotice, DirectPolicy, DirectRouter, OverloadDetector, ShedAction, TargetId,
+    CrashNotice, DirectPolicy, DirectRouter, LimitStatement, OverloadDetector, ShedAction, TargetId,
 };
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
@@ -185,6 +185,24 @@
         self.pool.close_idle(target);
     }
 
+    /// Logs and counts that a target states another limit than before. `source` is the request whose
+    /// response says so, or the address of the router whose report passed it on.
+    pub fn handle_limit(&self, target: TargetId, statement: LimitStatement, source: &str) {
+        let name = self.router().targets.find(target).map(|entry| entry.name.clone());
+        let target_name = name.unwrap_or_default();
+        self.metrics.limits.inc();
+        match statement {
+            LimitStatement::Limited(rate) => log::info!(
+                target_name, target_id = target.0, per_second = rate.per_second(), source;
+                "target states a limit"
+            ),
+            LimitStatement::Unlimited => log::info!(
+                target_name, target_id = target.0, source;
+                "target states no limit any more"
+            ),
+        }
+    }
+
     /// Logs and counts what became known about crashes since the last call.
     pub fn log_crash_notices(&self) {
         let notices = self.router().take_crash_notices();
--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use jackdaw_policy::direct::{RunId, RunOutcome, TargetId};
+use jackdaw_policy::direct::{LimitStatement, RunId, RunOutcome, TargetId};
 
 use crate::edge_state::EdgeState;
 use crate::target_pool::TargetConnection;
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Records what the response states about the requests that its target takes; returns whether that
+    /// is new.
+    pub fn record_limit(&self, statement: LimitStatement) -> bool {
+        let now = self.state.now();
+        self.run.is_some_and(|run| self.state.router().record_limit(now, run, statement))
+    }
+
     /// Records that bytes of the response arrived.
     pub fn mark_started(&self) {
         if let Some(run) = self.run {
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -277,6 +277,9 @@
         if head.is_leaving && is_from_target {
             inner.state.record_leaving(target, &inner.request.head.id);
         }
+        if is_from_target && guard.record_limit(head.limit) {
+            inner.state.handle_limit(target, head.limit, &inner.request.head.id);
+        }
         if head.pause.is_some() && is_from_target {
             inner.state.metrics.pauses.inc();
         }
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -26,6 +26,7 @@
 pub mod store_revision;
 pub mod stream_monitor;
 pub mod target_health;
+pub mod target_limits;
 pub mod target_speed;
 pub mod target_table;
 pub mod watch_election;
@@ -60,6 +61,7 @@
 pub use store_revision::StoreRevision;
 pub use stream_monitor::StreamMonitor;
 pub use target_health::{SendFailure, TargetHealth};
+pub use target_limits::{LimitStatement, RequestRate, TargetLimits};
 pub use target_speed::TargetSpeed;
 pub use target_table::{
     ChangeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange, TargetEntry,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -29,6 +29,7 @@
 use crate::direct::route_table::RouteTable;
 use crate::direct::stream_monitor::StreamMonitor;
 use crate::direct::target_health::{SendFailure, TargetHealth};
+use crate::direct::target_limits::{LimitStatement, TargetLimits};
 use crate::direct::target_speed::TargetSpeed;
 use crate::direct::target_table::{TargetId, TargetTable};
 use crate::direct::watch_election::WatchElection;
@@ -131,6 +132,7 @@
     loads: LoadTable,
     speeds: TargetSpeed,
     health: TargetHealth,
+    limits: TargetLimits,
     prefixes: PrefixMap,
     ledger: CustomerLedger,
     budgets: HashMap<String, FleetRetryBudget>,
@@ -159,6 +161,7 @@
             loads: LoadTable::default(),
             speeds: TargetSpeed::default(),
             health: TargetHealth::default(),
+            limits: TargetLimits::default(),
             prefixes: PrefixMap::default(),
             budgets: HashMap::new(),
             mean_waits: HashMap::new(),
@@ -341,6 +344,25 @@
         self.targets.record_leaving(now, target)
     }
 
+    /// Records what a run's response states about the requests that its target takes; returns whether
+    /// that is new.
+    pub fn record_limit(
+        &mut self,
+        now: MonotonicTime,
+        run: RunId,
+        statement: LimitStatement,
+    ) -> bool {
+        let Some(record) = self.runs.get(&run) else {
+            return false;
+        };
+        self.limits.record_statement(now, record.target, statement, record.sent_at)
+    }
+
+    /// Returns the number of targets that state a limit.
+    pub fn limited_count(&self) -> usize {
+        self.limits.len()
+    }
+
     /// Returns whether a request that was placed on a target may still be sent to it: the target
     /// has neither announced its leaving nor asked for a pause in the meantime.
     pub fn accepts_placed(&self, now: MonotonicTime, target: TargetId) -> bool {
@@ -417,6 +439,7 @@
         let targets = &self.targets;
         self.speeds.retain(|target| targets.contains(target));
         self.health.retain(now, |target| targets.contains(target));
+        self.limits.retain(|target| targets.contains(target));
         self.prefixes.retain(|target| targets.contains(target));
     }
 }
