Keep requests to a target within the limit that it states

What callers saw: a target in need, slow already, got a third more requests than it had said it takes, and everything there became later still.

Cause: no decision used the limit. Class of fault: a bound that belongs to the fleet and that no router can keep from what it sees itself. The retry budget is of the same kind and is divided among the routers; an equal share would not do here, since one router may have two thirds of the work and 103 routers less than one request each.

Fix: routers report what they sent and withheld per limited target. A request is admitted while the known ones leave room in a window of two seconds. For what is under way unreported, each router admits its own with the probability room / (1 + demand x delay of reports): the expected sum stays within the room, whoever has the work. Placement takes a target that admits no more for unusable, so its parts go to their next target; where all are limited what is over is refused at once, with the mean time between two requests as Retry-After.

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use jackdaw_base::{ErrorKind, plain_data};
+use jackdaw_base::{ErrorKind, ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{CrashFinding, TargetId, uses_relays};
 use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
@@ -21,7 +21,7 @@
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
-use crate::peer_table::{PeerTable, RouterPrefills, RouterReport};
+use crate::peer_table::{PeerTable, ReportDetails, RouterLimits, RouterPrefills, RouterReport};
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -83,8 +83,36 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`CrashExtension`], as known to builds that heed limits of targets.
+    #[derive(Default)]
+    struct LimitExtension {
+        /// Use of limited targets by the routers whose reports the datagram contains.
+        limits: Vec<RouterLimits>,
+    }
+}
+
 /// A datagram with all that follows it.
-type ReceivedDatagram = (ReportDatagram, DatagramExtension, CrashExtension);
+struct ReceivedDatagram {
+    datagram: ReportDatagram,
+    extension: DatagramExtension,
+    crashes: CrashExtension,
+    limits: LimitExtension,
+}
+
+impl ReceivedDatagram {
+    /// Returns what follows the report of the router with this incarnation.
+    fn details(&self, incarnation: ProcessIncarnation) -> ReportDetails {
+        let prefills = self.extension.prefills.iter();
+        let prefills = prefills.filter(|prefills| prefills.incarnation == incarnation);
+        let limits = self.limits.limits.iter();
+        let limits = limits.filter(|limits| limits.incarnation == incarnation);
+        ReportDetails {
+            prefills: prefills.flat_map(|prefills| prefills.usages.iter().copied()).collect(),
+            limits: limits.flat_map(|limits| limits.usages.iter().copied()).collect(),
+        }
+    }
+}
 
 /// Background tasks that exchange reports.
 pub struct PeerReports {
@@ -139,8 +167,8 @@
     }
 
     /// Processes a datagram, and forwards it within the failure domain if it is a bundle.
-    fn receive(&self, sender: Ipv4Addr, received: ReceivedDatagram) {
-        let (datagram, extension, crashes) = received;
+    fn receive(&self, sender: Ipv4Addr, received: &ReceivedDatagram) {
+        let datagram = &received.datagram;
         self.add(sender);
         for ip in &datagram.known {
             self.add(*ip);
@@ -159,25 +187,31 @@
             if !self.state.router().apply_report(now, report) {
                 continue;
             }
-            let mut prefills = extension.prefills.iter();
-            let prefills = prefills.find(|prefills| prefills.incarnation == report.incarnation);
-            let usages = prefills.map_or(&[][..], |prefills| &prefills.usages);
-            self.state.router().apply_prefill(report.incarnation, usages);
-            self.peers.borrow_mut().record(&self.state, *address, report, usages);
+            let details = received.details(report.incarnation);
+            self.state.router().apply_prefill(report.incarnation, &details.prefills);
+            let limits = &details.limits;
+            let changes = self.state.router().apply_limits(now, report.incarnation, limits);
+            for change in changes {
+                self.state.handle_limit(change.target, change.statement, &address.to_string());
+            }
+            self.peers.borrow_mut().record(&self.state, *address, report, details);
         }
         if let (true, [RouterReport { report, .. }]) = (is_introduced, &datagram.reports[..]) {
             self.introduce(sender, &report.domain);
         }
         if datagram.is_bundle {
             let peers = self.peers.borrow().domain_peers();
-            let forwarded = ReportDatagram { is_bundle: false, ..datagram };
-            self.send(&peers, &forwarded, extension.prefills);
+            let forwarded = ReportDatagram { is_bundle: false, ..datagram.clone() };
+            let details = datagram.reports.iter().map(|RouterReport { report, .. }| {
+                (report.incarnation, received.details(report.incarnation))
+            });
+            self.send(&peers, &forwarded, details.collect());
         }
         let source = sender.to_string();
-        for target in extension.leaving {
-            self.state.record_leaving(target, &source);
+        for target in &received.extension.leaving {
+            self.state.record_leaving(*target, &source);
         }
-        self.state.router().apply_crash_findings(now, &crashes.findings);
+        self.state.router().apply_crash_findings(now, &received.crashes.findings);
         self.state.log_crash_notices();
     }
 
@@ -186,23 +220,25 @@
     fn introduce(&self, sender: Ipv4Addr, domain: &str) {
         let known = self.peers.borrow().introduction(domain);
         log::debug!(peer:% = sender, introduced = known.len(); "introducing routers to a peer");
-        let (own, prefills) = self.own_report();
+        let (own, details) = self.own_report();
+        let incarnation = own.report.incarnation;
         let datagram = ReportDatagram { reports: vec![own], known, is_bundle: false };
-        self.send(&[sender], &datagram, vec![prefills]);
+        self.send(&[sender], &datagram, vec![(incarnation, details)]);
     }
 
-    fn own_report(&self) -> (RouterReport, RouterPrefills) {
+    fn own_report(&self) -> (RouterReport, ReportDetails) {
         let mut router = self.state.router();
         let now = self.state.now();
-        let prefills =
-            RouterPrefills { incarnation: router.incarnation(), usages: router.prefill_usage(now) };
+        let (prefills, limits) = (router.prefill_usage(now), router.limit_usage(now));
         let report = router.report(now);
-        (RouterReport { address: self.state.settings().ip(), report }, prefills)
+        let address = self.state.settings().ip();
+        (RouterReport { address, report }, ReportDetails { prefills, limits })
     }
 
     /// Sends the reports of one period; returns the time until the next period.
     fn send_period(&self, period: u64) -> Duration {
-        let (own, prefills) = self.own_report();
+        let (own, details) = self.own_report();
+        let incarnation = own.report.incarnation;
         let (plan, known, is_relayed) = {
             let peers = self.peers.borrow();
             let known = match period % PEER_LIST_INTERVAL {
@@ -212,14 +248,18 @@
             (peers.plan(&self.state, period), known, uses_relays(peers.len()))
         };
         let datagram = ReportDatagram { reports: vec![own.clone()], known, is_bundle: false };
-        self.send(&plan.direct, &datagram, vec![prefills.clone()]);
+        self.send(&plan.direct, &datagram, vec![(incarnation, details.clone())]);
         if !plan.bundles.is_empty() {
             let mut reports = self.peers.borrow().domain_reports();
-            reports.push((own, prefills));
+            reports.push((own, details));
             for reports in reports.chunks(MAX_BUNDLE_REPORTS) {
-                let (reports, prefills) = reports.iter().cloned().unzip();
+                let details = reports.iter();
+                let details =
+                    details.map(|(own, details)| (own.report.incarnation, details.clone()));
+                let details = details.collect();
+                let reports = reports.iter().map(|(report, _)| report.clone()).collect();
                 let datagram = ReportDatagram { reports, known: Vec::new(), is_bundle: true };
-                self.send(&plan.bundles, &datagram, prefills);
+                self.send(&plan.bundles, &datagram, details);
             }
         }
         let min_period = if is_relayed { RELAYED_PERIOD } else { REPORT_PERIOD };
@@ -230,13 +270,22 @@
         &self,
         receivers: &[Ipv4Addr],
         datagram: &ReportDatagram,
-        prefills: Vec<RouterPrefills>,
+        details: Vec<(ProcessIncarnation, ReportDetails)>,
     ) {
         let now = self.state.now();
+        let (prefills, limits) = details
+            .into_iter()
+            .map(|(incarnation, ReportDetails { prefills, limits })| {
+                let prefills = RouterPrefills { incarnation, usages: prefills };
+                (prefills, RouterLimits { incarnation, usages: limits })
+            })
+            .unzip();
         let leaving = self.state.router().targets.announced_leaving(now, LEAVING_REPORT_TIME);
         let extension = DatagramExtension { leaving, prefills };
         let crashes = CrashExtension { findings: self.state.router().crash_findings(now) };
-        let bytes = match postcard::to_stdvec(&(datagram, extension, crashes)) {
+        let mut limits = LimitExtension { limits };
+        limits.limits.retain(|limits| !limits.usages.is_empty());
+        let bytes = match postcard::to_stdvec(&(datagram, extension, crashes, limits)) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
             Ok(bytes) => {
                 log::error!(bytes = bytes.len(); "report exceeds the datagram size limit");
@@ -300,7 +349,7 @@
         match decode_datagram(&bytes[..length]) {
             Ok(received) => {
                 exchange.state.metrics.reports_received.inc();
-                exchange.receive(*sender.ip(), received);
+                exchange.receive(*sender.ip(), &received);
             }
             Err(error) => {
                 log::warn!(peer:% = sender, error:% = error; "failed to decode a report");
@@ -309,13 +358,13 @@
     }
 }
 
-/// Decodes a datagram and what follows it; older builds send only the first of the extensions, or
-/// none.
+/// Decodes a datagram and what follows it; older builds send only the first extensions, or none.
 fn decode_datagram(bytes: &[u8]) -> postcard::Result<ReceivedDatagram> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     let (extension, rest) = take_extension(rest)?;
-    let (crashes, _) = take_extension(rest)?;
-    Ok((datagram, extension, crashes))
+    let (crashes, rest) = take_extension(rest)?;
+    let (limits, _) = take_extension(rest)?;
+    Ok(ReceivedDatagram { datagram, extension, crashes, limits })
 }
 
 /// Decodes an extension, which is empty if the bytes end before it, and returns the bytes after it.
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -6,8 +6,8 @@
 
 use jackdaw_base::{ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{
-    FetchUrgency, PeerReport, PeerStatus, PlanPeer, PrefillUsage, ReportPlan, WatchPeer,
-    introduce_peers, needs_introduction, plan_reports,
+    FetchUrgency, LimitUsage, PeerReport, PeerStatus, PlanPeer, PrefillUsage, ReportPlan,
+    WatchPeer, introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -49,6 +49,26 @@
     }
 }
 
+plain_data! {
+    /// Use of limited targets by the router with an incarnation, which follows its report in a
+    /// datagram.
+    pub(crate) struct RouterLimits {
+        /// Incarnation of the router.
+        pub(crate) incarnation: ProcessIncarnation,
+        /// Usage by target.
+        pub(crate) usages: Vec<LimitUsage>,
+    }
+}
+
+/// What follows a router's report in a datagram.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ReportDetails {
+    /// The router's recent prefills.
+    pub(crate) prefills: Vec<PrefillUsage>,
+    /// The router's use of limited targets.
+    pub(crate) limits: Vec<LimitUsage>,
+}
+
 /// State kept for another router.
 #[derive(Debug, Clone, Default)]
 struct PeerRecord {
@@ -62,7 +82,7 @@
 struct ReceivedReport {
     time: Instant,
     report: PeerReport,
-    prefills: Vec<PrefillUsage>,
+    details: ReportDetails,
     is_same_domain: bool,
 }
 
@@ -102,16 +122,19 @@
         same_domain.map(|(ip, _)| *ip).collect()
     }
 
-    /// Returns the latest reports of routers in the same failure domain with their recent prefills,
-    /// without those that fell silent.
-    pub(crate) fn domain_reports(&self) -> Vec<(RouterReport, RouterPrefills)> {
+    /// Returns the latest reports of routers in the same failure domain, without those that fell
+    /// silent.
+    pub(crate) fn domain_reports(&self) -> Vec<(RouterReport, ReportDetails)> {
         let last = self.peers.iter().filter_map(|(ip, record)| Some((ip, record.last.as_ref()?)));
         let same_domain =
             last.filter(|(_, last)| last.is_same_domain && last.is_recent(self.silence_timeout()));
         let reports = same_domain.map(|(ip, last)| {
-            let incarnation = last.report.incarnation;
-            let prefills = RouterPrefills { incarnation, usages: last.prefills.clone() };
-            (RouterReport { address: *ip, report: last.report.clone() }, prefills)
+            let mut details = last.details.clone();
+            for usage in &mut details.limits {
+                usage.statement =
+                    usage.statement.map(|statement| statement.aged(last.time.elapsed()));
+            }
+            (RouterReport { address: *ip, report: last.report.clone() }, details)
         });
         reports.collect()
     }
@@ -163,7 +186,7 @@
         state: &EdgeState,
         sender: Ipv4Addr,
         report: &PeerReport,
-        prefills: &[PrefillUsage],
+        details: ReportDetails,
     ) {
         let record = self.peers.entry(sender).or_default();
         if record.last.is_none() {
@@ -173,7 +196,7 @@
         record.last = Some(ReceivedReport {
             time: now,
             report: report.clone(),
-            prefills: prefills.to_vec(),
+            details,
             is_same_domain: report.domain == state.settings().domain,
         });
         let router = state.router();
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -61,7 +61,9 @@
 pub use store_revision::StoreRevision;
 pub use stream_monitor::StreamMonitor;
 pub use target_health::{SendFailure, TargetHealth};
-pub use target_limits::{LimitStatement, RequestRate, TargetLimits};
+pub use target_limits::{
+    LimitChange, LimitStatement, LimitUsage, ReceivedStatement, RequestRate, TargetLimits,
+};
 pub use target_speed::TargetSpeed;
 pub use target_table::{
     ChangeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange, TargetEntry,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -289,6 +289,7 @@
         let tokens_ahead = self.loads.load(target).queued_tokens + prefill_tokens;
         self.loads.add_queued(target, prefill_tokens, memory_tokens);
         self.health.record_send(now, target);
+        self.limits.record_send(now, target);
         if let Some(prompt) = request.prompt {
             self.prefixes.record_send(now, target, prompt);
             if let Some(customer) = request.customer {
@@ -425,6 +426,7 @@
         for incarnation in self.loads.expire(now) {
             self.ledger.remove_peer(incarnation);
             self.prefills.remove_peer(incarnation);
+            self.limits.remove_peer(incarnation);
         }
         self.expire_crashes(now);
         let removed = self.targets.expire(now);
@@ -439,7 +441,7 @@
         let targets = &self.targets;
         self.speeds.retain(|target| targets.contains(target));
         self.health.retain(now, |target| targets.contains(target));
-        self.limits.retain(|target| targets.contains(target));
+        self.limits.retain(now, |target| targets.contains(target));
         self.prefixes.retain(|target| targets.contains(target));
     }
 }
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -57,21 +57,28 @@
         let memory_tokens = service.and_then(|service| service.memory_tokens);
         let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
         let mut placement_request = self.placement_request(now, request, mean_wait);
-        let view =
-            PlacementView { router: self, now, request, memory_tokens, ready: &ready, tried };
-        let limits = PlacementLimits::new(&placement_request);
-        let ranked = view.candidates();
-        if ranked.is_empty() {
-            placement_request.shortest_target_pause = view.shortest_target_pause();
+        let (placement, withheld) = {
+            let view =
+                PlacementView { router: self, now, request, memory_tokens, ready: &ready, tried };
+            let limits = PlacementLimits::new(&placement_request);
+            let RankedTargets { candidates: ranked, withheld } = view.rank_targets();
+            if ranked.is_empty() {
+                placement_request.shortest_target_pause = view.shortest_target_pause();
+            }
+            let candidates: Vec<PlacementTarget> =
+                ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
+            let placement = choose_candidate(&placement_request, &limits, &candidates)
+                .or_else(|| {
+                    let others = view.spill_targets(&limits, &ranked);
+                    choose_spill_target(&placement_request, &limits, others)
+                })
+                .unwrap_or_else(|| refuse(&placement_request, &limits, &candidates));
+            (placement, withheld)
+        };
+        for target in withheld {
+            self.limits.record_withheld(now, target);
         }
-        let candidates: Vec<PlacementTarget> =
-            ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
-        choose_candidate(&placement_request, &limits, &candidates)
-            .or_else(|| {
-                let others = view.spill_targets(&limits, &ranked);
-                choose_spill_target(&placement_request, &limits, others)
-            })
-            .unwrap_or_else(|| refuse(&placement_request, &limits, &candidates))
+        placement
     }
 
     /// Returns the longest pause of a service's streams while prefill beside them is limited.
@@ -122,36 +129,105 @@
     tried: &'a [TargetId],
 }
 
+/// The preferred targets of a request.
+#[derive(Default)]
+struct RankedTargets<'a> {
+    /// Usable ones, the home target first.
+    candidates: SmallVec<[&'a ReadyTarget; CANDIDATE_TARGETS]>,
+    /// Those that would be candidates if they took more requests.
+    withheld: SmallVec<[TargetId; CANDIDATE_TARGETS]>,
+}
+
+/// The targets with the highest rendezvous weights for a prompt part, highest first.
+#[derive(Default)]
+struct TopTargets<'a> {
+    ranked: SmallVec<[(u64, &'a ReadyTarget); CANDIDATE_TARGETS]>,
+}
+
+impl<'a> TopTargets<'a> {
+    /// Returns whether a target with this weight would be among them.
+    fn includes(&self, weight: u64) -> bool {
+        self.position(weight) < CANDIDATE_TARGETS
+    }
+
+    fn insert(&mut self, weight: u64, target: &'a ReadyTarget) {
+        let position = self.position(weight);
+        if position < CANDIDATE_TARGETS {
+            self.ranked.truncate(CANDIDATE_TARGETS - 1);
+            self.ranked.insert(position, (weight, target));
+        }
+    }
+
+    fn targets(&self) -> impl Iterator<Item = &'a ReadyTarget> {
+        self.ranked.iter().map(|(_, target)| *target)
+    }
+
+    fn position(&self, weight: u64) -> usize {
+        self.ranked.partition_point(|(other, _)| *other >= weight)
+    }
+}
+
 impl<'a> PlacementView<'a> {
     fn is_usable(&self, target: TargetId) -> bool {
+        self.is_healthy(target) && self.is_within_limit(target)
+    }
+
+    fn is_healthy(&self, target: TargetId) -> bool {
         !self.tried.contains(&target) && self.router.health.is_usable(self.now, target)
     }
 
-    /// Returns the preferred targets of the request, its home target first.
+    /// Returns whether a target takes one more request by the limit that it states.
+    fn is_within_limit(&self, target: TargetId) -> bool {
+        let router = self.router;
+        if router.limits.has_none() {
+            return true;
+        }
+        let key = self.request.fingerprint ^ self.now.0 ^ target.0;
+        let draw = rendezvous_weight(key, VmId(router.incarnation.0)) as f64 / u64::MAX as f64;
+        router.limits.admits(self.now, target, router.loads.peer_count(), draw)
+    }
+
+    /// Returns the preferred targets of the request.
     ///
     /// Rendezvous hashing makes all routers prefer the same few targets for requests with the same
     /// shared part, so that its prefill is done only there. For requests without prompt parts all
     /// targets are equal.
-    fn candidates(&self) -> SmallVec<[&'a ReadyTarget; CANDIDATE_TARGETS]> {
+    fn rank_targets(&self) -> RankedTargets<'a> {
         let Some(part) = self.request.prompt.and_then(PromptShape::shared_part) else {
-            return self.ready.iter().filter(|target| self.is_usable(target.id)).collect();
+            let healthy = self.ready.iter().filter(|target| self.is_healthy(target.id));
+            let (candidates, withheld): (_, SmallVec<[_; CANDIDATE_TARGETS]>) =
+                healthy.partition(|target| self.is_within_limit(target.id));
+            let withheld = withheld.into_iter().map(|target| target.id).collect();
+            return RankedTargets { candidates, withheld };
         };
-        let mut top: SmallVec<[(u64, &ReadyTarget); CANDIDATE_TARGETS]> = SmallVec::new();
+        let mut usable = TopTargets::default();
+        // What the request would use if no target had a limit.
+        let mut wanted = TopTargets::default();
         for target in self.ready {
             let weight = rendezvous_weight(part.id, VmId(target.id.0));
-            let position = top.partition_point(|(other, _)| *other >= weight);
             // Usability is checked last, since it is needed for few targets only.
-            if position < CANDIDATE_TARGETS && self.is_usable(target.id) {
-                top.truncate(CANDIDATE_TARGETS - 1);
-                top.insert(position, (weight, target));
+            if !usable.includes(weight) || !self.is_healthy(target.id) {
+                continue;
             }
+            wanted.insert(weight, target);
+            if self.is_within_limit(target.id) {
+                usable.insert(weight, target);
+            }
+        }
+        let withheld = wanted.targets().filter(|target| !self.is_within_limit(target.id));
+        RankedTargets {
+            withheld: withheld.map(|target| target.id).collect(),
+            candidates: usable.targets().collect(),
         }
-        top.into_iter().map(|(_, target)| target).collect()
     }
 
-    /// Returns the shortest rest of the pauses that ready targets asked for.
+    /// Returns the shortest time until a ready target that asked for a pause or states a limit takes
+    /// requests again.
     fn shortest_target_pause(&self) -> Option<Duration> {
-        let left = |target: &ReadyTarget| self.router.health.pause_left(self.now, target.id);
+        let left = |target: &ReadyTarget| {
+            let pause = self.router.health.pause_left(self.now, target.id);
+            pause.max(self.router.limits.mean_interval(target.id))
+        };
         self.ready.iter().filter_map(left).min()
     }
 
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -5,6 +5,7 @@
 use crate::direct::direct_router::DirectRouter;
 use crate::direct::peer_report::PeerReport;
 use crate::direct::prefill_window::PrefillUsage;
+use crate::direct::target_limits::{LimitChange, LimitUsage};
 use crate::direct::target_table::{StoreContact, StoreReachability};
 use crate::direct::watch_election::{FleetVersions, StoreStatus};
 
@@ -37,6 +38,25 @@
         }
     }
 
+    /// Returns this router's usage of limited targets for its report.
+    pub fn limit_usage(&self, now: MonotonicTime) -> Vec<LimitUsage> {
+        self.limits.own_usage(now)
+    }
+
+    /// Applies the usage of limited targets that another router reported with its latest report;
+    /// returns the targets whose limit this changes.
+    pub fn apply_limits(
+        &mut self,
+        now: MonotonicTime,
+        incarnation: ProcessIncarnation,
+        usages: &[LimitUsage],
+    ) -> Vec<LimitChange> {
+        if incarnation == self.incarnation {
+            return Vec::new();
+        }
+        self.limits.apply_report(now, incarnation, usages)
+    }
+
     /// Returns the versions of the configuration and the targets that this router knows.
     pub fn versions(&self) -> FleetVersions {
         FleetVersions {
--- a/crates/jackdaw-policy/src/direct/target_limits.rs
+++ b/crates/jackdaw-policy/src/direct/target_limits.rs
@@ -1,10 +1,47 @@
 //! Limits that targets in need state for the requests that they take from all routers together.
+//!
+//! Routers report to each other what a response stated about a target, how many requests they sent it
+//! within the window, and how many they would have sent without the limit. A request is admitted
+//! while the requests that are known leave room in the window. What others send at the same moment is
+//! not known until their next report. The demand tells how many requests to expect in that time, and
+//! each router admits its own with the probability that keeps the expected sum within the room.
 
-use jackdaw_base::{MonotonicTime, plain_data};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 use rustc_hash::FxHashMap;
 
+use crate::direct::report_plan::uses_relays;
 use crate::direct::target_table::TargetId;
 
+/// Window within which requests to a limited target are counted. The shorter it is, the more evenly
+/// they arrive, and the more the delay of reports matters.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Lowest rate in requests a second. A target that states a lower one still gets a request now and
+/// then, as only a response shows that the limit has ended.
+const LOWEST_RATE: f64 = 0.2;
+
+/// Time for which requests are counted: the window of the lowest rate holds one request.
+const COUNTED_SPAN: Duration = Duration::from_secs(5);
+
+/// Span of one count; requests expire together with the others of their span.
+const COUNT_SPAN: Duration = Duration::from_millis(100);
+
+/// Time for which a router reports what a response stated to it.
+const STATEMENT_REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// Time until other routers' requests are known, in a fleet whose routers report directly.
+const DIRECT_REPORT_DELAY: Duration = Duration::from_millis(250);
+
+/// As [`DIRECT_REPORT_DELAY`], in a fleet with relays.
+const RELAYED_REPORT_DELAY: Duration = Duration::from_millis(800);
+
+/// Demand that is assumed of the other routers if less is known, as a multiple of the limit: a burst
+/// reaches all routers before any of them can report it.
+const ASSUMED_DEMAND: f64 = 3.0;
+
 plain_data! {
     copy
     /// Rate of requests, in thousandths of a request a second.
@@ -22,6 +59,41 @@
     }
 }
 
+plain_data! {
+    copy
+    /// One router's use of a limited target, as it reports it.
+    pub struct LimitUsage {
+        /// The limited target.
+        pub target: TargetId,
+        /// What the latest response to this router stated; `None` if that was long ago.
+        pub statement: Option<ReceivedStatement>,
+        /// Requests sent within the window.
+        pub sent: u32,
+        /// Requests sent or withheld within the window.
+        pub wanted: u32,
+    }
+}
+
+plain_data! {
+    copy
+    /// A statement, and how long ago it was received.
+    pub struct ReceivedStatement {
+        /// What the response stated.
+        pub statement: LimitStatement,
+        /// Time since then, in milliseconds.
+        pub age_ms: u32,
+    }
+}
+
+/// Change of a target's limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The target.
+    pub target: TargetId,
+    /// Its limit from now on.
+    pub statement: LimitStatement,
+}
+
 impl RequestRate {
     /// Converts a number of requests a second. Negative numbers become zero, and numbers over four
     /// million the largest rate.
@@ -33,20 +105,100 @@
     pub fn per_second(self) -> f64 {
         f64::from(self.0) / 1000.0
     }
+
+    /// Returns the rate that is applied, in requests a second.
+    fn applied(self) -> f64 {
+        self.per_second().max(LOWEST_RATE)
+    }
+
+    /// Returns the window, which has room for at least one request.
+    fn window(self) -> Duration {
+        WINDOW.max(self.mean_interval())
+    }
+
+    fn mean_interval(self) -> Duration {
+        Duration::from_secs_f64(1.0 / self.applied())
+    }
 }
 
-/// What a router knows about one target's limit.
-#[derive(Debug, Clone, Copy)]
+impl ReceivedStatement {
+    /// Returns the statement as of a later time.
+    pub fn aged(self, elapsed: Duration) -> ReceivedStatement {
+        let age_ms = self.age_ms.saturating_add(elapsed.as_millis() as u32);
+        ReceivedStatement { age_ms, ..self }
+    }
+}
+
+/// What a router knows about one target.
+#[derive(Debug, Clone)]
 struct LimitRecord {
-    rate: RequestRate,
-    /// When the latest statement of the limit was received.
+    statement: LimitStatement,
+    /// When the statement was received, by this router or by the one that reported it.
     stated: MonotonicTime,
+    /// When a response to this router last made a statement.
+    own_stated: Option<MonotonicTime>,
+    counts: VecDeque<RequestCount>,
+}
+
+/// Own requests within one span.
+#[derive(Debug, Clone, Copy)]
+struct RequestCount {
+    start: MonotonicTime,
+    sent: u32,
+    withheld: u32,
+}
+
+/// Sums over the other routers.
+#[derive(Debug, Clone, Copy, Default)]
+struct OtherUsage {
+    sent: u32,
+    wanted: u32,
 }
 
-/// Limits that targets state, as known to one router.
+/// Limits that targets state, and their use by all routers.
 #[derive(Debug, Clone, Default)]
 pub struct TargetLimits {
-    limits: FxHashMap<TargetId, LimitRecord>,
+    records: FxHashMap<TargetId, LimitRecord>,
+    others: FxHashMap<TargetId, OtherUsage>,
+    peers: FxHashMap<ProcessIncarnation, Vec<LimitUsage>>,
+}
+
+impl LimitRecord {
+    fn new(statement: LimitStatement, stated: MonotonicTime) -> LimitRecord {
+        LimitRecord { statement, stated, own_stated: None, counts: VecDeque::new() }
+    }
+
+    fn rate(&self) -> Option<RequestRate> {
+        match self.statement {
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(rate) => Some(rate),
+        }
+    }
+
+    /// Returns the count of the current span.
+    fn count(&mut self, now: MonotonicTime) -> &mut RequestCount {
+        while self.counts.front().is_some_and(|count| now.since(count.start) >= COUNTED_SPAN) {
+            self.counts.pop_front();
+        }
+        let is_open = self.counts.back().is_some_and(|count| now.since(count.start) < COUNT_SPAN);
+        if !is_open {
+            self.counts.push_back(RequestCount { start: now, sent: 0, withheld: 0 });
+        }
+        let last = self.counts.len() - 1;
+        &mut self.counts[last]
+    }
+
+    /// Returns the own requests sent, and those sent or withheld, within a window.
+    fn usage(&self, now: MonotonicTime, window: Duration) -> OtherUsage {
+        let mut usage = OtherUsage::default();
+        // A count stays until its last request has left the window.
+        let counts = self.counts.iter().rev();
+        for count in counts.take_while(|count| now.since(count.start) < window + COUNT_SPAN) {
+            usage.sent += count.sent;
+            usage.wanted += count.sent + count.withheld;
+        }
+        usage
+    }
 }
 
 impl TargetLimits {
@@ -62,30 +214,166 @@
         statement: LimitStatement,
         sent: MonotonicTime,
     ) -> bool {
-        let known = self.limits.get(&target).copied();
-        match (statement, known) {
-            (LimitStatement::Unlimited, None) => false,
-            (LimitStatement::Unlimited, Some(known)) if sent < known.stated => false,
-            (LimitStatement::Unlimited, Some(_)) => self.limits.remove(&target).is_some(),
-            (LimitStatement::Limited(rate), known) => {
-                self.limits.insert(target, LimitRecord { rate, stated: now });
-                known.is_none_or(|known| known.rate != rate)
+        let known = self.records.get_mut(&target);
+        let Some(known) = known else {
+            if statement == LimitStatement::Unlimited {
+                return false;
+            }
+            let record = LimitRecord { own_stated: Some(now), ..LimitRecord::new(statement, now) };
+            self.records.insert(target, record);
+            return true;
+        };
+        let is_change = known.statement != statement;
+        if statement == LimitStatement::Unlimited && (sent < known.stated || !is_change) {
+            return false;
+        }
+        known.statement = statement;
+        known.stated = now;
+        known.own_stated = Some(now);
+        is_change
+    }
+
+    /// Returns whether a target may get one more request, in a fleet with `peers` other routers. `draw`
+    /// is a number between 0 and 1 that differs between requests and between routers.
+    pub fn admits(&self, now: MonotonicTime, target: TargetId, peers: usize, draw: f64) -> bool {
+        let record = self.records.get(&target);
+        let Some((record, rate)) = record.and_then(|record| Some((record, record.rate()?))) else {
+            return true;
+        };
+        let others = self.others.get(&target).copied().unwrap_or_default();
+        let sent = record.usage(now, rate.window()).sent + others.sent;
+        let room = rate.applied() * rate.window().as_secs_f64() - f64::from(sent);
+        // The tolerance covers rounding where the window holds a whole number of requests.
+        if room < 1.0 - 1e-6 {
+            return false;
+        }
+        let delay = if uses_relays(peers) { RELAYED_REPORT_DELAY } else { DIRECT_REPORT_DELAY };
+        let known_demand = f64::from(others.wanted) / rate.window().as_secs_f64();
+        let assumed_demand = if peers == 0 { 0.0 } else { ASSUMED_DEMAND * rate.applied() };
+        let unknown = known_demand.max(assumed_demand) * delay.as_secs_f64();
+        draw * (1.0 + unknown) < room
+    }
+
+    /// Returns the mean time between two requests that a limited target takes.
+    pub fn mean_interval(&self, target: TargetId) -> Option<Duration> {
+        Some(self.records.get(&target)?.rate()?.mean_interval())
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn record_send(&mut self, now: MonotonicTime, target: TargetId) {
+        if let Some(record) = self.records.get_mut(&target) {
+            record.count(now).sent += 1;
+        }
+    }
+
+    /// Records that a request was not sent to a target because of its limit.
+    pub fn record_withheld(&mut self, now: MonotonicTime, target: TargetId) {
+        if let Some(record) = self.records.get_mut(&target) {
+            record.count(now).withheld += 1;
+        }
+    }
+
+    /// Returns this router's usage of limited targets for its report.
+    pub fn own_usage(&self, now: MonotonicTime) -> Vec<LimitUsage> {
+        let usages = self.records.iter().filter_map(|(target, record)| {
+            let window = record.rate().map_or(WINDOW, RequestRate::window);
+            let OtherUsage { sent, wanted } = record.usage(now, window);
+            let own_stated =
+                record.own_stated.filter(|time| now.since(*time) < STATEMENT_REPORT_TIME);
+            let statement = own_stated.map(|time| ReceivedStatement {
+                statement: record.statement,
+                age_ms: now.since(time).as_millis() as u32,
+            });
+            let usage = LimitUsage { target: *target, statement, sent, wanted };
+            (statement.is_some() || wanted > 0).then_some(usage)
+        });
+        usages.collect()
+    }
+
+    /// Replaces the usage of another router by that of its latest report; returns the targets whose
+    /// limit this changes.
+    pub fn apply_report(
+        &mut self,
+        now: MonotonicTime,
+        incarnation: ProcessIncarnation,
+        usages: &[LimitUsage],
+    ) -> Vec<LimitChange> {
+        self.remove_peer(incarnation);
+        for usage in usages {
+            let others = self.others.entry(usage.target).or_default();
+            others.sent += usage.sent;
+            others.wanted += usage.wanted;
+        }
+        if !usages.is_empty() {
+            self.peers.insert(incarnation, usages.to_vec());
+        }
+        let statements = usages.iter().filter_map(|usage| Some((usage.target, usage.statement?)));
+        statements.filter_map(|(target, received)| self.merge(now, target, received)).collect()
+    }
+
+    /// Drops the usage of a router that no longer reports.
+    pub fn remove_peer(&mut self, incarnation: ProcessIncarnation) {
+        for usage in self.peers.remove(&incarnation).unwrap_or_default() {
+            let Some(others) = self.others.get_mut(&usage.target) else {
+                continue;
+            };
+            others.sent = others.sent.saturating_sub(usage.sent);
+            others.wanted = others.wanted.saturating_sub(usage.wanted);
+            if others.wanted == 0 {
+                self.others.remove(&usage.target);
             }
         }
     }
 
     /// Returns the number of targets with a limit.
     pub fn len(&self) -> usize {
-        self.limits.len()
+        self.records.values().filter(|record| record.rate().is_some()).count()
     }
 
     /// Returns whether no target has a limit.
     pub fn is_empty(&self) -> bool {
-        self.limits.is_empty()
+        self.len() == 0
+    }
+
+    /// Returns whether no target had a limit lately, which takes no search.
+    pub fn has_none(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Drops what is known about targets for which `is_known` returns false, and limits that ended
+    /// long enough ago for all routers to know.
+    pub fn retain(&mut self, now: MonotonicTime, is_known: impl Fn(TargetId) -> bool) {
+        self.records.retain(|target, record| {
+            let is_needed = record.rate().is_some() || now.since(record.stated) < COUNTED_SPAN;
+            is_known(*target) && is_needed
+        });
     }
 
-    /// Drops the limits of targets for which `is_known` returns false.
-    pub fn retain(&mut self, is_known: impl Fn(TargetId) -> bool) {
-        self.limits.retain(|target, _| is_known(*target));
+    /// Merges a statement that another router received, if it is the latest one.
+    fn merge(
+        &mut self,
+        now: MonotonicTime,
+        target: TargetId,
+        received: ReceivedStatement,
+    ) -> Option<LimitChange> {
+        let ReceivedStatement { statement, age_ms } = received;
+        let stated = MonotonicTime(now.0.saturating_sub(u64::from(age_ms) * 1000));
+        let change = LimitChange { target, statement };
+        let Some(known) = self.records.get_mut(&target) else {
+            let is_limited = statement != LimitStatement::Unlimited;
+            return is_limited.then(|| {
+                self.records.insert(target, LimitRecord::new(statement, stated));
+                change
+            });
+        };
+        if stated <= known.stated {
+            return None;
+        }
+        known.stated = stated;
+        let is_change = known.statement != statement;
+        known.statement = statement;
+        // The own response is outdated and must not be reported as if it said the same.
+        known.own_stated = known.own_stated.filter(|_| !is_change);
+        is_change.then_some(change)
     }
 }
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod staged_placement;
 mod store_restores;
 mod target_faults;
+mod target_limits;
 mod target_pauses;
 mod target_table;
 mod wait_tiers;
