Name what the limits know after a reading as a newcomer

TargetLimits had len, is_empty and has_none with two meanings of "none": limited_count counts the targets that have a limit now, is_empty says that nothing is known of any.

--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -362,7 +362,7 @@
 
     /// Returns the number of targets that state a limit.
     pub fn limited_count(&self) -> usize {
-        self.limits.len()
+        self.limits.limited_count()
     }
 
     /// Returns whether a request that was placed on a target may still be sent to it: the target
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -150,7 +150,7 @@
     /// Returns whether a target takes one more request by the limit that it states.
     fn is_within_limit(&self, target: TargetId) -> bool {
         let router = self.router;
-        if router.limits.has_none() {
+        if router.limits.is_empty() {
             return true;
         }
         let key = self.request.fingerprint ^ self.now.0 ^ target.0;
--- a/crates/jackdaw-policy/src/direct/target_limits.rs
+++ b/crates/jackdaw-policy/src/direct/target_limits.rs
@@ -363,18 +363,13 @@
         }
     }
 
-    /// Returns the number of targets with a limit.
-    pub fn len(&self) -> usize {
+    /// Returns the number of targets that have a limit now.
+    pub fn limited_count(&self) -> usize {
         self.records.values().filter(|record| record.rate().is_some()).count()
     }
 
-    /// Returns whether no target has a limit.
+    /// Returns whether nothing is known of any target: none has a limit or had one lately.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    /// Returns whether no target had a limit lately, which takes no search.
-    pub fn has_none(&self) -> bool {
         self.records.is_empty()
     }
 
--- a/crates/jackdaw-policy/tests/direct/target_limits.rs
+++ b/crates/jackdaw-policy/tests/direct/target_limits.rs
@@ -198,9 +198,9 @@
     let mut limits = TargetLimits::default();
     limits.record_statement(at(1000), TARGET, limited(1.0), at(900));
     assert!(!limits.record_statement(at(1010), TARGET, LimitStatement::Unlimited, at(950)));
-    assert_eq!(limits.len(), 1);
+    assert_eq!(limits.limited_count(), 1);
     assert!(limits.record_statement(at(1200), TARGET, LimitStatement::Unlimited, at(1100)));
-    assert!(limits.is_empty());
+    assert_eq!(limits.limited_count(), 0);
     assert!(limits.admits(at(1201), TARGET, ShareTier::Owed, 8, 1.0));
 }
 
@@ -215,7 +215,7 @@
     first.record_statement(at(2000), TARGET, LimitStatement::Unlimited, at(1900));
     let changes = second.apply_report(at(2050), ProcessIncarnation(1), &first.own_usage(at(2050)));
     assert_eq!(changes.len(), 1);
-    assert!(second.is_empty());
+    assert_eq!(second.limited_count(), 0);
     let aged = |usage: &LimitUsage| LimitUsage {
         statement: usage
             .statement
@@ -224,9 +224,9 @@
     };
     let outdated: Vec<LimitUsage> = outdated.iter().map(aged).collect();
     assert!(second.apply_report(at(2100), ProcessIncarnation(2), &outdated).is_empty());
-    assert!(second.is_empty());
+    assert_eq!(second.limited_count(), 0);
     second.retain(at(9000), |_| true);
-    assert!(second.has_none());
+    assert!(second.is_empty());
 }
 
 /// What a silent router sent does not count for ever.
