Log software versions, resumed streams and callers that go on with one

Lines `stream resumed at another target` and `caller goes on with a stream`, the field `version`, and two counters. Datagrams between routers have a module of their own, moved without a change. No decision reads any of it.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -20,6 +20,10 @@
     pub sends: Counter,
     /// Retries of requests at another target.
     pub retries: Counter,
+    /// Streams that went on at another target within one response.
+    pub resumptions: Counter,
+    /// Requests whose callers go on with a stream of an earlier attempt.
+    pub returns: Counter,
     /// Connections opened to targets.
     pub connections: Counter,
     /// Targets whose announced leaving this router learned of.
@@ -56,6 +60,8 @@
             responses: registry.counter("edge_answers", "Answered requests by route and outcome"),
             sends: plain("edge_sends", "Requests sent to targets"),
             retries: plain("edge_repeats", "Requests sent again to another target"),
+            resumptions: plain("edge_stream_resumptions", "Streams resumed within one answer"),
+            returns: plain("edge_stream_returns", "Requests that go on with a stream"),
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use jackdaw_base::ErrorKind;
-use jackdaw_platform::{RequestHead, ResponseHead};
+use jackdaw_platform::{RequestHead, ResponseHead, StreamOrigin};
 use jackdaw_policy::direct::{KeyError, RouteConfig, RouteTable};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -165,6 +165,7 @@
         return abandoned.into_response(Some(&context.inner.request.head.id), true);
     }
     context.record_arrival();
+    log_return(&context.inner.request.head, &context.inner.state);
     let deadline = context.deadline_at();
     let result = match tokio::time::timeout_at(deadline, obtain_response(context, None)).await {
         Ok(result) => result,
@@ -187,6 +188,17 @@
     }
 }
 
+/// Logs that a caller comes back to go on with a stream.
+fn log_return(head: &RequestHead, state: &EdgeState) {
+    let first_attempt = match &head.origin {
+        StreamOrigin::New => return,
+        StreamOrigin::Attempt(id) => id.as_str(),
+        StreamOrigin::Unstated => "",
+    };
+    state.metrics.returns.inc();
+    log::info!(request:% = head.id, first_attempt; "caller goes on with a stream");
+}
+
 fn build_response(parts: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_snapshot;
 mod peer_table;
 pub mod read_meter;
+mod report_datagram;
 pub mod request_context;
 pub mod response_relay;
 pub mod run_guard;
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -12,9 +12,8 @@
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use jackdaw_base::{ErrorKind, ProcessIncarnation, plain_data};
-use jackdaw_policy::direct::{CrashFinding, TargetId, uses_relays};
-use serde::de::DeserializeOwned;
+use jackdaw_base::{ErrorKind, ProcessIncarnation};
+use jackdaw_policy::direct::uses_relays;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -22,6 +21,10 @@
 use crate::log_text::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::{PeerTable, ReportDetails, RouterLimits, RouterPrefills, RouterReport};
+use crate::report_datagram::{
+    CrashExtension, DatagramExtension, LimitExtension, MAX_DATAGRAM_BYTES, ReceivedDatagram,
+    ReportDatagram, decode_datagram, encode_datagram,
+};
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -44,76 +47,9 @@
 /// a large fleet.
 const LEAVING_REPORT_TIME: Duration = Duration::from_secs(3);
 
-/// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
-
 /// Maximum number of reports in a bundle; a report takes up to about 3 KB.
 const MAX_BUNDLE_REPORTS: usize = 16;
 
-plain_data! {
-    /// A datagram sent between routers, encoded with postcard.
-    struct ReportDatagram {
-        /// The report of the sender, or reports of several routers in its failure domain.
-        reports: Vec<RouterReport>,
-        /// Routers that the sender has received reports from; empty in most periods.
-        known: Vec<Ipv4Addr>,
-        /// Whether the receiver forwards the reports within its own failure domain.
-        is_bundle: bool,
-    }
-}
-
-plain_data! {
-    /// Data that follows a datagram. Builds that do not know it ignore the bytes after the datagram,
-    /// and send none.
-    #[derive(Default)]
-    struct DatagramExtension {
-        /// Targets whose announced leaving the sender learned of recently, from whatever source.
-        leaving: Vec<TargetId>,
-        /// Recent prefills of the routers whose reports the datagram contains.
-        prefills: Vec<RouterPrefills>,
-    }
-}
-
-plain_data! {
-    /// Data that follows a [`DatagramExtension`], as known to builds that track crashes.
-    #[derive(Default)]
-    struct CrashExtension {
-        /// Findings that the sender knows, from whatever source.
-        findings: Vec<CrashFinding>,
-    }
-}
-
-plain_data! {
-    /// Data that follows a [`CrashExtension`], as known to builds that heed limits of targets.
-    #[derive(Default)]
-    struct LimitExtension {
-        /// Use of limited targets by the routers whose reports the datagram contains.
-        limits: Vec<RouterLimits>,
-    }
-}
-
-/// A datagram with all that follows it.
-struct ReceivedDatagram {
-    datagram: ReportDatagram,
-    extension: DatagramExtension,
-    crashes: CrashExtension,
-    limits: LimitExtension,
-}
-
-impl ReceivedDatagram {
-    /// Returns what follows the report of the router with this incarnation.
-    fn details(&self, incarnation: ProcessIncarnation) -> ReportDetails {
-        let prefills = self.extension.prefills.iter();
-        let prefills = prefills.filter(|prefills| prefills.incarnation == incarnation);
-        let limits = self.limits.limits.iter();
-        let limits = limits.filter(|limits| limits.incarnation == incarnation);
-        ReportDetails {
-            prefills: prefills.flat_map(|prefills| prefills.usages.iter().copied()).collect(),
-            limits: limits.flat_map(|limits| limits.usages.iter().copied()).collect(),
-        }
-    }
-}
-
 /// Background tasks that exchange reports.
 pub struct PeerReports {
     tasks: Vec<JoinHandle<()>>,
@@ -285,16 +221,8 @@
         let crashes = CrashExtension { findings: self.state.router().crash_findings(now) };
         let mut limits = LimitExtension { limits };
         limits.limits.retain(|limits| !limits.usages.is_empty());
-        let bytes = match postcard::to_stdvec(&(datagram, extension, crashes, limits)) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
-            Ok(bytes) => {
-                log::error!(bytes = bytes.len(); "report exceeds the datagram size limit");
-                return;
-            }
-            Err(error) => {
-                log::error!(error:% = error; "failed to encode a report");
-                return;
-            }
+        let Some(bytes) = encode_datagram(&(datagram, extension, crashes, limits)) else {
+            return;
         };
         let port = self.state.settings().report_port;
         for peer in receivers {
@@ -358,23 +286,6 @@
     }
 }
 
-/// Decodes a datagram and what follows it; older builds send only the first extensions, or none.
-fn decode_datagram(bytes: &[u8]) -> postcard::Result<ReceivedDatagram> {
-    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let (extension, rest) = take_extension(rest)?;
-    let (crashes, rest) = take_extension(rest)?;
-    let (limits, _) = take_extension(rest)?;
-    Ok(ReceivedDatagram { datagram, extension, crashes, limits })
-}
-
-/// Decodes an extension, which is empty if the bytes end before it, and returns the bytes after it.
-fn take_extension<T: DeserializeOwned + Default>(bytes: &[u8]) -> postcard::Result<(T, &[u8])> {
-    match bytes {
-        [] => Ok((T::default(), bytes)),
-        bytes => postcard::take_from_bytes(bytes),
-    }
-}
-
 /// Fetches snapshots from other routers for changes that this router's watch does not deliver.
 async fn fetch_snapshots(exchange: Rc<ReportExchange>) {
     let state = &exchange.state;
--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::edge_state::EdgeState;
+use crate::report_datagram::take_extension;
 
 /// Path of the snapshot on the address for peer routers. The query is the configuration version of
 /// the requesting router; the response contains the configuration only if it is newer.
@@ -47,6 +48,15 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`SnapshotExtension`], as known to builds that track software versions.
+    #[derive(Default)]
+    struct VersionExtension {
+        /// Software versions of the targets, in their order.
+        versions: Vec<Option<String>>,
+    }
+}
+
 /// Encodes a snapshot of this router. `query` is the requesting router's configuration version.
 pub fn encode_snapshot(state: &EdgeState, query: Option<&str>) -> Vec<u8> {
     let known_version = query.and_then(|query| query.parse().ok()).unwrap_or(0);
@@ -61,7 +71,9 @@
     let routes = snapshot.config.iter().flat_map(|config| &config.routes);
     let pause_objectives = routes.map(|route| route.pause_objective).collect();
     let extension = SnapshotExtension { leaving, pause_objectives };
-    postcard::to_stdvec(&(snapshot, extension)).unwrap_or_else(|error| {
+    let versions = snapshot.targets.entries.iter().map(|entry| entry.version.clone()).collect();
+    let versions = VersionExtension { versions };
+    postcard::to_stdvec(&(snapshot, extension, versions)).unwrap_or_else(|error| {
         log::error!(error:% = error; "failed to encode the snapshot");
         Vec::new()
     })
@@ -86,7 +98,7 @@
     decode_snapshot(&bytes)
 }
 
-/// Decodes a snapshot and what follows it; nothing does if it comes from an older build.
+/// Decodes a snapshot and what follows it; older builds send less, or nothing.
 ///
 /// # Errors
 ///
@@ -96,11 +108,13 @@
 ) -> Result<(FleetSnapshot, SnapshotExtension), Report<ErrorKind>> {
     let (mut snapshot, rest): (FleetSnapshot, &[u8]) =
         postcard::take_from_bytes(bytes).change_context(ErrorKind::ProtocolViolation)?;
-    let extension = match rest {
-        [] => SnapshotExtension::default(),
-        rest => postcard::from_bytes::<SnapshotExtension>(rest)
-            .change_context(ErrorKind::ProtocolViolation)?,
-    };
+    let (extension, rest): (SnapshotExtension, _) =
+        take_extension(rest).change_context(ErrorKind::ProtocolViolation)?;
+    let (versions, _): (VersionExtension, _) =
+        take_extension(rest).change_context(ErrorKind::ProtocolViolation)?;
+    for (entry, version) in snapshot.targets.entries.iter_mut().zip(versions.versions) {
+        entry.version = version;
+    }
     let routes = snapshot.config.iter_mut().flat_map(|config| &mut config.routes);
     for (route, pause) in routes.zip(&extension.pause_objectives) {
         route.pause_objective = *pause;
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -79,6 +79,8 @@
     /// Identifier of the last selected target; zero if there is none.
     pub(crate) last_target: Cell<u64>,
     last_target_name: RefCell<String>,
+    /// Software version of the last selected target; empty if it is not known.
+    last_version: RefCell<String>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     first_byte: Cell<Option<Duration>>,
@@ -105,6 +107,7 @@
             tried: RefCell::default(),
             last_target: Cell::new(0),
             last_target_name: RefCell::default(),
+            last_version: RefCell::default(),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
             first_byte: Cell::new(None),
@@ -147,6 +150,7 @@
             request:% = self.inner.request.head.id,
             target_name = self.inner.target_name(),
             target_id = self.inner.last_target.get(),
+            version = self.inner.version_name(),
             runs = self.inner.runs.get(),
             has_event = self.inner.first_byte.get().is_some(),
             parts = self.inner.shared_parts(),
@@ -170,12 +174,28 @@
     pub(crate) fn record_placement(&self, target: TargetId, expected: Duration) {
         self.inner.last_target.set(target.0);
         let router = self.inner.state.router();
-        let name = router.targets.find(target).map(|entry| entry.name.clone());
+        let entry = router.targets.find(target);
+        let name = entry.map(|entry| entry.name.clone());
+        let version = entry.and_then(|entry| entry.version.clone());
         self.inner.last_target_name.replace(name.unwrap_or_default());
+        self.inner.last_version.replace(version.unwrap_or_default());
         self.inner.expected.set(expected);
         self.inner.tried.borrow_mut().push(target);
     }
 
+    /// Logs that a stream goes on at another target, after the event `after`.
+    pub(crate) fn log_resumption(&self, after: Option<u64>) {
+        self.inner.state.metrics.resumptions.inc();
+        log::info!(
+            request:% = self.inner.request.head.id,
+            target_name = self.inner.target_name(),
+            target_id = self.inner.last_target.get(),
+            version = self.inner.version_name(),
+            after = after.unwrap_or(0);
+            "stream resumed at another target"
+        );
+    }
+
     /// Logs why a stream was not resumed at another target.
     pub(crate) fn log_failed_resumption(&self, reason: &str) {
         log::info!(request:% = self.inner.request.head.id, reason; "stream not resumed");
@@ -286,6 +306,11 @@
         self.last_target_name.borrow().clone()
     }
 
+    /// Returns the software version of the last selected target; empty if there is none.
+    pub(crate) fn version_name(&self) -> String {
+        self.last_version.borrow().clone()
+    }
+
     /// Logs the end of the request and updates the metrics; only the first call has an effect.
     fn finish(&self, outcome: &str, status: u16) {
         if self.is_finished.replace(true) {
@@ -305,6 +330,7 @@
             status,
             target_name = self.target_name(),
             target_id = self.last_target.get(),
+            version = self.version_name(),
             runs = self.runs.get(),
             unrun_sends = self.unrun_sends.get(),
             expected_ms = self.expected.get().as_millis() as u64,
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -53,7 +53,10 @@
         return None;
     }
     match obtain_response(&context, after).await {
-        Ok(TargetResponse::Stream(_, source)) => Some(source),
+        Ok(TargetResponse::Stream(_, source)) => {
+            context.log_resumption(after);
+            Some(source)
+        }
         Ok(TargetResponse::Complete(parts, _)) => {
             context.log_failed_resumption(parts.status.as_str());
             None
--- a/crates/jackdaw-edge/tests/edge/mixed_builds.rs
+++ b/crates/jackdaw-edge/tests/edge/mixed_builds.rs
@@ -1,5 +1,6 @@
 //! Snapshots between routers of this build and of builds that do not know what follows them.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use jackdaw_base::MonotonicTime;
@@ -8,7 +9,8 @@
     FleetSnapshot, SnapshotExtension, decode_snapshot, encode_snapshot,
 };
 use jackdaw_policy::direct::{
-    CallerLimits, FleetConfig, RequestKind, RouteConfig, ServiceWeight, TargetId,
+    CallerLimits, FleetConfig, RequestKind, RouteConfig, ServiceWeight, TargetChange, TargetEntry,
+    TargetId, TargetState,
 };
 
 use crate::support::example_settings;
@@ -44,8 +46,23 @@
     }
 }
 
+fn target() -> TargetEntry {
+    TargetEntry {
+        name: "i-1".to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
+        domain: "a".to_owned(),
+        version: Some("v2".to_owned()),
+        slots: 8,
+        state: TargetState::Ready,
+        started_unix_ms: 5,
+        revision: 4.into(),
+    }
+}
+
 fn snapshot_bytes() -> Vec<u8> {
     let state = EdgeState::new(example_settings());
+    state.router().targets.apply(MonotonicTime(0), TargetChange::Present(target()));
     state.router().install_config(config());
     state.router().record_leaving(MonotonicTime(0), TargetId(7));
     encode_snapshot(&state, None)
@@ -57,6 +74,22 @@
     assert_eq!(extension.leaving, [TargetId(7)]);
     let config = snapshot.config.expect("newer configuration");
     assert_eq!(config.routes[0].pause_objective, Some(PAUSE));
+    assert_eq!(snapshot.targets.entries, [target()]);
+}
+
+/// A router that took a target over from an older build learns its version from the next copy.
+#[test]
+fn version_missing_in_an_older_copy_is_added() {
+    let older: FleetSnapshot = postcard::from_bytes(&snapshot_bytes()).expect("older format");
+    assert_eq!(older.targets.entries[0].version, None);
+    let state = EdgeState::new(example_settings());
+    let now = MonotonicTime(0);
+    state.router().targets.merge(now, older.targets.clone());
+    let (newer, _) = decode_snapshot(&snapshot_bytes()).expect("own format");
+    state.router().targets.merge(now, newer.targets);
+    state.router().targets.merge(now, older.targets);
+    let entry = state.router().targets.find(target().id()).cloned().expect("known target");
+    assert_eq!(entry.version.as_deref(), Some("v2"));
 }
 
 #[test]
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -312,6 +312,7 @@
         service: SERVICE.to_owned(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000 + index as u16)),
         domain: format!("domain-{}", index % 3),
+        version: Some("v1".to_owned()),
         slots: EngineProfile::default().slots as u32,
         state: TargetState::Ready,
         started_unix_ms: 1,
--- a/crates/jackdaw-policy/examples/direct_slopes.rs
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -99,6 +99,7 @@
             service: SERVICE.to_owned(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
             domain: "a".to_owned(),
+            version: Some("v1".to_owned()),
             slots: 128,
             state: TargetState::Ready,
             started_unix_ms: 1,
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -62,6 +62,10 @@
         pub address: SocketAddr,
         /// Failure domain of the target.
         pub domain: String,
+        /// Name of the software version that the target runs. Not part of the serialized form that
+        /// older builds know; `None` in a copy from one of them.
+        #[serde(skip)]
+        pub version: Option<String>,
         /// Number of requests that the target runs concurrently.
         pub slots: u32,
         /// State that the target registered.
@@ -248,7 +252,7 @@
         for entry in snapshot.entries {
             // A copy of the known revision does not tell whether a missing entry is registered again.
             let known = self.targets.get(&entry.name);
-            if known.is_some_and(|known| known.entry.revision >= entry.revision) {
+            if known.is_some_and(|known| !is_superseded(&known.entry, &entry)) {
                 continue;
             }
             self.insert_reporting(now, entry, &mut effect);
@@ -474,3 +478,10 @@
         ChangeEffect::Applied
     }
 }
+
+/// Returns whether a copy of an entry tells more than the known one: a later revision, or the version
+/// that an older build's copy lacked.
+fn is_superseded(known: &TargetEntry, copy: &TargetEntry) -> bool {
+    let adds_version = known.version.is_none() && copy.version.is_some();
+    copy.revision > known.revision || (copy.revision == known.revision && adds_version)
+}
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -65,6 +65,7 @@
         service: SERVICE.to_owned(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9000)),
         domain: "a".to_owned(),
+        version: Some("v1".to_owned()),
         slots: 64,
         state: TargetState::Ready,
         started_unix_ms: 1,
