Resume a broken stream only at the software version that began it

What callers saw: within one answer, events of one software version of a target followed by events of another (ORDER).

Cause: the version of a target was no input of placement. A stream that broke off went on at the cheapest target of the service.

Change: a request carries a rule on versions. It allows any until the first event is forwarded; from then on only the version of the target that sent it, as known when the request was sent. A stream whose version has no registered target is refused at once without Retry-After; one whose targets are only unavailable is refused as before, with a delay. Requests that begin a stream are placed as if there were one version.

Why it works: an event is forwarded only after the rule is set, and every later placement of the request reads the rule.

--- a/crates/jackdaw-edge/src/local_response.rs
+++ b/crates/jackdaw-edge/src/local_response.rs
@@ -45,6 +45,12 @@
             RefusalReason::Quarantined => {
                 (ErrorKind::Quarantined, "the request is suspected of crashing targets")
             }
+            RefusalReason::VersionGone => {
+                (ErrorKind::NoCapacity, "the version that began the stream serves no longer")
+            }
+            RefusalReason::VersionUnknown => {
+                (ErrorKind::NoCapacity, "the version that began the stream is not known")
+            }
         };
         LocalResponse { kind, detail, retry_after }
     }
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -9,7 +9,8 @@
 use jackdaw_base::{CustomerId, ErrorKind};
 use jackdaw_platform::RequestHead;
 use jackdaw_policy::direct::{
-    DirectRequest, Placement, PromptShape, RouteConfig, ShareStatus, TargetId,
+    DirectRequest, Placement, PromptShape, RefusalReason, RouteConfig, ShareStatus, TargetEntry,
+    TargetId, VersionId, VersionRule,
 };
 
 use crate::edge_state::{EdgeState, OpenRequest};
@@ -81,6 +82,8 @@
     last_target_name: RefCell<String>,
     /// Software version of the last selected target; empty if it is not known.
     last_version: RefCell<String>,
+    last_version_id: Cell<Option<VersionId>>,
+    version_rule: Cell<VersionRule>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     first_byte: Cell<Option<Duration>>,
@@ -108,6 +111,8 @@
             last_target: Cell::new(0),
             last_target_name: RefCell::default(),
             last_version: RefCell::default(),
+            last_version_id: Cell::new(None),
+            version_rule: Cell::default(),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
             first_byte: Cell::new(None),
@@ -177,12 +182,22 @@
         let entry = router.targets.find(target);
         let name = entry.map(|entry| entry.name.clone());
         let version = entry.and_then(|entry| entry.version.clone());
+        self.inner.last_version_id.set(entry.and_then(TargetEntry::version_id));
         self.inner.last_target_name.replace(name.unwrap_or_default());
         self.inner.last_version.replace(version.unwrap_or_default());
         self.inner.expected.set(expected);
         self.inner.tried.borrow_mut().push(target);
     }
 
+    /// Records that the caller is about to get an event of the last selected target, if it holds none
+    /// yet: from then on, the stream goes on only at the software version of that target.
+    pub(crate) fn bind_version(&self) {
+        let inner = &self.inner;
+        if inner.version_rule.get() == VersionRule::Any {
+            inner.version_rule.set(VersionRule::begun_at(inner.last_version_id.get()));
+        }
+    }
+
     /// Logs that a stream goes on at another target, after the event `after`.
     pub(crate) fn log_resumption(&self, after: Option<u64>) {
         self.inner.state.metrics.resumptions.inc();
@@ -196,6 +211,16 @@
         );
     }
 
+    /// Logs why no target was selected for a request that a target may have run before.
+    pub(crate) fn log_refused_retry(&self, reason: RefusalReason) {
+        log::info!(
+            request:% = self.inner.request.head.id,
+            reason:? = reason,
+            version = self.inner.version_name();
+            "no target for a retry"
+        );
+    }
+
     /// Logs why a stream was not resumed at another target.
     pub(crate) fn log_failed_resumption(&self, reason: &str) {
         log::info!(request:% = self.inner.request.head.id, reason; "stream not resumed");
@@ -212,6 +237,7 @@
             prompt: inner.request.head.prompt.as_ref(),
             time_left: self.time_left(),
             fingerprint: inner.request.fingerprint,
+            version_rule: inner.version_rule.get(),
         }
     }
 
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -127,7 +127,9 @@
                     self.interrupt("an event is over the limit");
                     return None;
                 }
-                self.has_events |= !events.is_empty();
+                if !events.is_empty() && !std::mem::replace(&mut self.has_events, true) {
+                    self.context.bind_version();
+                }
                 if let (false, RelayPhase::Streaming(source)) = (events.is_empty(), &self.phase) {
                     source.guard.mark_events();
                 }
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -81,6 +81,7 @@
         match context.place() {
             Placement::Refuse { reason, retry_after } => {
                 if context.inner.runs.get() > 0 {
+                    context.log_refused_retry(reason);
                     return Err(LocalResponse::interrupted());
                 }
                 return Err(LocalResponse::refusal(reason, retry_after));
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -9,7 +9,7 @@
 use jackdaw_policy::direct::{
     CallerLimits, DirectPolicy, DirectRequest, DirectRouter, FleetConfig, PeerReport, Placement,
     RequestKind, RouteConfig, RunId, RunOutcome, ServiceConfig, ServiceWeight, TargetChange,
-    TargetEntry, TargetId, TargetState,
+    TargetEntry, TargetId, TargetState, VersionRule,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -170,6 +170,7 @@
             prompt: Some(&request.prompt),
             time_left: Duration::from_secs(15),
             fingerprint: index as u64,
+            version_rule: VersionRule::Any,
         };
         let now = MonotonicTime(time);
         let router = &mut self.routers[router_index];
--- a/crates/jackdaw-policy/examples/direct_slopes.rs
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -8,7 +8,7 @@
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{
     DirectPolicy, DirectRequest, DirectRouter, Placement, PromptPart, PromptShape, RunOutcome,
-    TargetChange, TargetEntry, TargetState,
+    TargetChange, TargetEntry, TargetState, VersionRule,
 };
 use smallvec::smallvec;
 
@@ -69,6 +69,7 @@
             prompt: Some(&prompt),
             time_left: Duration::from_secs(15),
             fingerprint: number,
+            version_rule: VersionRule::Any,
         };
         router.record_arrival(now, &request);
         if let Placement::Send { target, prefill_tokens, .. } = router.place(now, &request, &[]) {
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -23,6 +23,7 @@
 pub mod refusal_tracker;
 pub mod report_plan;
 pub mod route_table;
+pub mod software_version;
 pub mod store_revision;
 pub mod stream_monitor;
 pub mod target_health;
@@ -58,6 +59,7 @@
     uses_relays,
 };
 pub use route_table::{KeyError, RouteTable};
+pub use software_version::{VersionId, VersionRule};
 pub use store_revision::StoreRevision;
 pub use stream_monitor::StreamMonitor;
 pub use target_health::{SendFailure, TargetHealth};
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -28,6 +28,7 @@
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::refusal_tracker::RefusalTracker;
 use crate::direct::route_table::RouteTable;
+use crate::direct::software_version::VersionRule;
 use crate::direct::stream_monitor::StreamMonitor;
 use crate::direct::target_health::{SendFailure, TargetHealth};
 use crate::direct::target_limits::{LimitStatement, TargetLimits};
@@ -65,6 +66,8 @@
     pub time_left: Duration,
     /// Digest of customer and content.
     pub fingerprint: u64,
+    /// Software versions whose targets may serve the request.
+    pub version_rule: VersionRule,
 }
 
 impl DirectRequest<'_> {
@@ -251,7 +254,9 @@
         }
         self.prefills.expire(now);
         let placement = self.choose(now, request, tried);
-        if let Placement::Refuse { retry_after, .. } = placement {
+        if let Placement::Refuse { retry_after, .. } = placement
+            && !retry_after.is_zero()
+        {
             self.refusals.record_refusal(now, request.fingerprint, retry_after);
         }
         placement
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -1,5 +1,6 @@
 //! Derives the input of one placement decision from the router's state.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, VmId};
@@ -9,10 +10,11 @@
 use crate::direct::direct_router::target_ranking::{CANDIDATE_TARGETS, RankedTargets, TopTargets};
 use crate::direct::direct_router::{DirectRequest, DirectRouter};
 use crate::direct::placement::{
-    Placement, PlacementLimits, PlacementRequest, PlacementTarget, choose_candidate,
+    Placement, PlacementLimits, PlacementRequest, PlacementTarget, RefusalReason, choose_candidate,
     choose_spill_target, plain_wait, refuse,
 };
 use crate::direct::prompt_shape::PromptShape;
+use crate::direct::software_version::VersionRule;
 use crate::direct::target_table::{ReadyTarget, TargetId};
 use crate::rendezvous::rendezvous_weight;
 
@@ -55,6 +57,11 @@
         let service = table.and_then(|table| table.service(request.service));
         let memory_tokens = service.and_then(|service| service.memory_tokens);
         let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
+        let ready = match select_version(&ready, request.version_rule) {
+            Ok(ready) => ready,
+            // Another try does not help, as long as no target of the version registers.
+            Err(reason) => return Placement::Refuse { reason, retry_after: Duration::ZERO },
+        };
         let mut placement_request = self.placement_request(now, request, mean_wait);
         let tier = placement_request.share.tier;
         let (placement, withheld) = {
@@ -123,6 +130,29 @@
     }
 }
 
+/// Returns the targets whose version may serve a request.
+///
+/// # Errors
+///
+/// Why there is none, if that follows from the version alone.
+fn select_version(
+    ready: &Rc<[ReadyTarget]>,
+    rule: VersionRule,
+) -> Result<Rc<[ReadyTarget]>, RefusalReason> {
+    match rule {
+        VersionRule::Any => Ok(Rc::clone(ready)),
+        VersionRule::Unknown => Err(RefusalReason::VersionUnknown),
+        VersionRule::Only(_) => {
+            let fitting = ready.iter().filter(|target| rule.allows(target.version));
+            let fitting: Rc<[ReadyTarget]> = fitting.cloned().collect();
+            match fitting.is_empty() {
+                true => Err(RefusalReason::VersionGone),
+                false => Ok(fitting),
+            }
+        }
+    }
+}
+
 /// The state that the placement of one request depends on.
 struct PlacementView<'a> {
     router: &'a DirectRouter,
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -132,6 +132,10 @@
         OverShare,
         /// The request has crashed several targets.
         Quarantined,
+        /// No target of the software version that began the stream is registered.
+        VersionGone,
+        /// It is not known which software version began the stream.
+        VersionUnknown,
     }
 }
 
@@ -151,7 +155,7 @@
     Refuse {
         /// Why the request is refused.
         reason: RefusalReason,
-        /// Delay after which the caller should retry.
+        /// Delay after which the caller should retry; zero if a retry is not known to help.
         retry_after: Duration,
     },
 }
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -22,6 +22,7 @@
 use jackdaw_base::{MonotonicTime, plain_data};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::direct::software_version::VersionId;
 use crate::direct::store_revision::StoreRevision;
 use crate::direct::target_table::leaving_targets::LeavingTargets;
 pub use crate::direct::target_table::store_reachability::{
@@ -83,6 +84,11 @@
         // Half of the hash suffices to distinguish the targets of a fleet and keeps reports short.
         TargetId(xxh3_64_with_seed(self.name.as_bytes(), self.started_unix_ms) >> 32)
     }
+
+    /// Returns the identifier of the target's software version; `None` if it is not known.
+    pub fn version_id(&self) -> Option<VersionId> {
+        self.version.as_deref().map(VersionId::from_name)
+    }
 }
 
 plain_data! {
--- a/crates/jackdaw-policy/src/direct/target_table/target_index.rs
+++ b/crates/jackdaw-policy/src/direct/target_table/target_index.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::direct::software_version::VersionId;
 use crate::direct::target_table::{TargetEntry, TargetId, TargetState};
 
 /// The properties of a ready target that placement needs.
@@ -17,6 +18,8 @@
     pub slots: u32,
     /// Failure domain of the target.
     pub domain: String,
+    /// Software version of the target; `None` if it is not known.
+    pub version: Option<VersionId>,
 }
 
 /// Lookup tables of a target table. Decisions are far more frequent than changes of the entries, so
@@ -45,7 +48,12 @@
             index.names.insert(id, entry.name.clone());
             index.digest ^= entry_digest(entry);
             if entry.state == TargetState::Ready && !is_leaving(id) {
-                let target = ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone() };
+                let target = ReadyTarget {
+                    id,
+                    slots: entry.slots,
+                    domain: entry.domain.clone(),
+                    version: entry.version_id(),
+                };
                 ready.entry(&entry.service).or_default().push(target);
             }
         }
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -7,7 +7,7 @@
 use jackdaw_policy::direct::{
     CallerLimits, CustomerConfig, DirectPolicy, DirectRequest, DirectRouter, FleetConfig,
     PromptPart, PromptShape, RequestKind, RouteConfig, ServiceConfig, ServiceWeight, StoreContact,
-    TargetChange, TargetEntry, TargetState,
+    TargetChange, TargetEntry, TargetState, VersionRule,
 };
 use rand::Rng;
 use smallvec::smallvec;
@@ -111,6 +111,7 @@
         prompt,
         time_left: Duration::from_secs(15),
         fingerprint,
+        version_rule: VersionRule::Any,
     }
 }
 
