Bring callers back to the software version that began their stream

Cause: nobody but the router that began a stream could know its version, and that one may be gone; no router read `Resumes`.

Change: before a caller gets the first event, two routers in different failure domains are told which version began the stream, 14 bytes and a header each. They are chosen by rendezvous hashing of customer and attempt, so that any router can work out whom to ask when a caller comes back: up to four, repeated each 0.1 s for 0.4 s. Without an answer that knows, a version is concluded only if another router has seen no other for longer than any caller waits and this one sees no other now; otherwise the request is refused at once, without Retry-After (0.3 s where nobody could be asked, since another router may). A returned stream is told again by the router that goes on with it. Callers reach streams of their own customer only; 65,536 streams are kept at most, as long as their callers wait (5 min at most).

Why it works: what is told is on its way before the first event, and never changes afterwards, so neither lost, late nor repeated datagrams can name a wrong version.

--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -171,6 +171,7 @@
     levels.set(&[("of", "targets_missing")], router.targets.missing_count() as i64);
     levels.set(&[("of", "targets_limited")], router.limited_count() as i64);
     levels.set(&[("of", "refused_causes")], router.refused_cause_count() as i64);
+    levels.set(&[("of", "streams_known")], router.stream_count() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
     levels.set(&[("of", "lag_ms")], state.lag().as_millis() as i64);
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -24,6 +24,16 @@
     pub resumptions: Counter,
     /// Requests whose callers go on with a stream of an earlier attempt.
     pub returns: Counter,
+    /// Lookups of streams by their result.
+    pub lookups: CounterFamily,
+    /// Versions of streams told to other routers.
+    pub bindings_sent: Counter,
+    /// Versions of streams that other routers told.
+    pub bindings_received: Counter,
+    /// Versions of streams that were not recorded, because too many are known.
+    pub bindings_dropped: Counter,
+    /// Datagrams about streams that could not be sent.
+    pub stream_send_failures: Counter,
     /// Connections opened to targets.
     pub connections: Counter,
     /// Targets whose announced leaving this router learned of.
@@ -62,6 +72,20 @@
             retries: plain("edge_repeats", "Requests sent again to another target"),
             resumptions: plain("edge_stream_resumptions", "Streams resumed within one answer"),
             returns: plain("edge_stream_returns", "Requests that go on with a stream"),
+            lookups: registry.counter("edge_stream_lookups", "Lookups of streams by result"),
+            bindings_sent: plain("edge_stream_bindings_sent", "Versions of streams told to others"),
+            bindings_received: plain(
+                "edge_stream_bindings_heard",
+                "Versions of streams told by others",
+            ),
+            bindings_dropped: plain(
+                "edge_stream_bindings_dropped",
+                "Versions of streams not recorded",
+            ),
+            stream_send_failures: plain(
+                "edge_stream_send_failures",
+                "Datagrams about streams not sent",
+            ),
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -1,12 +1,13 @@
 //! State shared by the components of one router, which all run on a single thread.
 
-use std::cell::{Cell, RefCell, RefMut};
+use std::cell::{Cell, OnceCell, RefCell, RefMut};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 use jackdaw_policy::direct::{
-    CrashNotice, DirectPolicy, DirectRouter, LimitStatement, OverloadDetector, ShedAction, TargetId,
+    CrashNotice, DirectPolicy, DirectRouter, LimitStatement, OverloadDetector, ShedAction,
+    StreamBinding, TargetId,
 };
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
@@ -16,6 +17,7 @@
 use crate::crash_check::CrashChecks;
 use crate::edge_metrics::EdgeMetrics;
 use crate::log_text::format_parts;
+use crate::stream_exchange::StreamExchange;
 use crate::target_pool::TargetPool;
 
 /// Interval of the housekeeping tick. Late ticks reveal how far the process lags behind.
@@ -43,6 +45,7 @@
     pub body_buffer: BodyBuffer,
     /// Checks whether targets crashed.
     pub crash_checks: CrashChecks,
+    streams: OnceCell<StreamExchange>,
     /// Open connections of callers.
     pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
@@ -63,6 +66,7 @@
             pool: TargetPool::default(),
             body_buffer: BodyBuffer::default(),
             crash_checks: CrashChecks::default(),
+            streams: OnceCell::new(),
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
@@ -89,6 +93,34 @@
         fixed
     }
 
+    /// Sets the exchange of versions of streams; called once, when the report port is bound.
+    pub(crate) fn open_streams(&self, exchange: StreamExchange) {
+        if self.streams.set(exchange).is_err() {
+            log::error!("the exchange of versions of streams was opened twice");
+        }
+    }
+
+    /// Returns the exchange of versions of streams; `None` before the report port is bound.
+    pub(crate) fn streams(&self) -> Option<&StreamExchange> {
+        self.streams.get()
+    }
+
+    /// Records which version began a stream.
+    pub(crate) fn record_binding(&self, binding: &StreamBinding) {
+        if !self.router().bind_stream(self.now(), binding) {
+            self.metrics.bindings_dropped.inc();
+            log::debug!(key = binding.key.0; "too many streams are known; version not recorded");
+        }
+    }
+
+    /// Records which version began an own stream, and tells the routers that keep it.
+    pub(crate) fn publish_binding(&self, binding: StreamBinding) {
+        self.record_binding(&binding);
+        if let Some(streams) = self.streams() {
+            streams.tell(self, binding);
+        }
+    }
+
     /// Returns the time since this state was created, in microseconds.
     pub fn now(&self) -> MonotonicTime {
         MonotonicTime(self.origin.elapsed().as_micros() as u64)
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use jackdaw_base::ErrorKind;
-use jackdaw_platform::{RequestHead, ResponseHead, StreamOrigin};
+use jackdaw_platform::{RequestHead, ResponseHead};
 use jackdaw_policy::direct::{KeyError, RouteConfig, RouteTable};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -165,9 +165,8 @@
         return abandoned.into_response(Some(&context.inner.request.head.id), true);
     }
     context.record_arrival();
-    log_return(&context.inner.request.head, &context.inner.state);
     let deadline = context.deadline_at();
-    let result = match tokio::time::timeout_at(deadline, obtain_response(context, None)).await {
+    let result = match tokio::time::timeout_at(deadline, begin_response(context)).await {
         Ok(result) => result,
         Err(_) => Err(context.timeout_response()),
     };
@@ -188,15 +187,9 @@
     }
 }
 
-/// Logs that a caller comes back to go on with a stream.
-fn log_return(head: &RequestHead, state: &EdgeState) {
-    let first_attempt = match &head.origin {
-        StreamOrigin::New => return,
-        StreamOrigin::Attempt(id) => id.as_str(),
-        StreamOrigin::Unstated => "",
-    };
-    state.metrics.returns.inc();
-    log::info!(request:% = head.id, first_attempt; "caller goes on with a stream");
+async fn begin_response(context: &RequestContext) -> Result<TargetResponse, LocalResponse> {
+    context.resolve_origin().await?;
+    obtain_response(context, None).await
 }
 
 fn build_response(parts: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod run_guard;
 pub mod settings_file;
 pub mod store_watch;
+mod stream_exchange;
 pub mod target_pool;
 pub mod target_send;
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -25,6 +25,7 @@
     CrashExtension, DatagramExtension, LimitExtension, MAX_DATAGRAM_BYTES, ReceivedDatagram,
     ReportDatagram, decode_datagram, encode_datagram,
 };
+use crate::stream_exchange::StreamExchange;
 
 /// Report period of a small fleet: a fifth of the shortest latency objectives, so that target
 /// selection knows most of the requests sent by other routers.
@@ -58,8 +59,8 @@
 /// State shared by the tasks of the exchange.
 struct ReportExchange {
     state: Rc<EdgeState>,
-    socket: UdpSocket,
-    peers: RefCell<PeerTable>,
+    socket: Rc<UdpSocket>,
+    peers: Rc<RefCell<PeerTable>>,
 }
 
 impl PeerReports {
@@ -73,7 +74,8 @@
         let socket = UdpSocket::bind(address).await;
         let socket =
             socket.change_context(ErrorKind::LocalResource).attach_with(|| address.to_string())?;
-        let peers = RefCell::default();
+        let (socket, peers) = (Rc::new(socket), Rc::default());
+        state.open_streams(StreamExchange::new(&socket, &peers));
         let exchange = Rc::new(ReportExchange { state: Rc::clone(state), socket, peers });
         let tasks = vec![
             tokio::task::spawn_local(send_reports(Rc::clone(&exchange))),
@@ -147,6 +149,9 @@
         for target in &received.extension.leaving {
             self.state.record_leaving(*target, &source);
         }
+        if let Some(streams) = self.state.streams() {
+            streams.receive(&self.state, sender, &received.streams);
+        }
         self.state.router().apply_crash_findings(now, &received.crashes.findings);
         self.state.log_crash_notices();
     }
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -6,8 +6,8 @@
 
 use jackdaw_base::{ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{
-    FetchUrgency, LimitUsage, PeerReport, PeerStatus, PlanPeer, PrefillUsage, ReportPlan,
-    WatchPeer, introduce_peers, needs_introduction, plan_reports,
+    FetchUrgency, HolderPeer, LimitUsage, PeerReport, PeerStatus, PlanPeer, PrefillUsage,
+    ReportPlan, WatchPeer, introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -162,6 +162,16 @@
         introduce_peers(domain, &self.plan_peers())
     }
 
+    /// Returns the routers that report, as possible keepers of streams.
+    pub(crate) fn holder_peers(&self) -> Vec<HolderPeer<'_>> {
+        let timeout = self.silence_timeout();
+        let peers = self.peers.iter().filter_map(|(ip, record)| {
+            let last = record.last.as_ref().filter(|last| last.is_recent(timeout))?;
+            Some(HolderPeer { address: *ip, domain: &last.report.domain })
+        });
+        peers.collect()
+    }
+
     fn plan_peers(&self) -> Vec<PlanPeer<'_>> {
         let timeout = self.silence_timeout();
         let peers = self.peers.iter().map(|(ip, record)| PlanPeer {
--- a/crates/jackdaw-edge/src/report_datagram.rs
+++ b/crates/jackdaw-edge/src/report_datagram.rs
@@ -6,7 +6,7 @@
 use std::net::Ipv4Addr;
 
 use jackdaw_base::{ProcessIncarnation, plain_data};
-use jackdaw_policy::direct::{CrashFinding, TargetId};
+use jackdaw_policy::direct::{CrashFinding, StreamBinding, StreamFinding, StreamKey, TargetId};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -17,6 +17,7 @@
 
 plain_data! {
     /// A datagram sent between routers, encoded with postcard.
+    #[derive(Default)]
     pub(crate) struct ReportDatagram {
         /// The report of the sender, or reports of several routers in its failure domain.
         pub(crate) reports: Vec<RouterReport>,
@@ -57,12 +58,48 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`LimitExtension`], as known to builds that track versions of streams.
+    #[derive(Default)]
+    pub(crate) struct StreamExtension {
+        /// Streams that the receiver is to keep.
+        pub(crate) bindings: Vec<StreamBinding>,
+        /// Streams that the sender looks up.
+        pub(crate) questions: Vec<StreamQuestion>,
+        /// Answers to questions of the receiver.
+        pub(crate) answers: Vec<StreamAnswer>,
+    }
+}
+
+plain_data! {
+    /// Question which software version began a stream.
+    pub(crate) struct StreamQuestion {
+        /// Random number that the answer repeats.
+        pub(crate) number: u64,
+        /// The stream; `None` if the caller does not name it.
+        pub(crate) key: Option<StreamKey>,
+        /// Name of the service that the stream belongs to.
+        pub(crate) service: String,
+    }
+}
+
+plain_data! {
+    /// Answer to a [`StreamQuestion`].
+    pub(crate) struct StreamAnswer {
+        /// Number of the question.
+        pub(crate) number: u64,
+        /// What the sender knows.
+        pub(crate) finding: StreamFinding,
+    }
+}
+
 /// A datagram with all that follows it.
 pub(crate) struct ReceivedDatagram {
     pub(crate) datagram: ReportDatagram,
     pub(crate) extension: DatagramExtension,
     pub(crate) crashes: CrashExtension,
     pub(crate) limits: LimitExtension,
+    pub(crate) streams: StreamExtension,
 }
 
 impl ReceivedDatagram {
@@ -99,8 +136,9 @@
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     let (extension, rest) = take_extension(rest)?;
     let (crashes, rest) = take_extension(rest)?;
-    let (limits, _) = take_extension(rest)?;
-    Ok(ReceivedDatagram { datagram, extension, crashes, limits })
+    let (limits, rest) = take_extension(rest)?;
+    let (streams, _) = take_extension(rest)?;
+    Ok(ReceivedDatagram { datagram, extension, crashes, limits, streams })
 }
 
 /// Decodes an extension, which is empty if the bytes end before it, and returns the bytes after it.
--- /dev/null
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -0,0 +1,204 @@
+//! Exchange of the software versions of streams with other routers.
+//!
+//! Before a caller gets the first event of a stream, a few routers are told which version began it.
+//! A router that the caller comes back to asks them. Lost datagrams of the first kind leave a stream
+//! that fewer routers know; questions are repeated.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use jackdaw_policy::direct::{
+    LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, stream_receivers,
+    stream_sources,
+};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::edge_state::EdgeState;
+use crate::peer_table::PeerTable;
+use crate::report_datagram::{
+    CrashExtension, DatagramExtension, LimitExtension, ReportDatagram, StreamAnswer,
+    StreamExtension, StreamQuestion, encode_datagram,
+};
+
+/// Longest time that a caller waits for the answers of other routers. Routers with a quota of
+/// processor time answer up to 0.1 s late.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which a question without an answer is repeated.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum number of lookups at the same time.
+const MAX_OPEN_LOOKUPS: usize = 1024;
+
+/// Sends and receives what routers tell each other about streams.
+pub(crate) struct StreamExchange {
+    socket: Rc<UdpSocket>,
+    peers: Rc<RefCell<PeerTable>>,
+    /// Lookups that wait for answers, by random numbers that answers repeat.
+    lookups: RefCell<HashMap<u64, OpenLookup>>,
+}
+
+/// A lookup and the task that waits for it.
+struct OpenLookup {
+    lookup: StreamLookup,
+    answered: Rc<Notify>,
+}
+
+/// Closes a lookup when its request ends.
+struct LookupGuard<'a> {
+    exchange: &'a StreamExchange,
+    number: u64,
+}
+
+impl Drop for LookupGuard<'_> {
+    fn drop(&mut self) {
+        self.exchange.lookups.borrow_mut().remove(&self.number);
+    }
+}
+
+impl StreamExchange {
+    /// Creates the exchange on the socket of the reports.
+    pub(crate) fn new(socket: &Rc<UdpSocket>, peers: &Rc<RefCell<PeerTable>>) -> StreamExchange {
+        StreamExchange {
+            socket: Rc::clone(socket),
+            peers: Rc::clone(peers),
+            lookups: RefCell::default(),
+        }
+    }
+
+    /// Tells the routers that keep a stream which version began it.
+    pub(crate) fn tell(&self, state: &EdgeState, binding: StreamBinding) {
+        let peers = self.peers.borrow();
+        let receivers = stream_receivers(binding.key, &peers.holder_peers());
+        state.metrics.bindings_sent.inc_by(receivers.len() as u64);
+        let extension = StreamExtension { bindings: vec![binding], ..StreamExtension::default() };
+        self.send(state, &receivers, extension);
+    }
+
+    /// Finds out which version began a stream of a service; `None` stands for a stream that its caller
+    /// does not name.
+    pub(crate) async fn look_up(
+        &self,
+        state: &EdgeState,
+        key: Option<StreamKey>,
+        service: &str,
+    ) -> LookupResult {
+        let own = state.router().find_stream(state.now(), key, service);
+        if let StreamFinding::Version(version) = own {
+            return LookupResult::Known(version);
+        }
+        let number = rand::random();
+        let sources = {
+            let peers = self.peers.borrow();
+            // Any routers can tell whether the service has had a single version.
+            let placing_key = key.unwrap_or(StreamKey(number));
+            (peers.len() > 0).then(|| stream_sources(placing_key, &peers.holder_peers()))
+        };
+        let question = StreamQuestion { number, key, service: service.to_owned() };
+        let lookup = self.collect(state, StreamLookup::new(own, sources), question).await;
+        lookup.conclude(&state.router().present_versions(service))
+    }
+
+    /// Asks the sources of a lookup until it is complete or its time is over.
+    async fn collect(
+        &self,
+        state: &EdgeState,
+        lookup: StreamLookup,
+        question: StreamQuestion,
+    ) -> StreamLookup {
+        if lookup.is_complete() {
+            return lookup;
+        }
+        if self.lookups.borrow().len() >= MAX_OPEN_LOOKUPS {
+            log::warn!("too many lookups of streams; not asking other routers");
+            return lookup;
+        }
+        let number = question.number;
+        let answered = Rc::new(Notify::new());
+        let open = OpenLookup { lookup: lookup.clone(), answered: Rc::clone(&answered) };
+        self.lookups.borrow_mut().insert(number, open);
+        let _guard = LookupGuard { exchange: self, number };
+        let ends_at = Instant::now() + LOOKUP_TIMEOUT;
+        loop {
+            let current = self.lookups.borrow().get(&number).map(|open| open.lookup.clone());
+            let Some(current) = current else {
+                return lookup;
+            };
+            if current.is_complete() || Instant::now() >= ends_at {
+                return current;
+            }
+            let questions = vec![question.clone()];
+            let extension = StreamExtension { questions, ..StreamExtension::default() };
+            self.send(state, current.waiting(), extension);
+            self.wait_complete(number, &answered).await;
+        }
+    }
+
+    /// Waits until a lookup is complete, but not longer than until its questions are repeated.
+    async fn wait_complete(&self, number: u64, answered: &Notify) {
+        let complete = async {
+            loop {
+                answered.notified().await;
+                let lookups = self.lookups.borrow();
+                if lookups.get(&number).is_none_or(|open| open.lookup.is_complete()) {
+                    return;
+                }
+            }
+        };
+        // After the timeout, the caller repeats the question or gives up.
+        let _ = tokio::time::timeout(REPEAT_INTERVAL, complete).await;
+    }
+
+    /// Processes what another router tells, asks or answers.
+    pub(crate) fn receive(&self, state: &EdgeState, sender: Ipv4Addr, received: &StreamExtension) {
+        let now = state.now();
+        for binding in &received.bindings {
+            state.metrics.bindings_received.inc();
+            state.record_binding(binding);
+        }
+        for answer in &received.answers {
+            if let Some(open) = self.lookups.borrow_mut().get_mut(&answer.number) {
+                open.lookup.record(sender, answer.finding);
+                open.answered.notify_one();
+            }
+        }
+        if received.questions.is_empty() {
+            return;
+        }
+        let answers = received.questions.iter().map(|question| StreamAnswer {
+            number: question.number,
+            finding: state.router().find_stream(now, question.key, &question.service),
+        });
+        let answers: Vec<StreamAnswer> = answers.collect();
+        for (question, answer) in received.questions.iter().zip(&answers) {
+            log::debug!(peer:% = sender, key:? = question.key, finding:? = answer.finding; "answered a question for a stream");
+        }
+        self.send(state, &[sender], StreamExtension { answers, ..StreamExtension::default() });
+    }
+
+    fn send(&self, state: &EdgeState, receivers: &[Ipv4Addr], streams: StreamExtension) {
+        let datagram = (
+            ReportDatagram::default(),
+            DatagramExtension::default(),
+            CrashExtension::default(),
+            LimitExtension::default(),
+            streams,
+        );
+        let Some(bytes) = encode_datagram(&datagram) else {
+            return;
+        };
+        let port = state.settings().report_port;
+        for peer in receivers {
+            let address = SocketAddr::V4(SocketAddrV4::new(*peer, port));
+            if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                state.metrics.stream_send_failures.inc();
+                log::debug!(peer:% = peer, error:% = error; "failed to send versions of streams");
+            }
+        }
+    }
+}
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -25,11 +25,15 @@
 pub mod route_table;
 pub mod software_version;
 pub mod store_revision;
+pub mod stream_holders;
+pub mod stream_lookup;
 pub mod stream_monitor;
+pub mod stream_table;
 pub mod target_health;
 pub mod target_limits;
 pub mod target_speed;
 pub mod target_table;
+pub mod version_history;
 pub mod watch_election;
 
 pub use crash_ledger::{
@@ -61,7 +65,10 @@
 pub use route_table::{KeyError, RouteTable};
 pub use software_version::{VersionId, VersionRule};
 pub use store_revision::StoreRevision;
+pub use stream_holders::{HolderList, HolderPeer, stream_receivers, stream_sources};
+pub use stream_lookup::{LookupResult, StreamFinding, StreamLookup};
 pub use stream_monitor::StreamMonitor;
+pub use stream_table::{StreamBinding, StreamKey, StreamTable};
 pub use target_health::{SendFailure, TargetHealth};
 pub use target_limits::{
     LimitChange, LimitStatement, LimitUsage, ReceivedStatement, RequestRate, TargetLimits,
@@ -71,6 +78,7 @@
     ChangeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange, TargetEntry,
     TargetId, TargetSnapshot, TargetState, TargetTable, UpdateEffect,
 };
+pub use version_history::VersionHistory;
 pub use watch_election::{
     FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection, WatchPeer,
 };
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -3,6 +3,7 @@
 mod crash_tracking;
 mod placement_view;
 mod report_exchange;
+mod stream_tracking;
 mod target_ranking;
 
 use crash_tracking::BrokenRun;
@@ -30,10 +31,12 @@
 use crate::direct::route_table::RouteTable;
 use crate::direct::software_version::VersionRule;
 use crate::direct::stream_monitor::StreamMonitor;
+use crate::direct::stream_table::StreamTable;
 use crate::direct::target_health::{SendFailure, TargetHealth};
 use crate::direct::target_limits::{LimitStatement, TargetLimits};
 use crate::direct::target_speed::TargetSpeed;
 use crate::direct::target_table::{TargetId, TargetTable};
+use crate::direct::version_history::VersionHistory;
 use crate::direct::watch_election::WatchElection;
 
 /// Configured parameters of a router's decisions.
@@ -143,6 +146,8 @@
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
     stream_monitors: HashMap<String, StreamMonitor>,
+    streams: StreamTable,
+    versions: VersionHistory,
     crashes: CrashLedger,
     broken: Vec<BrokenRun>,
     notices: Vec<CrashNotice>,
@@ -171,6 +176,8 @@
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
             stream_monitors: HashMap::new(),
+            streams: StreamTable::default(),
+            versions: VersionHistory::default(),
             crashes: CrashLedger::default(),
             broken: Vec::new(),
             notices: Vec::new(),
@@ -435,6 +442,7 @@
             self.limits.remove_peer(incarnation);
         }
         self.expire_crashes(now);
+        self.expire_streams(now);
         let removed = self.targets.expire(now);
         if !removed.is_empty() {
             self.forget_removed_targets(now);
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -0,0 +1,60 @@
+//! Which software versions began the streams that callers may go on with.
+
+use jackdaw_base::MonotonicTime;
+
+use crate::direct::direct_router::DirectRouter;
+use crate::direct::software_version::VersionId;
+use crate::direct::stream_lookup::StreamFinding;
+use crate::direct::stream_table::{StreamBinding, StreamKey};
+use crate::direct::watch_election::StoreStatus;
+
+impl DirectRouter {
+    /// Records which version began a stream; returns false if too many streams are known.
+    pub fn bind_stream(&mut self, now: MonotonicTime, binding: &StreamBinding) -> bool {
+        self.streams.record(now, binding)
+    }
+
+    /// Returns what this router knows about a stream of a service; `None` stands for a stream that its
+    /// caller does not name.
+    pub fn find_stream(
+        &mut self,
+        now: MonotonicTime,
+        key: Option<StreamKey>,
+        service: &str,
+    ) -> StreamFinding {
+        if let Some(version) = key.and_then(|key| self.streams.find(now, key)) {
+            return StreamFinding::Version(version);
+        }
+        self.record_versions(now);
+        // Without the store, this router may not know of new targets.
+        let sole = match self.store_status(now) {
+            StoreStatus::Unreachable => None,
+            _ => self.versions.sole_version(now, service, self.streams.return_span()),
+        };
+        StreamFinding::Unknown { sole }
+    }
+
+    /// Returns the versions of a service's registered targets.
+    pub fn present_versions(&self, service: &str) -> Vec<Option<VersionId>> {
+        let versions = self.targets.versions().iter();
+        let present = versions.filter(|(name, _)| name == service).map(|(_, version)| *version);
+        present.collect()
+    }
+
+    /// Returns the number of streams whose version is known.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
+    pub(super) fn expire_streams(&mut self, now: MonotonicTime) {
+        self.streams.expire(now);
+        self.record_versions(now);
+        self.versions.expire(now, self.streams.return_span());
+    }
+
+    fn record_versions(&mut self, now: MonotonicTime) {
+        for (service, version) in self.targets.versions() {
+            self.versions.record(now, service, *version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/stream_holders.rs
@@ -0,0 +1,79 @@
+//! Which routers keep the software version of a stream for the others.
+//!
+//! All routers rank the failure domains, and the routers in them, by rendezvous hashing of the stream's
+//! key. The router that begins a stream tells the first router of each of the first domains; a router
+//! that a caller comes back to asks the first few of them, since the two may know slightly different
+//! fleets. What is told and asked grows with a router's own streams, not with the fleet.
+
+use std::net::Ipv4Addr;
+
+use jackdaw_base::VmId;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::direct::stream_table::StreamKey;
+use crate::rendezvous::rendezvous_weight;
+
+/// Number of failure domains that keep a stream.
+const HOLDING_DOMAINS: usize = 2;
+
+/// Routers that are told of a stream in each of these domains, and routers that are asked there.
+const TOLD_PER_DOMAIN: usize = 1;
+const ASKED_PER_DOMAIN: usize = 2;
+
+/// Addresses of the routers that are told or asked.
+pub type HolderList = SmallVec<[Ipv4Addr; HOLDING_DOMAINS * ASKED_PER_DOMAIN]>;
+
+/// Another router that may keep streams.
+#[derive(Debug, Clone, Copy)]
+pub struct HolderPeer<'a> {
+    /// Address of the router.
+    pub address: Ipv4Addr,
+    /// Failure domain of the router.
+    pub domain: &'a str,
+}
+
+/// Returns the routers that are told of a stream; `peers` are those that report.
+pub fn stream_receivers(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
+    rank_holders(key, peers, TOLD_PER_DOMAIN)
+}
+
+/// Returns the routers that are asked for a stream.
+pub fn stream_sources(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
+    rank_holders(key, peers, ASKED_PER_DOMAIN)
+}
+
+fn rank_holders(key: StreamKey, peers: &[HolderPeer<'_>], per_domain: usize) -> HolderList {
+    let mut domains: SmallVec<[(u64, &str); 8]> = SmallVec::new();
+    for peer in peers {
+        if !domains.iter().any(|(_, domain)| *domain == peer.domain) {
+            let weight = rendezvous_weight(key.0, VmId(xxh3_64(peer.domain.as_bytes())));
+            domains.push((weight, peer.domain));
+        }
+    }
+    domains.sort_unstable_by(|a, b| b.cmp(a));
+    domains.truncate(HOLDING_DOMAINS);
+    // With a single domain, its routers stand in for those of another one.
+    let count = per_domain * HOLDING_DOMAINS / domains.len().max(1);
+    let holders = domains.iter().flat_map(|(_, domain)| top_of_domain(key, peers, domain, count));
+    holders.collect()
+}
+
+fn top_of_domain(
+    key: StreamKey,
+    peers: &[HolderPeer<'_>],
+    domain: &str,
+    count: usize,
+) -> HolderList {
+    let mut ranked: SmallVec<[(u64, Ipv4Addr); 4]> = SmallVec::new();
+    for peer in peers.iter().filter(|peer| peer.domain == domain) {
+        let node = VmId(u64::from(u32::from(peer.address)));
+        let weighted = (rendezvous_weight(key.0, node), peer.address);
+        let position = ranked.partition_point(|other| *other >= weighted);
+        if position < count {
+            ranked.truncate(count - 1);
+            ranked.insert(position, weighted);
+        }
+    }
+    ranked.into_iter().map(|(_, address)| address).collect()
+}
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -226,6 +226,12 @@
         self.index().names.contains_key(&target)
     }
 
+    /// Returns the software versions of the registered targets of each service, each once; `None` stands
+    /// for targets whose version is not known.
+    pub fn versions(&self) -> &[(String, Option<VersionId>)] {
+        &self.index().versions
+    }
+
     /// Returns the number of registered targets.
     pub fn len(&self) -> usize {
         self.targets.len()
--- a/crates/jackdaw-policy/src/direct/target_table/target_index.rs
+++ b/crates/jackdaw-policy/src/direct/target_table/target_index.rs
@@ -30,6 +30,8 @@
     pub(super) ready: HashMap<String, Rc<[ReadyTarget]>>,
     /// Names of all registered targets.
     pub(super) names: FxHashMap<TargetId, String>,
+    /// Software versions of the targets of each service, each once.
+    pub(super) versions: Vec<(String, Option<VersionId>)>,
     /// Digest of the entries, without what this router alone knows about them.
     pub(super) digest: u64,
 }
@@ -47,13 +49,14 @@
             let id = entry.id();
             index.names.insert(id, entry.name.clone());
             index.digest ^= entry_digest(entry);
+            let version = entry.version_id();
+            let mut versions = index.versions.iter();
+            if !versions.any(|(service, known)| *service == entry.service && *known == version) {
+                index.versions.push((entry.service.clone(), version));
+            }
             if entry.state == TargetState::Ready && !is_leaving(id) {
-                let target = ReadyTarget {
-                    id,
-                    slots: entry.slots,
-                    domain: entry.domain.clone(),
-                    version: entry.version_id(),
-                };
+                let target =
+                    ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone(), version };
                 ready.entry(&entry.service).or_default().push(target);
             }
         }
