Admit streams that go on like requests within the share

What callers saw: callers of a customer far above its share lost the streams they held.

Cause: a stream that breaks off, or whose caller comes back, was weighed as new work of its customer. Under pressure a customer above its share waits for nothing, so it was refused.

The test begun_stream_goes_on_above_the_share failed before: Refuse { OverShare }.

Change: a request whose stream has begun is placed in the tier Owed. Its tokens are still counted. Only streams that a router knows to have begun get there, so `Resumes` by itself gains nothing.

--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -28,7 +28,11 @@
         request: &DirectRequest<'a>,
         mean_wait: Duration,
     ) -> PlacementRequest<'a> {
-        let share = self.share_status(now, request.customer);
+        let mut share = self.share_status(now, request.customer);
+        if request.version_rule != VersionRule::Any {
+            // The stream was admitted when it began; refused now, its caller loses what it has.
+            share.tier = ShareTier::Owed;
+        }
         let table = self.table.as_ref();
         let objective = table.and_then(|table| table.service_objective(request.service));
         PlacementRequest {
--- a/crates/jackdaw-policy/tests/direct/stream_versions.rs
+++ b/crates/jackdaw-policy/tests/direct/stream_versions.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use jackdaw_base::CustomerId;
 use jackdaw_policy::direct::{
     DirectRequest, DirectRouter, Placement, PromptShape, RefusalReason, SendFailure, TargetChange,
     TargetEntry, TargetHealth, TargetId, VersionId, VersionRule,
@@ -43,6 +44,38 @@
     VersionRule::Only(VersionId::from_name(version))
 }
 
+/// Callers of a customer far above its share lost the events they held: streams that had been admitted
+/// before were refused like new ones while the targets were busy.
+#[test]
+fn begun_stream_goes_on_above_the_share() {
+    let mut router = router(1, 2);
+    let large = prompt(1, 0, 30_000);
+    for (customer, count) in [(1, 30), (2, 2)] {
+        let request = DirectRequest {
+            customer: Some(CustomerId(customer)),
+            ..request(Some(&large), customer)
+        };
+        for _ in 0..count {
+            router.record_arrival(at(0), &request);
+            let target = entry(&format!("target-{}", router.run_count() % 2), 1).id();
+            router.start_run(at(0), &request, target, 1000);
+        }
+    }
+    let small = prompt(5, 50, 50);
+    let begins = request(Some(&small), 7);
+    let goes_on = DirectRequest { version_rule: only("v1"), ..begins.clone() };
+    // The moving average of the wait rises with the time for which the targets are busy.
+    for millis in (100..3000).step_by(100) {
+        router.place(at(millis), &begins, &[]);
+    }
+    let placement = router.place(at(3000), &begins, &[]);
+    let is_over_share =
+        matches!(placement, Placement::Refuse { reason: RefusalReason::OverShare, .. });
+    assert!(is_over_share, "{placement:?}");
+    let placement = router.place(at(3000), &goes_on, &[]);
+    assert!(matches!(placement, Placement::Send { .. }), "{placement:?}");
+}
+
 /// Streams went on at any target of the service, also at another version than the one that began them.
 #[test]
 fn stream_goes_on_only_at_its_version() {
