Return callers to the service that began their stream on divided routes

What callers saw: on a route whose traffic is divided over services, a caller that came back with `Resumes` was sent to the service that its new attempt drew; with the version check it would have been refused there if that service has other versions.

Cause: the service is drawn by a hash of the attempt, and each attempt has its own identifier. Class: a choice that has to stay the same for a stream was made for each attempt.

Change: the draw uses the identifier of the stream's first attempt. After a change of the weights or services the draw follows the new configuration, as for any request.

--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -90,7 +90,8 @@
         });
     }
     let customer = authorize(&table, route, &head)?;
-    let service = table.pick_service(route, &head.id);
+    // A caller that goes on with a stream returns to the service that began it.
+    let service = table.pick_service(route, head.first_attempt());
     let service =
         service.ok_or(LocalResponse::new(ErrorKind::NoCapacity, "the route has no service"))?;
     let limit = table.config().limits.body_bytes;
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -263,13 +263,11 @@
     /// not name it.
     fn stream_key(&self) -> Option<StreamKey> {
         let request = &self.inner.request;
-        let first_attempt = match &request.head.origin {
-            StreamOrigin::New => &request.head.id,
-            StreamOrigin::Attempt(id) => id,
-            StreamOrigin::Unstated => return None,
-        };
+        if request.head.origin == StreamOrigin::Unstated {
+            return None;
+        }
         let customer = request.customer.as_ref().map(|customer| customer.customer);
-        Some(StreamKey::new(customer, first_attempt))
+        Some(StreamKey::new(customer, request.head.first_attempt()))
     }
 
     /// Logs that a stream goes on at another target, after the event `after`.
