Ask a target for its start before a stream is bound to its version

What callers could see: a stream bound to the version that a target had before it started again under its name, or sent on to such a target, by a router with an old view of the store; Expect- Instance names only the name.

Cause: a router took the entry's version for that of the process at the address. Class: a property of a process that is read from a copy of a registration.

Change: a connection that is to carry a resumable stream, or one that goes on, asks the target once for its report; the start time must be that of the entry. Otherwise nothing is sent and another target is tried, as after a 421. No answer within 0.25 s counts as a full target. Why it works: what is at the other end of a connection stays the same process, and an entry's version belongs to its start time.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -34,6 +34,8 @@
     pub bindings_dropped: Counter,
     /// Datagrams about streams that could not be sent.
     pub stream_send_failures: Counter,
+    /// Connections whose target was asked for its identity.
+    pub identity_checks: Counter,
     /// Connections opened to targets.
     pub connections: Counter,
     /// Targets whose announced leaving this router learned of.
@@ -86,6 +88,7 @@
                 "edge_stream_send_failures",
                 "Datagrams about streams not sent",
             ),
+            identity_checks: plain("edge_identity_checks", "Targets asked for their identity"),
             connections: plain("edge_connections", "Connections made to targets"),
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -87,7 +87,8 @@
     /// Software version of the last selected target; empty if it is not known.
     last_version: RefCell<String>,
     last_version_id: Cell<Option<VersionId>>,
-    version_rule: Cell<VersionRule>,
+    /// Software versions whose targets may serve the request.
+    pub(crate) version_rule: Cell<VersionRule>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     first_byte: Cell<Option<Duration>>,
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use jackdaw_platform::{build_report_request, parse_start_time};
 use jackdaw_policy::direct::TargetId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -39,6 +40,23 @@
 /// Interval of TCP keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Longest time that a target has for its report, which needs no slot.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Size limit of a report, in bytes; it lists the target's runs.
+const REPORT_LIMIT_BYTES: usize = 256 * 1024;
+
+/// Why a target's report was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportError {
+    /// The connection failed.
+    Broken,
+    /// The target did not answer in time.
+    TimedOut,
+    /// The report states no start time.
+    Malformed,
+}
+
 /// An HTTP connection to a target, which is closed when it is dropped.
 pub struct TargetConnection {
     target: TargetId,
@@ -47,6 +65,10 @@
     driver: AbortHandle,
     idle_lifetime: Duration,
     idle_since: Instant,
+    /// Whether the process at the other end has stated that it is this instance of the target.
+    is_confirmed: bool,
+    /// Whether the connection was idle before.
+    is_reused: bool,
 }
 
 /// Failure to send a request or to receive the head of its response.
@@ -109,6 +131,8 @@
             driver: driver.abort_handle(),
             idle_lifetime: DEFAULT_IDLE_LIFETIME,
             idle_since: Instant::now(),
+            is_confirmed: false,
+            is_reused: false,
         })
     }
 
@@ -118,6 +142,7 @@
             return;
         }
         connection.idle_since = Instant::now();
+        connection.is_reused = true;
         self.idle.borrow_mut().entry(connection.target).or_default().push(connection);
     }
 
@@ -172,6 +197,38 @@
         Ok(response.map(|body| MeteredBody::new(body, &self.meter)))
     }
 
+    /// Asks the process at the other end when it started. The entry of a target may be older than the
+    /// process that has its name and address now.
+    ///
+    /// # Errors
+    ///
+    /// [`ReportError`] if there is no usable answer in time; the connection must not be used further.
+    pub async fn read_start_time(&mut self, address: SocketAddr) -> Result<u64, ReportError> {
+        let request = build_report_request(&address.to_string());
+        let exchange = async {
+            let response = self.send(request).await.map_err(|_| ReportError::Broken)?;
+            let body = Limited::new(response.into_body(), REPORT_LIMIT_BYTES).collect().await;
+            let body = body.map_err(|_| ReportError::Broken)?.to_bytes();
+            parse_start_time(&body).ok_or(ReportError::Malformed)
+        };
+        timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(ReportError::TimedOut))
+    }
+
+    /// Returns whether the connection was idle before, so that the target may have closed it.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// Returns whether the process at the other end is known to be this instance of the target.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Records that the process at the other end is this instance of the target.
+    pub fn confirm(&mut self) {
+        self.is_confirmed = true;
+    }
+
     /// Returns the target of the connection.
     pub fn target(&self) -> TargetId {
         self.target
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use jackdaw_platform::{FleetHeaders, ResponseHead, ResponseSource, build_target_request};
-use jackdaw_policy::direct::{Placement, RequestKind, RunOutcome, TargetId};
+use jackdaw_policy::direct::{Placement, RequestKind, RunOutcome, TargetEntry, TargetId};
 
 use crate::crash_check::check_crash;
 use crate::local_response::LocalResponse;
@@ -15,7 +15,7 @@
 use crate::request_context::RequestContext;
 use crate::response_relay::RelaySource;
 use crate::run_guard::RunGuard;
-use crate::target_pool::{SendError, TargetConnection};
+use crate::target_pool::{ReportError, SendError, TargetConnection};
 
 /// A response received from a target.
 pub(crate) enum TargetResponse {
@@ -35,13 +35,24 @@
 }
 
 /// Failure to get the head of a response from a target.
-enum TransferError {
+pub(crate) enum TransferError {
     NotSent,
+    /// Another process has the target's place, so the request was not sent.
+    Replaced,
+    /// The process in the target's place does not say who it is, so the request was not sent.
+    Unconfirmed(ReportError),
     /// The target wants no requests any more, so the request was not sent.
     Withheld,
     Broken(hyper::Error),
 }
 
+/// Result of sending on one connection.
+enum TransferResult {
+    Answered(Response<MeteredBody>),
+    /// Nothing was sent, since the connection was closed; contains the request.
+    NotSent(Box<Request<Full<Bytes>>>),
+}
+
 /// Resumes a stream at another target after the event `after`. Returns `None` if a retry is not
 /// allowed or fails.
 pub(crate) async fn resume_stream(
@@ -119,15 +130,11 @@
         resume_after: Option<u64>,
     ) -> SendOutcome {
         let inner = &self.inner;
-        let entry = inner
-            .state
-            .router()
-            .targets
-            .find(target)
-            .map(|entry| (entry.name.clone(), entry.address));
-        let Some((name, address)) = entry else {
+        let entry = inner.state.router().targets.find(target).cloned();
+        let Some(entry) = entry else {
             return SendOutcome::NotRun;
         };
+        let (name, address) = (entry.name.as_str(), entry.address);
         let run = {
             let mut router = inner.state.router();
             router.start_run(inner.state.now(), &self.policy_view(), target, prefill_tokens)
@@ -142,7 +149,7 @@
             }
         }
         let headers = FleetHeaders {
-            target: &name,
+            target: name,
             customer: inner.request.customer.as_ref().map(|customer| customer.name.as_str()),
             time_left: self.time_left(),
             resume_after,
@@ -151,7 +158,7 @@
             build_target_request(&inner.request.parts, inner.request.body.clone(), &headers);
         inner.runs.set(inner.runs.get() + 1);
         inner.state.metrics.sends.inc();
-        let result = self.transfer(&mut guard, request, target, address).await;
+        let result = self.transfer(&mut guard, request, &entry).await;
         match result {
             Ok(response) => self.classify_response(guard, response).await,
             Err(TransferError::NotSent) => {
@@ -160,6 +167,11 @@
                 guard.end(RunOutcome::Unreachable);
                 SendOutcome::NotRun
             }
+            Err(TransferError::Replaced) => self.record_unrun_send(guard, RunOutcome::Replaced),
+            Err(TransferError::Unconfirmed(error)) => {
+                self.log_unconfirmed(&entry, error);
+                self.record_unrun_send(guard, RunOutcome::Rejected)
+            }
             Err(TransferError::Withheld) => {
                 log::info!(
                     request:% = inner.request.head.id,
@@ -174,7 +186,7 @@
             Err(TransferError::Broken(error)) => {
                 log::info!(
                     request:% = inner.request.head.id,
-                    target_name = name.as_str(),
+                    target_name = name,
                     target_id = target.0,
                     parts = inner.shared_parts(),
                     error = format_error(&error);
@@ -232,33 +244,46 @@
         &self,
         guard: &mut RunGuard,
         request: Request<Full<Bytes>>,
-        target: TargetId,
-        address: SocketAddr,
+        entry: &TargetEntry,
     ) -> Result<Response<MeteredBody>, TransferError> {
-        // The target may have asked for a pause or announced its leaving during the connect.
-        if !self.accepts_placed(target) {
-            return Err(TransferError::Withheld);
-        }
-        let Some(connection) = guard.connection() else {
-            return Err(TransferError::NotSent);
+        let request = match self.transfer_once(guard, request, entry).await? {
+            TransferResult::Answered(response) => return Ok(response),
+            TransferResult::NotSent(request) => request,
         };
-        let request = match connection.send(request).await {
-            Ok(response) => return Ok(response),
-            Err(SendError::Broken(error)) => return Err(TransferError::Broken(error)),
-            Err(SendError::NotSent(request)) => request,
-        };
-        let connection = self.connect_new(target, address).await;
+        let connection = self.connect_new(entry.id(), entry.address).await;
         guard.attach(connection.map_err(|_| TransferError::NotSent)?);
-        if !self.accepts_placed(target) {
+        match self.transfer_once(guard, *request, entry).await? {
+            TransferResult::Answered(response) => Ok(response),
+            TransferResult::NotSent(_) => Err(TransferError::NotSent),
+        }
+    }
+
+    async fn transfer_once(
+        &self,
+        guard: &mut RunGuard,
+        request: Request<Full<Bytes>>,
+        entry: &TargetEntry,
+    ) -> Result<TransferResult, TransferError> {
+        let is_reused = guard.connection().is_some_and(|connection| connection.is_reused());
+        match self.confirm_target(guard, entry).await {
+            Ok(()) => {}
+            // The target may have closed a connection that was idle.
+            Err(TransferError::Unconfirmed(ReportError::Broken)) if is_reused => {
+                return Ok(TransferResult::NotSent(Box::new(request)));
+            }
+            Err(error) => return Err(error),
+        }
+        // The target may have asked for a pause or announced its leaving in the meantime.
+        if !self.accepts_placed(entry.id()) {
             return Err(TransferError::Withheld);
         }
         let Some(connection) = guard.connection() else {
             return Err(TransferError::NotSent);
         };
-        match connection.send(*request).await {
-            Ok(response) => Ok(response),
+        match connection.send(request).await {
+            Ok(response) => Ok(TransferResult::Answered(response)),
             Err(SendError::Broken(error)) => Err(TransferError::Broken(error)),
-            Err(SendError::NotSent(_)) => Err(TransferError::NotSent),
+            Err(SendError::NotSent(request)) => Ok(TransferResult::NotSent(request)),
         }
     }
 
