Let routers that lag a little decide on missing targets

Routers of other domains, which the store had answered all the time, had dropped the target at 6.12 s. It was not asked: they count only while they are not behind, and during a release they are one change behind or ahead several times a second. Class: a comparison of versions that is only true by chance while changes go on.

The other checks of fetch_urgency are the same, with no missing targets.

--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -210,9 +210,8 @@
             is_same_domain: report.domain == state.settings().domain,
         });
         let router = state.router();
-        let own = (&router.versions(), router.store_status(state.now()));
         let peer = (&report.versions, report.store_status);
-        record.ahead_since = match router.watch.fetch_urgency(own, peer) {
+        record.ahead_since = match router.fetch_urgency(state.now(), &router.versions(), peer) {
             FetchUrgency::None => None,
             FetchUrgency::Deferred | FetchUrgency::Immediate => {
                 Some(record.ahead_since.unwrap_or(now))
@@ -269,12 +268,12 @@
     /// Returns a router to fetch a snapshot from, preferably one in the same failure domain.
     pub(crate) fn snapshot_source(&self, state: &EdgeState) -> Option<Ipv4Addr> {
         let router = state.router();
-        let own = (&router.versions(), router.store_status(state.now()));
+        let (now, versions) = (state.now(), router.versions());
         let wanted = self.peers.iter().filter(|(_, record)| {
             let since = record.ahead_since.map_or(Duration::ZERO, |since| since.elapsed());
             record.last.as_ref().is_some_and(|last| {
                 let peer = (&last.report.versions, last.report.store_status);
-                match router.watch.fetch_urgency(own, peer) {
+                match router.fetch_urgency(now, &versions, peer) {
                     FetchUrgency::None => false,
                     FetchUrgency::Deferred => since >= AHEAD_TOLERANCE,
                     FetchUrgency::Immediate => true,
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -80,5 +80,6 @@
 };
 pub use version_history::VersionHistory;
 pub use watch_election::{
-    FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection, WatchPeer,
+    FetchBasis, FetchUrgency, FleetVersions, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection,
+    WatchPeer,
 };
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -7,7 +7,7 @@
 use crate::direct::prefill_window::PrefillUsage;
 use crate::direct::target_limits::{LimitChange, LimitUsage};
 use crate::direct::target_table::{StoreContact, StoreReachability};
-use crate::direct::watch_election::{FleetVersions, StoreStatus};
+use crate::direct::watch_election::{FetchBasis, FetchUrgency, FleetVersions, StoreStatus};
 
 impl DirectRouter {
     /// Returns the next report for the other routers.
@@ -66,6 +66,22 @@
         }
     }
 
+    /// Returns how urgently to fetch the state of another router, given its versions and its connection
+    /// to the store. `versions` are those of this router.
+    pub fn fetch_urgency(
+        &self,
+        now: MonotonicTime,
+        versions: &FleetVersions,
+        peer: (&FleetVersions, StoreStatus),
+    ) -> FetchUrgency {
+        let basis = FetchBasis {
+            versions,
+            store_status: self.store_status(now),
+            missing_targets: self.targets.missing_count(),
+        };
+        self.watch.fetch_urgency(basis, peer)
+    }
+
     /// Records the router's contact with the store; returns whether its reachability changed.
     pub fn record_store_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
         let is_start = matches!(self.targets.reachability(), StoreReachability::Unwatched { .. });
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/watch_election.rs
@@ -66,6 +66,17 @@
     Immediate,
 }
 
+/// What this router knows when it decides whether to fetch the state of another one.
+#[derive(Debug, Clone, Copy)]
+pub struct FetchBasis<'a> {
+    /// Versions of the configuration and the targets.
+    pub versions: &'a FleetVersions,
+    /// Connection to the store.
+    pub store_status: StoreStatus,
+    /// Number of targets whose entry is gone but may only have expired.
+    pub missing_targets: usize,
+}
+
 /// Another router of the same failure domain.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchPeer {
@@ -137,20 +148,24 @@
         self.outage_known_until.is_some_and(|time| now < time)
     }
 
-    /// Returns how urgently to fetch from another router, given both routers' versions and
-    /// connections to the store.
+    /// Returns how urgently to fetch from another router, given its versions and its connection to the
+    /// store.
     pub fn fetch_urgency(
         &self,
-        (own, own_status): (&FleetVersions, StoreStatus),
+        basis: FetchBasis<'_>,
         (peer, peer_status): (&FleetVersions, StoreStatus),
     ) -> FetchUrgency {
+        let own = basis.versions;
         let is_ahead = peer.config > own.config || peer.targets_revision > own.targets_revision;
         // Expired entries change the targets without a revision of their own.
         let has_different_targets = peer_status == StoreStatus::Stable
             && peer.targets_digest != own.targets_digest
             && peer.targets_revision >= own.targets_revision;
-        // A router that the store answered all the time knows which missing entries have expired.
-        let needs_decision = has_different_targets && own_status != StoreStatus::Stable;
+        // A router that the store answered all the time knows which missing entries have expired, also
+        // if it is a few other changes behind.
+        let may_differ = has_different_targets
+            || (basis.missing_targets > 0 && peer_status == StoreStatus::Stable);
+        let needs_decision = may_differ && basis.store_status != StoreStatus::Stable;
         match self.is_watching && own.config > 0 {
             true if is_ahead || needs_decision => FetchUrgency::Deferred,
             false if is_ahead || has_different_targets => FetchUrgency::Immediate,
--- a/crates/jackdaw-policy/tests/direct/watch_election.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_election.rs
@@ -2,8 +2,8 @@
 
 use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::{
-    FetchUrgency, FleetVersions, StoreRevision, StoreStatus, WATCHERS_PER_DOMAIN, WatchElection,
-    WatchPeer,
+    FetchBasis, FetchUrgency, FleetVersions, StoreRevision, StoreStatus, WATCHERS_PER_DOMAIN,
+    WatchElection, WatchPeer,
 };
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -100,6 +100,38 @@
     assert!(!election.is_watching());
 }
 
+/// Returns what a router without missing targets knows.
+fn basis(versions: &FleetVersions, store_status: StoreStatus) -> FetchBasis<'_> {
+    FetchBasis { versions, store_status, missing_targets: 0 }
+}
+
+/// Guards against requests to a removed target because the routers that know of its removal are a few
+/// changes behind.
+///
+/// Pattern: a release, in which the store changes several times a second, beside an outage that some
+/// routers saw.
+#[test]
+fn missing_target_is_decided_by_routers_that_lag() {
+    let versions = |targets_revision: u64, targets_digest| FleetVersions {
+        config: 3,
+        targets_revision: StoreRevision::from(targets_revision),
+        targets_digest,
+    };
+    let (own, peer) = (versions(31, 77), versions(30, 78));
+    let watching = WatchElection::default();
+    for (status, missing_targets, peer_status, expected) in [
+        (StoreStatus::Recovering, 1, StoreStatus::Stable, FetchUrgency::Deferred),
+        (StoreStatus::Unreachable, 1, StoreStatus::Stable, FetchUrgency::Deferred),
+        (StoreStatus::Recovering, 0, StoreStatus::Stable, FetchUrgency::None),
+        (StoreStatus::Recovering, 1, StoreStatus::Recovering, FetchUrgency::None),
+        (StoreStatus::Stable, 1, StoreStatus::Stable, FetchUrgency::None),
+    ] {
+        let basis = FetchBasis { missing_targets, ..basis(&own, status) };
+        let urgency = watching.fetch_urgency(basis, (&peer, peer_status));
+        assert_eq!(urgency, expected, "{status:?}, {missing_targets}, {peer_status:?}");
+    }
+}
+
 /// A router that does not watch fetches newer state immediately; one that does gives its own watch
 /// time to deliver the change.
 #[test]
@@ -116,7 +148,7 @@
     let others = [peer(1, stable), peer(2, stable)];
     not_watching.update(at(0), ProcessIncarnation(9), others.into_iter());
     let urgency = |election: &WatchElection, peer: FleetVersions, status| {
-        election.fetch_urgency((&own, stable), (&peer, status))
+        election.fetch_urgency(basis(&own, stable), (&peer, status))
     };
     let immediate = FetchUrgency::Immediate;
     assert_eq!(urgency(&watching, versions(4, 10, 77), stable), FetchUrgency::Deferred);
@@ -128,7 +160,7 @@
     assert_eq!(urgency(&watching, versions(3, 10, 78), stable), FetchUrgency::None);
     let empty = versions(0, 0, 0);
     let from_stable = (&versions(4, 10, 77), stable);
-    assert_eq!(watching.fetch_urgency((&empty, stable), from_stable), immediate);
+    assert_eq!(watching.fetch_urgency(basis(&empty, stable), from_stable), immediate);
     // After a failed call, the router cannot tell on its own which entries have expired.
     for (own_status, peer_status, expected) in [
         (recovering, stable, FetchUrgency::Deferred),
@@ -136,7 +168,7 @@
         (recovering, recovering, FetchUrgency::None),
     ] {
         let peer = (&versions(3, 10, 78), peer_status);
-        assert_eq!(watching.fetch_urgency((&own, own_status), peer), expected);
+        assert_eq!(watching.fetch_urgency(basis(&own, own_status), peer), expected);
     }
 }
 
--- a/crates/jackdaw-policy/tests/direct/watch_takeover.rs
+++ b/crates/jackdaw-policy/tests/direct/watch_takeover.rs
@@ -216,9 +216,8 @@
         let mut sources = Vec::new();
         for other in (0..self.routers.len()).filter(|other| *other != index) {
             let (own, peer) = (&self.routers[index].router, &self.routers[other].router);
-            let own_state = (&own.versions(), own.store_status(now));
             let peer_state = (&peer.versions(), peer.store_status(now));
-            let urgency = own.watch.fetch_urgency(own_state, peer_state);
+            let urgency = own.fetch_urgency(now, &own.versions(), peer_state);
             let ahead_since = &mut self.routers[index].ahead_since;
             if urgency == FetchUrgency::None {
                 ahead_since.remove(&other);
