Count the time to register again once for each missing target

Class: a bound that every further event starts anew has no end.

Change: a target that the store has lacked for 1.9 s in which it answered is gone. Restores do not start that time again, and time without an answer does not count, since nothing can register then. A target that is alive after all is back with its next entry.

Evidence: second_restore_does_not_prolong_the_deferral and outage_does_not_count_as_time_to_register failed before (the target was kept).

--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -26,7 +26,7 @@
 use crate::direct::store_revision::StoreRevision;
 use crate::direct::target_table::leaving_targets::LeavingTargets;
 pub use crate::direct::target_table::store_reachability::{
-    REREGISTRATION_GRACE, StoreContact, StoreReachability,
+    AnsweredTime, REREGISTRATION_GRACE, StoreContact, StoreReachability,
 };
 pub use crate::direct::target_table::target_index::ReadyTarget;
 use crate::direct::target_table::target_index::TargetIndex;
@@ -130,8 +130,9 @@
 #[derive(Debug, Clone)]
 struct KnownTarget {
     entry: TargetEntry,
-    /// Whether the entry is gone from the store but may only have expired.
-    is_missing: bool,
+    /// Set if the entry is gone from the store but may only have expired: for how long the store had
+    /// answered in total when it was missed first.
+    missed_at: Option<Duration>,
 }
 
 /// Targets known to a router, by name, with the revisions of recent removals. In an empty table the
@@ -141,6 +142,7 @@
     targets: HashMap<String, KnownTarget>,
     removals: HashMap<String, (StoreRevision, MonotonicTime)>,
     reachability: StoreReachability,
+    answered: AnsweredTime,
     /// Latest revision that changed the table.
     change_revision: StoreRevision,
     /// Targets that leave, including those whose entry says otherwise or is missing.
@@ -170,6 +172,7 @@
 impl TargetTable {
     /// Records contact with the store; returns whether its reachability changed.
     pub fn record_contact(&mut self, now: MonotonicTime, contact: StoreContact) -> bool {
+        self.answered.record(now, contact);
         self.reachability.record(now, contact)
     }
 
@@ -330,11 +333,16 @@
         if self.leaving.expire(now, era, |target| registered.contains(&target)) {
             self.index.take();
         }
-        if !self.reachability.is_settled(now) {
-            return Vec::new();
-        }
-        let missing = self.targets.iter().filter(|(_, target)| target.is_missing);
-        let names: Vec<String> = missing.map(|(name, _)| name.clone()).collect();
+        // Further outages and restores do not extend the time that a target has to register again.
+        let is_settled = self.reachability.is_settled(now);
+        let answered = self.answered.total(now);
+        let is_over = |target: &KnownTarget| {
+            target.missed_at.is_some_and(|missed| {
+                is_settled || answered.saturating_sub(missed) >= REREGISTRATION_GRACE
+            })
+        };
+        let gone = self.targets.iter().filter(|(_, target)| is_over(target));
+        let names: Vec<String> = gone.map(|(name, _)| name.clone()).collect();
         for name in &names {
             self.remove_unrevised(now, name);
         }
@@ -362,7 +370,7 @@
 
     /// Returns the number of targets whose entry is missing but may only have expired.
     pub fn missing_count(&self) -> usize {
-        self.targets.values().filter(|target| target.is_missing).count()
+        self.targets.values().filter(|target| target.missed_at.is_some()).count()
     }
 
     /// Returns whether no target is known.
@@ -371,7 +379,7 @@
     }
 
     fn is_missing(&self, name: &str) -> bool {
-        self.targets.get(name).is_some_and(|target| target.is_missing)
+        self.targets.get(name).is_some_and(|target| target.missed_at.is_some())
     }
 
     fn index(&self) -> &TargetIndex {
@@ -456,13 +464,13 @@
         if known.is_some_and(|known| known.entry.revision > entry.revision) {
             return ChangeEffect::Ignored;
         }
-        let is_change = known.is_none_or(|known| known.entry != entry || known.is_missing);
+        let is_change = known.is_none_or(|known| known.entry != entry || known.missed_at.is_some());
         self.change_revision = self.change_revision.max(entry.revision);
         if !is_change {
             return ChangeEffect::Ignored;
         }
         self.leaving.update(now, &entry, self.era_start);
-        let target = KnownTarget { entry, is_missing: false };
+        let target = KnownTarget { entry, missed_at: None };
         self.targets_mut().insert(target.entry.name.clone(), target);
         ChangeEffect::Applied
     }
@@ -481,7 +489,7 @@
         }
         // A draining target does not register again.
         if may_have_expired && known.entry.state == TargetState::Ready {
-            known.is_missing = true;
+            known.missed_at.get_or_insert(self.answered.total(now));
             return ChangeEffect::Deferred;
         }
         self.remove_known(now, name, revision);
--- a/crates/jackdaw-policy/src/direct/target_table/store_reachability.rs
+++ b/crates/jackdaw-policy/src/direct/target_table/store_reachability.rs
@@ -40,6 +40,37 @@
     Unreachable,
 }
 
+/// For how long the store has answered in total, without the time between a failed call and the next
+/// answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AnsweredTime {
+    /// Time up to the last failure.
+    earlier: Duration,
+    /// Start of the present time with answers.
+    since: Option<MonotonicTime>,
+}
+
+impl AnsweredTime {
+    /// Records contact with the store.
+    pub(super) fn record(&mut self, now: MonotonicTime, contact: StoreContact) {
+        match contact {
+            StoreContact::Answered => {
+                self.since.get_or_insert(now);
+            }
+            StoreContact::Failed => {
+                self.earlier = self.total(now);
+                self.since = None;
+            }
+            StoreContact::Ended => {}
+        }
+    }
+
+    /// Returns the total up to now.
+    pub(super) fn total(self, now: MonotonicTime) -> Duration {
+        self.earlier + self.since.map_or(Duration::ZERO, |since| now.since(since))
+    }
+}
+
 impl StoreReachability {
     /// Records contact with the store; returns whether its reachability changed.
     ///
--- a/crates/jackdaw-policy/tests/direct/target_table.rs
+++ b/crates/jackdaw-policy/tests/direct/target_table.rs
@@ -1,7 +1,8 @@
 //! Updates of a router's target table from the store and from other routers.
 
 use jackdaw_policy::direct::{
-    ChangeEffect, StoreContact, TargetChange, TargetState, TargetTable, UpdateEffect,
+    ChangeEffect, StoreContact, StoreRevision, TargetChange, TargetEntry, TargetState, TargetTable,
+    UpdateEffect,
 };
 
 use crate::common::{SERVICE, at, entry};
@@ -110,6 +111,40 @@
     table
 }
 
+/// Guards against requests to a removed target because the store is restored again before the grace
+/// period of the first restore ends.
+#[test]
+fn second_restore_does_not_prolong_the_deferral() {
+    let mut table = stable_table();
+    table.apply(at(5000), present("t", 3));
+    table.apply(at(5000), present("other", 4));
+    table.record_contact(at(5000), StoreContact::Answered);
+    let entries = |era| {
+        let other = entry("other", 0);
+        vec![TargetEntry { revision: StoreRevision::new(era, 4), ..other }]
+    };
+    table.replace(at(8000), entries(1), StoreRevision::new(1, 5));
+    assert_eq!(ready_count(&table), 2, "the entry may have been lost with the restore");
+    table.replace(at(9800), entries(2), StoreRevision::new(2, 5));
+    assert!(table.expire(at(9800)).is_empty());
+    assert_eq!(table.expire(at(10_000)), ["t"], "1.9 s after it was missed first");
+    assert_eq!(ready_count(&table), 1);
+}
+
+/// While the store does not answer, targets cannot register again.
+#[test]
+fn outage_does_not_count_as_time_to_register() {
+    let mut table = table_with_missing_target();
+    table.record_contact(at(9600), StoreContact::Failed);
+    table.record_contact(at(20_000), StoreContact::Answered);
+    assert!(table.expire(at(20_100)).is_empty());
+    table.record_contact(at(20_200), StoreContact::Failed);
+    table.record_contact(at(30_000), StoreContact::Answered);
+    assert!(table.expire(at(31_100)).is_empty());
+    // Answered for 0.5, 0.2 and 1.2 s since it was missed.
+    assert_eq!(table.expire(at(31_300)), ["t"]);
+}
+
 /// Guards against requests to a removed target because another router's copy still lists it.
 #[test]
 fn copied_entry_is_no_registration() {
