--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -436,6 +436,7 @@
             first_ms = self.first_byte.get().map_or(0, |first| first.as_millis() as u64),
             pause_ms = self.longest_pause.get().as_millis() as u64,
             total_ms = elapsed.as_millis() as u64,
+            tokens = self.request.head.prompt.as_ref().map_or(0, PromptShape::charged_tokens),
             tier:? = self.share_status.get().tier,
             share_used = self.share_status.get().share_used,
             config = self.request.config_version;
