Close a connection whose identity check was not answered

What callers could see: the answer to an unanswered check arrives late, on a connection that is in use again, in the place of their own. Its missing identifier makes the router drop it, but the caller's request counts as possibly run and ends with 502.

Cause: a target that does not answer counts as full, and connections of full targets are kept.

Evidence: connection_with_an_unanswered_check_is_not_used_again failed before (one idle connection).

Change: the connection is closed. A report with an attempt's identifier, the late answer to an earlier request, is no report either.

--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -30,6 +30,11 @@
         self.connection.as_mut()
     }
 
+    /// Closes the attached connection, on which an answer may still arrive.
+    pub fn discard_connection(&mut self) {
+        self.connection = None;
+    }
+
     /// Records that the response has begun.
     pub fn mark_begun(&self) {
         if let Some(run) = self.run {
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use jackdaw_platform::{build_report_request, parse_start_time};
+use jackdaw_platform::{build_report_request, is_attempt_response, parse_start_time};
 use jackdaw_policy::direct::TargetId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -53,7 +53,7 @@
     Broken,
     /// The target did not answer in time.
     TimedOut,
-    /// The report states no start time.
+    /// The report states no start time, or is the answer to an earlier request.
     Malformed,
 }
 
@@ -153,6 +153,11 @@
         self.idle.borrow_mut().remove(&target);
     }
 
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes the idle connections to a target.
     pub fn close_idle(&self, target: TargetId) {
         self.idle.borrow_mut().remove(&target);
@@ -207,6 +212,9 @@
         let request = build_report_request(&address.to_string());
         let exchange = async {
             let response = self.send(request).await.map_err(|_| ReportError::Broken)?;
+            if is_attempt_response(response.headers()) {
+                return Err(ReportError::Malformed);
+            }
             let body = Limited::new(response.into_body(), REPORT_LIMIT_BYTES).collect().await;
             let body = body.map_err(|_| ReportError::Broken)?.to_bytes();
             parse_start_time(&body).ok_or(ReportError::Malformed)
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -170,6 +170,7 @@
             Err(TransferError::Replaced) => self.record_unrun_send(guard, RunOutcome::Replaced),
             Err(TransferError::Unconfirmed(error)) => {
                 self.log_unconfirmed(&entry, error);
+                guard.discard_connection();
                 self.record_unrun_send(guard, RunOutcome::Rejected)
             }
             Err(TransferError::Withheld) => {
