End the stream of a caller that does not read at its deadline

What callers and operators could see: a caller that stops reading, without closing its connection, keeps its stream and the target's work on it beyond every deadline.

Cause: the deadline of a stream is checked when the HTTP server asks for more bytes, which it does only while it can write. With a full socket nobody asks any more.

Evidence: stream_of_a_caller_that_does_not_read_ends_at_the_deadline failed before (the target's connection was open 1.5 s after the deadline).

Change: a task for each stream ends the caller's connection in both directions 0.2 s after the deadline, unless the stream has ended. Streams that are read are not touched: they end at the deadline as before, and complete answers are delivered however slowly they are read.

--- a/crates/jackdaw-edge/src/caller_stream.rs
+++ b/crates/jackdaw-edge/src/caller_stream.rs
@@ -23,6 +23,13 @@
         CallerStream { stream: Rc::new(stream) }
     }
 
+    /// Ends the connection in both directions, also while a write waits for the caller to read.
+    pub fn abort(&self) {
+        if let Err(error) = SockRef::from(&*self.stream).shutdown(Shutdown::Both) {
+            log::debug!(error:% = error; "failed to end a caller connection");
+        }
+    }
+
     /// Returns whether the caller has closed the connection and no unread bytes are left.
     ///
     /// This peeks at the socket, because the runtime reports the end of the stream only later.
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -178,7 +178,7 @@
             build_response(&parts, ResponseBody::complete(body))
         }
         Ok(TargetResponse::Stream(parts, source)) => {
-            let relay = ResponseRelay::new(context.clone(), source);
+            let relay = ResponseRelay::new(context.clone(), source, caller);
             build_response(&parts, ResponseBody::Relay(Box::new(relay)))
         }
         Err(failure) => {
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -4,12 +4,15 @@
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use jackdaw_policy::direct::RunOutcome;
+use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
+use crate::caller_stream::CallerStream;
 use crate::event_framer::EventFramer;
 use crate::log_text::format_error;
 use crate::read_meter::MeteredBody;
@@ -17,6 +20,9 @@
 use crate::run_guard::RunGuard;
 use crate::target_send::resume_stream;
 
+/// Time after the deadline of a stream at which the connection of a caller that does not read is ended.
+const UNREAD_MARGIN: Duration = Duration::from_millis(200);
+
 /// Body of a response to a caller.
 pub enum ResponseBody {
     /// A complete body; `None` once it has been sent.
@@ -43,6 +49,8 @@
     /// Whether an event was forwarded.
     has_events: bool,
     deadline: Pin<Box<Sleep>>,
+    /// Ends the connection of a caller that does not read.
+    watchdog: AbortHandle,
 }
 
 /// The part of a stream that comes from one target.
@@ -70,15 +78,22 @@
 }
 
 impl ResponseRelay {
-    /// Creates a relay that ends with [`RelayError::TimedOut`] at the deadline of `context`.
-    pub fn new(context: RequestContext, source: RelaySource) -> ResponseRelay {
+    /// Creates a relay that ends with [`RelayError::TimedOut`] at the deadline of `context`. If the
+    /// caller does not read by then, its connection is ended.
+    pub fn new(
+        context: RequestContext,
+        source: RelaySource,
+        caller: &CallerStream,
+    ) -> ResponseRelay {
         let deadline = Box::pin(tokio::time::sleep_until(context.deadline_at()));
+        let watchdog = tokio::task::spawn_local(end_unread(context.clone(), caller.clone()));
         ResponseRelay {
             context,
             phase: RelayPhase::Streaming(source),
             framer: EventFramer::default(),
             has_events: false,
             deadline,
+            watchdog: watchdog.abort_handle(),
         }
     }
 
@@ -186,10 +201,22 @@
 
 impl Drop for ResponseRelay {
     fn drop(&mut self) {
+        self.watchdog.abort();
         self.context.finish("caller-left", 200);
     }
 }
 
+/// Ends the connection of a caller shortly after the deadline. The HTTP server asks a stream for bytes,
+/// and so checks its deadline, only while the caller reads.
+async fn end_unread(context: RequestContext, caller: CallerStream) {
+    tokio::time::sleep_until(context.deadline_at() + UNREAD_MARGIN).await;
+    log::info!(
+        request:% = context.inner.request.head.id;
+        "caller does not read its stream; ending the connection"
+    );
+    caller.abort();
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = RelayError;
