Accept prompts of any stated size

What callers saw: no answer and a closed connection for a request whose shared prompt parts add up to more than 32 bits (in builds with overflow checks; otherwise a wrong sum, so that such a request was charged too much or too little). The process itself stays up.

Cause: lengths that callers state were added without regard to overflow.

Evidence: prompts_of_any_stated_size_are_answered failed before (attempt to add with overflow).

Change: the sum is limited to the highest number. malformed_datagrams_do_not_end_the_exchange sends 3,000 damaged reports beside it; it passes on the code before as well. Looked for after operators of similar systems reported processes that one malformed message took down.

--- a/crates/jackdaw-policy/src/direct/prompt_shape.rs
+++ b/crates/jackdaw-policy/src/direct/prompt_shape.rs
@@ -44,9 +44,11 @@
         &self.parts[..self.parts.len().saturating_sub(1)]
     }
 
-    /// Returns the total length of the shared parts, in tokens.
+    /// Returns the total length of the shared parts, in tokens; limited to the highest number, since
+    /// callers may state any lengths.
     pub fn shared_tokens(&self) -> u32 {
-        self.shared_parts().iter().map(|part| part.tokens).sum()
+        let tokens = self.shared_parts().iter().map(|part| part.tokens);
+        tokens.fold(0, u32::saturating_add)
     }
 
     /// Returns the number of prompt tokens that belong to this request alone.
