List the latest state of the store when a router starts

What callers could see: for up to half a second after a router had started again, a withdrawn key was accepted and a target that had left got requests.

Cause: a starting router read a listing that may be seconds old, to save calls, and served from it until its watch or another router corrected it.

Evidence: restarted_router_does_not_use_what_was_withdrawn failed before (200 for a withdrawn key).

Change: the first listing of a process is of the latest state. After a failed call it may be stale again, since a fleet that starts as a whole may exceed the store's rate. Later listings, of routers that take a watch over, may be stale as before: what they know supersedes them. starting_fleet_makes_few_store_calls counted 2 stale listings a router and no latest one, and counts 2 latest and no stale one now; the number of calls is bounded as before.

--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -102,7 +102,8 @@
             client,
             backoff: RetryBackoff::new(),
             revision: None,
-            listing_age: ListingAge::MayBeStale,
+            // A router that has just started knows nothing that would supersede a stale listing.
+            listing_age: ListingAge::Latest,
             has_listed: false,
             counted_calls: 0,
         }
@@ -125,6 +126,7 @@
     /// routers is given time.
     async fn start_watch(&mut self, revision: StoreRevision) {
         self.revision = Some(revision);
+        self.listing_age = ListingAge::MayBeStale;
         if !std::mem::replace(&mut self.has_listed, true) {
             tokio::time::sleep(ELECTION_TIME).await;
         }
@@ -137,6 +139,12 @@
         self.listing_age = ListingAge::Latest;
     }
 
+    /// Prepares to try again after a failed call. The store limits the number of calls for the latest
+    /// state, which a fleet that starts as a whole may exceed.
+    fn allow_stale(&mut self) {
+        self.listing_age = ListingAge::MayBeStale;
+    }
+
     /// Adds the calls since the previous invocation to the metrics.
     fn count_calls(&mut self, state: &EdgeState) {
         let calls = self.client.call_count();
@@ -163,6 +171,7 @@
                 state.router().watch.record_store_call(now, false);
                 log_failure("configuration", &report, session.backoff.failures);
                 let longest = state.router().watch.longest_retry_pause();
+                session.allow_stale();
                 session.backoff.wait(longest).await;
             }
         }
@@ -229,6 +238,7 @@
                     log_failure("targets", &report, session.backoff.failures);
                 }
                 let longest = state.router().watch.longest_retry_pause();
+                session.allow_stale();
                 session.backoff.wait(longest).await;
             }
         }
