Soak: targets of two software versions, and callers that go on with streams

Cause: the soak could not find streams of two versions: its targets had one version, and its callers gave a broken stream up.

Change: targets take turns at two versions and write theirs into each event; a caller whose resumable stream broke off after an event comes back to a random router with what it has. Complete and cut streams must be those of a single version, over all attempts.

--- a/crates/jackdaw-soak/src/call_history.rs
+++ b/crates/jackdaw-soak/src/call_history.rs
@@ -6,6 +6,8 @@
 use http::StatusCode;
 use jackdaw_platform_standins::{CallerAnswer, ReceivedRequest, echo_body, echo_events};
 
+use crate::target_fleet::VERSIONS;
+
 /// Prefix of the identifiers of the final checks' requests, which are not part of the history.
 pub const CHECK_PREFIX: &str = "check-";
 
@@ -57,6 +59,17 @@
     Abandoned,
 }
 
+/// Events of a stream that a caller has from earlier attempts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldEvents {
+    /// Attempt that brought the first event.
+    pub first_attempt: String,
+    /// Number of the last event.
+    pub last: u64,
+    /// Software version of the target that sent them.
+    pub version: String,
+}
+
 /// Request with its outcome.
 #[derive(Debug)]
 pub struct SentCall {
@@ -66,6 +79,8 @@
     pub kind: CallKind,
     /// Body of the request.
     pub body: String,
+    /// What the caller already has of the stream that it goes on with; `None` if it begins one.
+    pub held: Option<HeldEvents>,
     /// Time of sending, relative to the start of the load.
     pub sent_at: Duration,
     /// Time of the outcome, relative to the start of the load.
@@ -158,7 +173,13 @@
             CallOutcome::Answered(answer) if answer.body.is_some() => {
                 return self.check_answer(answer, runs);
             }
-            CallOutcome::Answered(_) | CallOutcome::Broken => !runs.is_empty(),
+            CallOutcome::Answered(answer) => {
+                if let Some(violation) = self.check_partial(&answer.partial) {
+                    return Some(violation);
+                }
+                !runs.is_empty()
+            }
+            CallOutcome::Broken => !runs.is_empty(),
             CallOutcome::Abandoned => false,
         };
         let is_unexcused = !allows_cut_connections(self.sent_at, self.ended_at, FAULT_GRACE);
@@ -188,10 +209,52 @@
     }
 
     fn check_body(&self, body: &str) -> Option<&'static str> {
-        let expected = match self.kind {
-            CallKind::Safe | CallKind::Once => echo_body(&self.id, &self.body),
-            CallKind::Stream | CallKind::Resumed => echo_events(&self.id, 0).concat(),
+        let is_expected = match self.kind {
+            CallKind::Safe | CallKind::Once => body == echo_body(&self.id, &self.body),
+            CallKind::Stream | CallKind::Resumed => {
+                self.possible_streams().iter().any(|stream| body == stream)
+            }
+        };
+        (!is_expected).then_some("complete answer has a wrong body, or events of two versions")
+    }
+
+    /// Checks what arrived of a stream that was cut.
+    fn check_partial(&self, partial: &str) -> Option<&'static str> {
+        let is_stream = matches!(self.kind, CallKind::Stream | CallKind::Resumed);
+        let is_expected = self.possible_streams().iter().any(|stream| stream.starts_with(partial));
+        (is_stream && !is_expected)
+            .then_some("cut stream has wrong events, or some of two versions")
+    }
+
+    /// Returns the complete streams that may answer the request: of one version, and of that which sent
+    /// what the caller already has.
+    fn possible_streams(&self) -> Vec<String> {
+        let after = self.held.as_ref().map_or(0, |held| held.last);
+        let may_begin =
+            |version: &&str| self.held.as_ref().is_none_or(|held| held.version == **version);
+        let versions = VERSIONS.iter().filter(|version| may_begin(version));
+        versions.map(|version| echo_events(&self.id, after, version).concat()).collect()
+    }
+
+    /// Returns what the caller has of a stream after this request, if it was cut and may go on.
+    pub fn held_events(&self) -> Option<HeldEvents> {
+        let CallOutcome::Answered(CallerAnswer { body: None, partial, .. }) = &self.outcome else {
+            return None;
+        };
+        if self.kind != CallKind::Resumed {
+            return None;
+        }
+        let Some((events, _)) = partial.rsplit_once("\n\n") else {
+            return self.held.clone();
         };
-        (body != expected).then_some("complete answer has a wrong body")
+        let last = events.rsplit("\n\n").next()?;
+        let (number, data) = last.strip_prefix("id: ")?.split_once('\n')?;
+        let (_, version) = data.rsplit_once(' ')?;
+        let first_attempt = self.held.as_ref().map_or(&self.id, |held| &held.first_attempt);
+        Some(HeldEvents {
+            first_attempt: first_attempt.clone(),
+            last: number.parse().ok()?,
+            version: version.to_owned(),
+        })
     }
 }
--- a/crates/jackdaw-soak/src/soak_load.rs
+++ b/crates/jackdaw-soak/src/soak_load.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jackdaw_platform_standins::{CallerConnection, DEFAULT_API_KEY, build_request_with_key};
+use jackdaw_platform_standins::{
+    CallerConnection, DEFAULT_API_KEY, build_request_with_key, set_resumption,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinHandle;
 
-use crate::call_history::{CallHistory, CallKind, CallOutcome, SentCall};
+use crate::call_history::{CallHistory, CallKind, CallOutcome, HeldEvents, SentCall};
 use crate::fault_proxy::FaultProxy;
 
 /// Time after which a caller gives up; longer than the four-second deadline of its requests.
@@ -70,6 +72,8 @@
 ) {
     let mut connection = None;
     let mut number = 0;
+    // What the caller has of a stream that broke off, with which it goes on at once.
+    let mut returning: Option<HeldEvents> = None;
     while !is_stopping.get() {
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..2 * MEAN_PAUSE_MS))).await;
         let router = rng.random_range(0..context.routers.len());
@@ -84,7 +88,10 @@
         };
         number += 1;
         let kind = CallKind::ALL[rng.random_range(0..CallKind::ALL.len())];
-        let call = send_call(&context, open, kind, &format!("c{caller}-{number}")).await;
+        let held = returning.take();
+        let kind = if held.is_some() { CallKind::Resumed } else { kind };
+        let call = send_call(&context, open, kind, &format!("c{caller}-{number}"), held).await;
+        returning = call.held_events();
         let is_usable = matches!(&call.outcome, CallOutcome::Answered(answer)
             if answer.body.is_some() && !answer.headers.contains_key("connection"));
         if !is_usable {
@@ -99,14 +106,19 @@
     connection: &mut CallerConnection,
     kind: CallKind,
     id: &str,
+    held: Option<HeldEvents>,
 ) -> SentCall {
     let body = format!("body of {id}");
     let sent_at = context.origin.elapsed();
-    let request = build_request_with_key(DEFAULT_API_KEY, kind.path(), id, &body);
+    let mut request = build_request_with_key(DEFAULT_API_KEY, kind.path(), id, &body);
+    if let Some(held) = &held {
+        set_resumption(&mut request, &held.first_attempt, held.last);
+    }
     let outcome = match tokio::time::timeout(CALLER_TIMEOUT, connection.send(request)).await {
         Ok(Some(answer)) => CallOutcome::Answered(answer),
         Ok(None) => CallOutcome::Broken,
         Err(_) => CallOutcome::Abandoned,
     };
-    SentCall { id: id.to_owned(), kind, body, sent_at, ended_at: context.origin.elapsed(), outcome }
+    let (id, ended_at) = (id.to_owned(), context.origin.elapsed());
+    SentCall { id, kind, body, held, sent_at, ended_at, outcome }
 }
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -24,6 +24,9 @@
 /// Time after which the entry of a crashed target is removed from the store.
 const REMOVAL_DELAY: Duration = Duration::from_millis(800);
 
+/// Software versions of the targets, which take turns.
+pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// Service of all targets, as in the sample configuration.
 const SERVICE: &str = "s";
 
@@ -175,6 +178,7 @@
     async fn spawn_member(&self, store: &StoreStandin) -> TargetMember {
         let name = target_name(self.all.borrow().len());
         let target = TargetStandin::bind(&name).await;
+        target.set_version(VERSIONS[self.all.borrow().len() % VERSIONS.len()]);
         target.set_default_behavior(TargetBehavior::Echo(PROCESSING_TIME));
         self.all.borrow_mut().push(target.clone());
         let proxy = FaultProxy::spawn(target.address).await;
--- a/crates/jackdaw-soak/tests/promise_checks.rs
+++ b/crates/jackdaw-soak/tests/promise_checks.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use jackdaw_platform_standins::{CallerAnswer, ReceivedRequest, echo_body};
-use jackdaw_soak::call_history::{CallHistory, CallKind, CallOutcome, SentCall};
+use jackdaw_platform_standins::{CallerAnswer, ReceivedRequest, echo_body, echo_events};
+use jackdaw_soak::call_history::{CallHistory, CallKind, CallOutcome, HeldEvents, SentCall};
 use jackdaw_soak::{FaultKind, FaultPlan, PlannedFault, SoakSize};
 
 const BODY: &str = "body";
@@ -29,7 +29,8 @@
 ) -> Vec<String> {
     let mut history = CallHistory::default();
     let (id, body) = ("a".to_owned(), BODY.to_owned());
-    history.add(SentCall { id, kind, body, sent_at: at(10), ended_at: at(11), outcome });
+    let (sent_at, ended_at) = (at(10), at(11));
+    history.add(SentCall { id, kind, body, held: None, sent_at, ended_at, outcome });
     history.violations(runs, |_, _, _| allows_cut_connections)
 }
 
@@ -116,3 +117,52 @@
     assert!(!fault(FaultKind::RouterKilled(0)).allows_cut_connections(at(9), at(10), at(1)));
     assert!(!fault(FaultKind::RouterTerminated(0)).allows_cut_connections(at(6), at(7), at(0)));
 }
+
+/// Returns the violations of a stream that arrived as these events; `held` is what the caller had before.
+fn stream_violations(events: &[String], is_complete: bool, held: Option<HeldEvents>) -> usize {
+    let text = events.concat();
+    let mut answer = CallerAnswer::signed("a", 200, is_complete.then(|| text.clone()));
+    if !is_complete {
+        answer.partial = text;
+    }
+    let mut history = CallHistory::default();
+    let (id, body, outcome) = ("a".to_owned(), BODY.to_owned(), CallOutcome::Answered(answer));
+    let (kind, sent_at, ended_at) = (CallKind::Resumed, at(10), at(11));
+    history.add(SentCall { id, kind, body, held, sent_at, ended_at, outcome });
+    history.violations(&[run("a", "/resumed/x")], |_, _, _| true).len()
+}
+
+/// Events of two software versions in one stream, in one answer or over two attempts.
+#[test]
+fn streams_of_two_versions_are_found() {
+    let (first, second) = (echo_events("a", 0, "v1"), echo_events("a", 0, "v2"));
+    let mixed = [&first[..2], &second[2..]].concat();
+    assert_eq!(stream_violations(&first, true, None), 0);
+    assert_eq!(stream_violations(&first[..3], false, None), 0);
+    assert_eq!(stream_violations(&mixed, true, None), 1);
+    assert_eq!(stream_violations(&mixed[..3], false, None), 1);
+    let held = |version: &str| {
+        let (first_attempt, version) = ("b".to_owned(), version.to_owned());
+        Some(HeldEvents { first_attempt, last: 2, version })
+    };
+    assert_eq!(stream_violations(&first[2..], true, held("v1")), 0);
+    assert_eq!(stream_violations(&first[2..], true, held("v2")), 1);
+    assert_eq!(stream_violations(&first, true, held("v1")), 1, "events that the caller has");
+}
+
+#[test]
+fn cut_streams_say_what_their_callers_have() {
+    let cut = |partial: &str, held: Option<HeldEvents>| {
+        let mut answer = CallerAnswer::signed("a", 200, None);
+        answer.partial = partial.to_owned();
+        let (id, body, outcome) = ("a".to_owned(), BODY.to_owned(), CallOutcome::Answered(answer));
+        let (kind, sent_at, ended_at) = (CallKind::Resumed, at(10), at(11));
+        SentCall { id, kind, body, held, sent_at, ended_at, outcome }.held_events()
+    };
+    let events = echo_events("a", 0, "v2").concat();
+    let held = cut(&events[..events.len() - 3], None).expect("events");
+    assert_eq!((held.first_attempt.as_str(), held.last, held.version.as_str()), ("a", 5, "v2"));
+    assert_eq!(cut("id: 1\nda", None), None);
+    let earlier = HeldEvents { first_attempt: "b".to_owned(), last: 2, version: "v1".to_owned() };
+    assert_eq!(cut("", Some(earlier.clone())), Some(earlier));
+}
--- a/crates/jackdaw-soak/tests/soak.rs
+++ b/crates/jackdaw-soak/tests/soak.rs
@@ -9,8 +9,9 @@
 const SHORT_SEEDS: [u64; 3] = [1, 2, 3];
 
 /// Seeds that failed before, at the default size of the program:
+/// - 773001: streams went on at targets of another software version.
 /// - 113: SIGTERM killed a router that had logged its start but not installed its signal handlers.
-const FAILED_SEEDS: [u64; 1] = [113];
+const FAILED_SEEDS: [u64; 2] = [113, 773001];
 
 /// Returns the size of a short run.
 fn short_size() -> SoakSize {
