Log whom a router asked for a stream, and give stream origins a module

Cause: the line for a caller that comes back named a hash instead of the version, and not how many routers were asked and answered, so that an unknown stream could not be traced to killed or cut-off routers.

--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod settings_file;
 pub mod store_watch;
 mod stream_exchange;
+mod stream_origin;
 mod target_identity;
 pub mod target_pool;
 pub mod target_send;
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http::request::Parts;
 use jackdaw_base::{CustomerId, ErrorKind};
-use jackdaw_platform::{RequestHead, StreamOrigin};
+use jackdaw_platform::RequestHead;
 use jackdaw_policy::direct::{
-    DirectRequest, LookupResult, Placement, PromptShape, RefusalReason, RequestKind, RouteConfig,
-    ShareStatus, StreamBinding, StreamKey, TargetEntry, TargetId, VersionId, VersionRule,
+    DirectRequest, Placement, PromptShape, RefusalReason, RouteConfig, ShareStatus, TargetEntry,
+    TargetId, VersionId, VersionRule,
 };
 
 use crate::edge_state::{EdgeState, OpenRequest};
@@ -23,10 +23,6 @@
 /// Minimum time left before the deadline for a retry at another target.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(30);
 
-/// Delay after which a caller may try again if no other router could be asked for its stream; the retry
-/// reaches another router.
-const ISOLATED_RETRY: Duration = Duration::from_millis(300);
-
 /// Status logged for a request that got no response.
 const NO_STATUS: u16 = 0;
 
@@ -86,7 +82,8 @@
     last_target_name: RefCell<String>,
     /// Software version of the last selected target; empty if it is not known.
     last_version: RefCell<String>,
-    last_version_id: Cell<Option<VersionId>>,
+    /// Identifier of that version; `None` if it is not known.
+    pub(crate) last_version_id: Cell<Option<VersionId>>,
     /// Software versions whose targets may serve the request.
     pub(crate) version_rule: Cell<VersionRule>,
     expected: Cell<Duration>,
@@ -194,83 +191,6 @@
         self.inner.tried.borrow_mut().push(target);
     }
 
-    /// Records that the caller is about to get an event of the last selected target, if it holds none
-    /// yet: from then on, the stream goes on only at the software version of that target.
-    pub(crate) fn bind_version(&self) {
-        let inner = &self.inner;
-        if inner.version_rule.get() == VersionRule::Any {
-            inner.version_rule.set(VersionRule::begun_at(inner.last_version_id.get()));
-        }
-        let RequestKind::Stream { resumable: true } = inner.request.route.kind else {
-            return;
-        };
-        if let (VersionRule::Only(version), Some(key)) =
-            (inner.version_rule.get(), self.stream_key())
-        {
-            let elapsed = inner.request.received.elapsed();
-            let time_left = inner.request.head.timeout.saturating_sub(elapsed);
-            inner.state.publish_binding(StreamBinding::new(key, version, time_left));
-        }
-    }
-
-    /// Finds out which software version began the stream that the caller goes on with, if it holds
-    /// events of one.
-    ///
-    /// # Errors
-    ///
-    /// The response to the caller if that is not known.
-    pub(crate) async fn resolve_origin(&self) -> Result<(), LocalResponse> {
-        let inner = &self.inner;
-        let request = &inner.request;
-        let first_attempt = match &request.head.origin {
-            _ if !matches!(request.route.kind, RequestKind::Stream { .. }) => return Ok(()),
-            StreamOrigin::New => return Ok(()),
-            StreamOrigin::Attempt(id) => id.as_str(),
-            StreamOrigin::Unstated => "",
-        };
-        let state = &inner.state;
-        let started = Instant::now();
-        let result = match state.streams() {
-            Some(streams) => streams.look_up(state, self.stream_key(), &request.service).await,
-            None => LookupResult::Unknown { is_isolated: true },
-        };
-        state.metrics.returns.inc();
-        let (rule, label) = match result {
-            LookupResult::Known(version) => (VersionRule::Only(version), "known"),
-            LookupResult::Sole(version) => (VersionRule::Only(version), "sole"),
-            LookupResult::Unknown { is_isolated: true } => (VersionRule::Unknown, "isolated"),
-            LookupResult::Unknown { is_isolated: false } => (VersionRule::Unknown, "unknown"),
-        };
-        state.metrics.lookups.add(&[("result", label)], 1);
-        log::info!(
-            request:% = request.head.id,
-            first_attempt,
-            result = label,
-            version_rule:? = rule,
-            lookup_ms = started.elapsed().as_millis() as u64;
-            "caller goes on with a stream"
-        );
-        inner.version_rule.set(rule);
-        match result {
-            LookupResult::Known(_) | LookupResult::Sole(_) => Ok(()),
-            LookupResult::Unknown { is_isolated } => {
-                let retry_after = if is_isolated { ISOLATED_RETRY } else { Duration::ZERO };
-                Err(LocalResponse::refusal(RefusalReason::VersionUnknown, retry_after))
-            }
-        }
-    }
-
-    /// Returns the key of the stream that the request begins or goes on with; `None` if the caller does
-    /// not name it.
-    fn stream_key(&self) -> Option<StreamKey> {
-        let request = &self.inner.request;
-        if request.head.origin == StreamOrigin::Unstated {
-            return None;
-        }
-        let customer = request.customer.as_ref().map(|customer| customer.customer);
-        Some(StreamKey::new(customer, request.head.first_attempt()))
-    }
-
     /// Logs that a stream goes on at another target, after the event `after`.
     pub(crate) fn log_resumption(&self, after: Option<u64>) {
         self.inner.state.metrics.resumptions.inc();
--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -14,6 +14,7 @@
     LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, stream_receivers,
     stream_sources,
 };
+use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -43,6 +44,23 @@
     lookups: RefCell<HashMap<u64, OpenLookup>>,
 }
 
+/// Result of a lookup, with what it is based on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LookupReport {
+    /// The result.
+    pub(crate) result: LookupResult,
+    /// Number of routers asked.
+    pub(crate) asked: usize,
+    /// Number of those that answered in time.
+    pub(crate) answered: usize,
+}
+
+impl LookupReport {
+    /// Report of a router that cannot ask others.
+    pub(crate) const ISOLATED: LookupReport =
+        LookupReport { result: LookupResult::Unknown { is_isolated: true }, asked: 0, answered: 0 };
+}
+
 /// A lookup and the task that waits for it.
 struct OpenLookup {
     lookup: StreamLookup,
@@ -87,10 +105,11 @@
         state: &EdgeState,
         key: Option<StreamKey>,
         service: &str,
-    ) -> LookupResult {
+    ) -> LookupReport {
         let own = state.router().find_stream(state.now(), key, service);
         if let StreamFinding::Version(version) = own {
-            return LookupResult::Known(version);
+            let result = LookupResult::Known(version);
+            return LookupReport { result, asked: 0, answered: 0 };
         }
         let number = rand::random();
         let sources = {
@@ -100,8 +119,10 @@
             (peers.len() > 0).then(|| stream_sources(placing_key, &peers.holder_peers()))
         };
         let question = StreamQuestion { number, key, service: service.to_owned() };
+        let asked = sources.as_ref().map_or(0, SmallVec::len);
         let lookup = self.collect(state, StreamLookup::new(own, sources), question).await;
-        lookup.conclude(&state.router().present_versions(service))
+        let result = lookup.conclude(&state.router().present_versions(service));
+        LookupReport { result, asked, answered: asked - lookup.waiting().len() }
     }
 
     /// Asks the sources of a lookup until it is complete or its time is over.
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -235,6 +235,12 @@
         &self.index().versions
     }
 
+    /// Returns the name of a version that a registered target has; `None` if no target has it.
+    pub fn version_name(&self, version: VersionId) -> Option<String> {
+        let mut names = self.entries().filter_map(|entry| entry.version.as_ref());
+        names.find(|name| VersionId::from_name(name) == version).cloned()
+    }
+
     /// Returns the number of registered targets.
     pub fn len(&self) -> usize {
         self.targets.len()
