--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -45,6 +45,7 @@
     pub body_buffer: BodyBuffer,
     /// Checks whether targets crashed.
     pub crash_checks: CrashChecks,
+    /// Exchange of versions of streams; set once the report port is bound.
     streams: OnceCell<StreamExchange>,
     /// Open connections of callers.
     pub callers: CallerConnections,
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -188,6 +188,7 @@
     }
 }
 
+/// Finds out what the request goes on with, if anything, and sends it to targets.
 async fn begin_response(context: &RequestContext) -> Result<TargetResponse, LocalResponse> {
     context.resolve_origin().await?;
     obtain_response(context, None).await
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -3,7 +3,9 @@
 //! A request passes through these modules: [`caller_server`] accepts the connection;
 //! [`http_exchange`] reads and admits the request; [`target_send`] sends it to the target that
 //! [`jackdaw_policy::direct`] selects, on a connection from the [`target_pool`]; and
-//! [`response_relay`] forwards the response. If a connection to a target breaks, [`crash_check`] finds
+//! [`response_relay`] forwards the response. A stream goes on elsewhere only at the software version that
+//! began it: `stream_origin` binds requests to it, `stream_exchange` passes it between routers, and
+//! `target_identity` confirms it. If a connection to a target breaks, [`crash_check`] finds
 //! out whether the target crashed. In the background, [`store_watch`] watches the
 //! configuration and the targets on a few routers of each failure domain, [`peer_reports`]
 //! exchanges load and customer usage with the other routers, and [`peer_snapshot`] copies
--- a/crates/jackdaw-policy/src/direct/stream_table.rs
+++ b/crates/jackdaw-policy/src/direct/stream_table.rs
@@ -35,8 +35,8 @@
 }
 
 impl StreamKey {
-    /// Returns the key of a stream. Customers cannot reach the streams of others by guessing
-    /// identifiers of attempts.
+    /// Returns the key of a stream. Customers cannot reach the streams of others, whatever
+    /// attempt they name.
     pub fn new(customer: Option<CustomerId>, first_attempt: &str) -> StreamKey {
         let seed = customer.map_or(0, |customer| customer.0);
         StreamKey(xxh3_64_with_seed(first_attempt.as_bytes(), seed))
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -11,16 +11,15 @@
 
 mod leaving_targets;
 mod store_reachability;
+mod target_entry;
 mod target_index;
 
 use std::cell::OnceCell;
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::direct::software_version::VersionId;
 use crate::direct::store_revision::StoreRevision;
@@ -28,6 +27,7 @@
 pub use crate::direct::target_table::store_reachability::{
     AnsweredTime, REREGISTRATION_GRACE, StoreContact, StoreReachability,
 };
+pub use crate::direct::target_table::target_entry::{TargetEntry, TargetId, TargetState};
 pub use crate::direct::target_table::target_index::ReadyTarget;
 use crate::direct::target_table::target_index::TargetIndex;
 
@@ -35,62 +35,6 @@
 /// are ignored.
 const REMOVAL_RETENTION: Duration = Duration::from_secs(120);
 
-plain_data! {
-    copy
-    /// Identifies one instance of a target; a restarted target gets another identifier.
-    pub struct TargetId(pub u64);
-}
-
-plain_data! {
-    copy
-    /// State that a target registers for itself.
-    pub enum TargetState {
-        /// The target accepts requests.
-        Ready,
-        /// The target completes its open requests and accepts no new ones.
-        Draining,
-    }
-}
-
-plain_data! {
-    /// Registration of a target.
-    pub struct TargetEntry {
-        /// Name with which the target identifies itself in responses.
-        pub name: String,
-        /// Name of the service that the target provides.
-        pub service: String,
-        /// Address at which the target accepts connections.
-        pub address: SocketAddr,
-        /// Failure domain of the target.
-        pub domain: String,
-        /// Name of the software version that the target runs. Not part of the serialized form that
-        /// older builds know; `None` in a copy from one of them.
-        #[serde(skip)]
-        pub version: Option<String>,
-        /// Number of requests that the target runs concurrently.
-        pub slots: u32,
-        /// State that the target registered.
-        pub state: TargetState,
-        /// Start time in Unix milliseconds; distinguishes instances with the same name.
-        pub started_unix_ms: u64,
-        /// Revision that the store assigned to the entry.
-        pub revision: StoreRevision,
-    }
-}
-
-impl TargetEntry {
-    /// Returns the identifier of this instance of the target.
-    pub fn id(&self) -> TargetId {
-        // Half of the hash suffices to distinguish the targets of a fleet and keeps reports short.
-        TargetId(xxh3_64_with_seed(self.name.as_bytes(), self.started_unix_ms) >> 32)
-    }
-
-    /// Returns the identifier of the target's software version; `None` if it is not known.
-    pub fn version_id(&self) -> Option<VersionId> {
-        self.version.as_deref().map(VersionId::from_name)
-    }
-}
-
 plain_data! {
     /// Change of one target in the store.
     pub enum TargetChange {
@@ -273,7 +217,7 @@
         for entry in snapshot.entries {
             // A copy of the known revision does not tell whether a missing entry is registered again.
             let known = self.targets.get(&entry.name);
-            if known.is_some_and(|known| !is_superseded(&known.entry, &entry)) {
+            if known.is_some_and(|known| !known.entry.is_superseded_by(&entry)) {
                 continue;
             }
             self.insert_reporting(now, entry, &mut effect);
@@ -504,10 +448,3 @@
         ChangeEffect::Applied
     }
 }
-
-/// Returns whether a copy of an entry tells more than the known one: a later revision, or the version
-/// that an older build's copy lacked.
-fn is_superseded(known: &TargetEntry, copy: &TargetEntry) -> bool {
-    let adds_version = known.version.is_none() && copy.version.is_some();
-    copy.revision > known.revision || (copy.revision == known.revision && adds_version)
-}
