--- a/crates/jackdaw-policy/src/direct/stream_lookup.rs
+++ b/crates/jackdaw-policy/src/direct/stream_lookup.rs
@@ -40,10 +40,13 @@
 /// Lookup of one stream at the routers that may keep its version.
 #[derive(Debug, Clone)]
 pub struct StreamLookup {
+    /// What this router knows itself.
     own: StreamFinding,
+    /// Routers that were asked and have not answered.
     waiting: HolderList,
     /// Whether this router knows others, even if none of them can be asked.
     knows_others: bool,
+    /// Answers of the others.
     findings: SmallVec<[StreamFinding; 4]>,
 }
 
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/target_table.rs
@@ -86,6 +86,7 @@
     targets: HashMap<String, KnownTarget>,
     removals: HashMap<String, (StoreRevision, MonotonicTime)>,
     reachability: StoreReachability,
+    /// For how long the store has answered, by which missing targets are given time.
     answered: AnsweredTime,
     /// Latest revision that changed the table.
     change_revision: StoreRevision,
