Log digests of requests and the source of what is held against them

`target crashed` names the digests (`requests`), `request ended` and `target connection failed` the `digest`, and `standing of a crash cause changed` its `source`: OwnCrash, OwnAnswer or Report. No decision changes.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -16,7 +16,7 @@
 use crate::caller_connections::CallerConnections;
 use crate::crash_check::CrashChecks;
 use crate::edge_metrics::EdgeMetrics;
-use crate::log_text::format_parts;
+use crate::log_text::format_digests;
 use crate::stream_exchange::StreamExchange;
 use crate::target_pool::TargetPool;
 
@@ -241,20 +241,20 @@
         let notices = self.router().take_crash_notices();
         for notice in notices {
             match notice {
-                CrashNotice::Crashed { target, suspects, parts } => {
+                CrashNotice::Crashed { target, suspects, requests, parts } => {
                     self.metrics.target_crashes.inc();
                     let entry = self.router().targets.find(target).cloned();
                     let target_name = entry.map_or_else(String::new, |entry| entry.name);
-                    let parts = format_parts(parts);
+                    let (requests, parts) = (format_digests(requests), format_digests(parts));
                     log::info!(
-                        target_name, target_id = target.0, suspects, parts;
+                        target_name, target_id = target.0, suspects, requests, parts;
                         "target crashed"
                     );
                 }
-                CrashNotice::Changed { cause, change } => {
+                CrashNotice::Changed { cause, change, source } => {
                     let refused_causes = self.router().refused_cause_count();
                     log::warn!(
-                        cause:% = cause, change:? = change, refused_causes;
+                        cause:% = cause, change:? = change, source:? = source, refused_causes;
                         "standing of a crash cause changed"
                     );
                 }
--- a/crates/jackdaw-edge/src/log_text.rs
+++ b/crates/jackdaw-edge/src/log_text.rs
@@ -14,10 +14,10 @@
     }
 }
 
-/// Joins identifiers of prompt parts, of which only the first ones are listed, in hexadecimal as
-/// callers send them.
-pub(crate) fn format_parts(parts: impl IntoIterator<Item = u64>) -> String {
-    let names: Vec<String> = parts.into_iter().map(|part| format!("{part:x}")).collect();
+/// Joins digests of requests or identifiers of prompt parts, of which only the first ones are listed,
+/// in hexadecimal, as callers send the latter.
+pub(crate) fn format_digests(digests: impl IntoIterator<Item = u64>) -> String {
+    let names: Vec<String> = digests.into_iter().map(|digest| format!("{digest:x}")).collect();
     format_names(&names)
 }
 
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -13,7 +13,7 @@
 
 use error_stack::{Report, ResultExt};
 use jackdaw_base::{ErrorKind, ProcessIncarnation};
-use jackdaw_policy::direct::uses_relays;
+use jackdaw_policy::direct::{FindingSource, uses_relays};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
@@ -152,7 +152,8 @@
         if let Some(streams) = self.state.streams() {
             streams.receive(&self.state, sender, &received.streams);
         }
-        self.state.router().apply_crash_findings(now, &received.crashes.findings);
+        let findings = &received.crashes.findings;
+        self.state.router().apply_crash_findings(now, findings, FindingSource::Report);
         self.state.log_crash_notices();
     }
 
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -15,7 +15,7 @@
 
 use crate::edge_state::{EdgeState, OpenRequest};
 use crate::local_response::LocalResponse;
-use crate::log_text::format_parts;
+use crate::log_text::format_digests;
 
 /// Limit of sends per request that no target ran, including failed connection attempts.
 const MAX_UNRUN_SENDS: u32 = 3;
@@ -160,6 +160,7 @@
             version = self.inner.version_name(),
             runs = self.inner.runs.get(),
             has_event = self.inner.first_byte.get().is_some(),
+            digest = self.inner.digest(),
             parts = self.inner.shared_parts(),
             error;
             "target connection failed during the stream"
@@ -317,7 +318,12 @@
     /// Returns the identifiers of the shared prompt parts.
     pub(crate) fn shared_parts(&self) -> String {
         let shared = self.request.head.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
-        format_parts(shared.iter().map(|part| part.id))
+        format_digests(shared.iter().map(|part| part.id))
+    }
+
+    /// Returns the digest of customer and content, which repetitions of the request share.
+    pub(crate) fn digest(&self) -> String {
+        format!("{:x}", self.request.fingerprint)
     }
 
     /// Returns the name of the last selected target; empty if there is none.
@@ -347,6 +353,7 @@
             customer = self.request.customer.as_ref().map_or("", |customer| customer.name.as_str()),
             outcome,
             status,
+            digest = self.digest(),
             target_name = self.target_name(),
             target_id = self.last_target.get(),
             version = self.version_name(),
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -189,6 +189,7 @@
                     request:% = inner.request.head.id,
                     target_name = name,
                     target_id = target.0,
+                    digest = inner.digest(),
                     parts = inner.shared_parts(),
                     error = format_error(&error);
                     "target connection failed before the response"
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -42,7 +42,7 @@
 };
 pub use customer_ledger::{CustomerLedger, ShareStatus, ShareTier};
 pub use direct_router::{
-    CrashNotice, DirectPolicy, DirectRequest, DirectRouter, RunId, RunOutcome,
+    CrashNotice, DirectPolicy, DirectRequest, DirectRouter, FindingSource, RunId, RunOutcome,
 };
 pub use fleet_config::{
     CallerLimits, CustomerConfig, FleetConfig, RequestKind, RouteConfig, ServiceConfig,
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -7,7 +7,7 @@
 mod target_ranking;
 
 use crash_tracking::BrokenRun;
-pub use crash_tracking::CrashNotice;
+pub use crash_tracking::{CrashNotice, FindingSource};
 
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -27,6 +27,8 @@
         target: TargetId,
         /// Number of own runs that broke there and whose requests may have caused the crash.
         suspects: usize,
+        /// Digests of these requests.
+        requests: Vec<u64>,
         /// Prompt parts of these requests.
         parts: Vec<u64>,
     },
@@ -36,9 +38,22 @@
         cause: CrashCause,
         /// Its new standing.
         change: CauseChange,
+        /// What the change follows from.
+        source: FindingSource,
     },
 }
 
+/// Where a router learned of a finding, or of its clearance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FindingSource {
+    /// Own runs broke at a crash.
+    OwnCrash,
+    /// The response to an own run proceeded.
+    OwnAnswer,
+    /// The report of another router.
+    Report,
+}
+
 /// A run whose connection broke, kept as possible evidence of a crash.
 #[derive(Debug, Clone)]
 pub(super) struct BrokenRun {
@@ -94,17 +109,20 @@
         if runs.is_empty() {
             return;
         }
-        let causes = runs.iter().flat_map(|run| &run.causes);
-        let parts = causes.filter_map(|cause| match cause {
-            CrashCause::Part(id) => Some(*id),
-            CrashCause::Request(_) => None,
-        });
-        let mut parts: Vec<u64> = parts.collect();
-        parts.sort_unstable();
-        parts.dedup();
-        self.notices.push(CrashNotice::Crashed { target, suspects: runs.len(), parts });
+        let (mut requests, mut parts) = (Vec::new(), Vec::new());
+        for cause in runs.iter().flat_map(|run| &run.causes) {
+            match cause {
+                CrashCause::Request(digest) => requests.push(*digest),
+                CrashCause::Part(id) => parts.push(*id),
+            }
+        }
+        for list in [&mut requests, &mut parts] {
+            list.sort_unstable();
+            list.dedup();
+        }
+        self.notices.push(CrashNotice::Crashed { target, suspects: runs.len(), requests, parts });
         let changes = self.crashes.record_crash(now, target, &runs);
-        self.note_changes(changes);
+        self.note_changes(FindingSource::OwnCrash, changes);
     }
 
     /// Returns the findings on crashes for the other routers.
@@ -112,11 +130,16 @@
         self.crashes.report(now)
     }
 
-    /// Merges the findings of another router.
-    pub fn apply_crash_findings(&mut self, now: MonotonicTime, findings: &[CrashFinding]) {
+    /// Merges findings that this router did not make itself.
+    pub fn apply_crash_findings(
+        &mut self,
+        now: MonotonicTime,
+        findings: &[CrashFinding],
+        source: FindingSource,
+    ) {
         let changes = findings.iter().filter_map(|finding| self.crashes.merge(now, finding));
         let changes: Vec<_> = changes.collect();
-        self.note_changes(changes);
+        self.note_changes(source, changes);
     }
 
     /// Returns the number of causes whose requests are refused.
@@ -157,7 +180,7 @@
             return;
         }
         let changes = self.crashes.clear(now, causes, position);
-        self.note_changes(changes);
+        self.note_changes(FindingSource::OwnAnswer, changes);
     }
 
     pub(super) fn expire_crashes(&mut self, now: MonotonicTime) {
@@ -174,9 +197,9 @@
         others.all(|peer| rendezvous_weight(key, VmId(peer.0)) < own)
     }
 
-    fn note_changes(&mut self, changes: impl IntoIterator<Item = (CrashCause, CauseChange)>) {
-        let notices = changes.into_iter();
-        let notices = notices.map(|(cause, change)| CrashNotice::Changed { cause, change });
+    fn note_changes(&mut self, source: FindingSource, changes: Vec<(CrashCause, CauseChange)>) {
+        let changes = changes.into_iter();
+        let notices = changes.map(|(cause, change)| CrashNotice::Changed { cause, change, source });
         self.notices.extend(notices);
     }
 }
--- a/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
+++ b/crates/jackdaw-policy/tests/direct/crash_quarantine.rs
@@ -1,11 +1,15 @@
 //! Quarantine: a request that crashes targets is refused by all routers of the fleet.
 
-use jackdaw_policy::direct::{DirectRouter, Placement, RefusalReason, RunOutcome, TargetId};
+use jackdaw_policy::direct::{
+    DirectRouter, FindingSource, Placement, RefusalReason, RunOutcome, TargetId,
+};
 
 use crate::common::{at, prompt, request, router};
 
 const FINGERPRINT: u64 = 77;
 
+const REPORT: FindingSource = FindingSource::Report;
+
 /// Sends the request to a target that breaks the connection and then refuses a new one.
 fn crash(router: &mut DirectRouter, millis: u64, tried: &[TargetId]) -> TargetId {
     let request = request(None, FINGERPRINT);
@@ -42,9 +46,9 @@
     let mut first = router(1, 6);
     let mut second = router(2, 6);
     let target = crash(&mut first, 1000, &[]);
-    second.apply_crash_findings(at(1100), &first.crash_findings(at(1100)));
+    second.apply_crash_findings(at(1100), &first.crash_findings(at(1100)), REPORT);
     crash(&mut second, 2000, &[target]);
-    first.apply_crash_findings(at(2100), &second.crash_findings(at(2100)));
+    first.apply_crash_findings(at(2100), &second.crash_findings(at(2100)), REPORT);
     assert_eq!(refusal(&mut first, 3000), Some(RefusalReason::Quarantined));
     assert_eq!(refusal(&mut second, 3000), Some(RefusalReason::Quarantined));
 }
