Keep the findings behind refusals in the platform's store

Cause: what routers had learned from crashes lived only in the memory of running routers; each restart of all of them, and each cut between them, cost two more targets for each deadly request. Class: knowledge that cost an outage is kept only by the processes that may fail with it.

Change: the routers that watch the store keep the findings behind refusals in one object there, with conditional writes; each router reads it before it uses its first list of targets.

--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -16,6 +16,7 @@
 use crate::caller_connections::CallerConnections;
 use crate::crash_check::CrashChecks;
 use crate::edge_metrics::EdgeMetrics;
+use crate::finding_store::FindingStore;
 use crate::log_text::format_digests;
 use crate::stream_exchange::StreamExchange;
 use crate::target_pool::TargetPool;
@@ -45,6 +46,8 @@
     pub body_buffer: BodyBuffer,
     /// Checks whether targets crashed.
     pub crash_checks: CrashChecks,
+    /// Findings on crashes in the store.
+    pub(crate) findings: FindingStore,
     /// Exchange of versions of streams; set once the report port is bound.
     streams: OnceCell<StreamExchange>,
     /// Open connections of callers.
@@ -67,6 +70,7 @@
             pool: TargetPool::default(),
             body_buffer: BodyBuffer::default(),
             crash_checks: CrashChecks::default(),
+            findings: FindingStore::default(),
             streams: OnceCell::new(),
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -7,7 +7,8 @@
 //! began it: `stream_origin` binds requests to it, `stream_exchange` passes it between routers, and
 //! `target_identity` confirms it. If a connection to a target breaks, [`crash_check`] finds
 //! out whether the target crashed. In the background, [`store_watch`] watches the
-//! configuration and the targets on a few routers of each failure domain, [`peer_reports`]
+//! configuration, the targets and the findings on crashes on a few routers of each failure domain and
+//! writes such findings, [`peer_reports`]
 //! exchanges load and customer usage with the other routers, and [`peer_snapshot`] copies
 //! configuration and targets to routers that do not watch the store or cannot reach it.
 
@@ -20,6 +21,7 @@
 pub mod edge_metrics;
 pub mod edge_state;
 pub mod event_framer;
+mod finding_store;
 pub mod http_exchange;
 pub mod internal_server;
 pub mod local_response;
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -1,4 +1,7 @@
-//! Watches configuration and targets in the platform's store while this router is assigned to.
+//! Watches configuration, targets and crash findings in the platform's store while this router is
+//! assigned to.
+
+mod finding_sync;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +14,7 @@
 
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
+use crate::store_watch::finding_sync::{watch_findings_loop, write_findings_loop};
 
 /// How long the store may hold a long-poll request. A connection that went silent is detected after
 /// this time, within the three seconds after which the platform expects an undisturbed machine to
@@ -34,7 +38,7 @@
 /// Minimum backoff after a failed call; the maximum depends on the election of the watching routers.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Background tasks that watch configuration and targets in the store.
+/// Background tasks that watch configuration, targets and crash findings in the store.
 pub struct StoreWatch {
     tasks: Vec<JoinHandle<()>>,
 }
@@ -64,6 +68,8 @@
         let tasks = vec![
             tokio::task::spawn_local(watch_config_loop(Rc::clone(state))),
             tokio::task::spawn_local(watch_targets_loop(Rc::clone(state))),
+            tokio::task::spawn_local(watch_findings_loop(Rc::clone(state))),
+            tokio::task::spawn_local(write_findings_loop(Rc::clone(state))),
         ];
         StoreWatch { tasks }
     }
@@ -252,6 +258,8 @@
 ) -> Result<(), Report<ErrorKind>> {
     let Some(after) = session.revision else {
         let (entries, read) = session.client.list_targets(session.listing_age).await?;
+        // A router that has just started must not send requests that were refused before.
+        state.findings.wait_tried().await;
         record_store_success(state);
         let count = entries.len();
         let effect = state.router().targets.replace(state.now(), entries, read);
--- a/crates/jackdaw-policy/src/direct/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crash_ledger.rs
@@ -10,6 +10,8 @@
 //! Findings are only added, made more severe or cleared, so routers can merge them in any order and
 //! any number of times, whatever their clocks say.
 
+mod stored_findings;
+
 use std::fmt;
 use std::time::Duration;
 
@@ -304,9 +306,7 @@
                 if !binds && age >= REPORT_TIME {
                     continue;
                 }
-                let KnownFinding { target, severity, is_cleared, .. } = *known;
-                let finding = CrashFinding { cause: *cause, target, severity, is_cleared };
-                reported.push((!binds, age, finding));
+                reported.push((!binds, age, known.to_finding(*cause)));
             }
         }
         reported.sort_by_key(|(is_minor, age, finding)| (*is_minor, *age, finding.cause));
@@ -354,6 +354,13 @@
     }
 }
 
+impl KnownFinding {
+    fn to_finding(self, cause: CrashCause) -> CrashFinding {
+        let KnownFinding { target, severity, is_cleared, .. } = self;
+        CrashFinding { cause, target, severity, is_cleared }
+    }
+}
+
 impl CauseRecord {
     fn is_refused(&self) -> bool {
         self.severity() >= REFUSAL_SEVERITY
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -52,6 +52,8 @@
     OwnAnswer,
     /// The report of another router.
     Report,
+    /// The platform's store.
+    Store,
 }
 
 /// A run whose connection broke, kept as possible evidence of a crash.
@@ -142,6 +144,16 @@
         self.note_changes(source, changes);
     }
 
+    /// Returns the findings that the store is to hold in place of `stored`, which this router has merged;
+    /// `None` if it need not change.
+    pub fn plan_stored_findings(
+        &self,
+        now: MonotonicTime,
+        stored: &[CrashFinding],
+    ) -> Option<Vec<CrashFinding>> {
+        self.crashes.plan_stored(now, stored)
+    }
+
     /// Returns the number of causes whose requests are refused.
     pub fn refused_cause_count(&self) -> usize {
         self.crashes.refused_count()
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod route_lookup;
 mod staged_placement;
 mod store_restores;
+mod stored_findings;
 mod stream_lookups;
 mod stream_versions;
 mod target_faults;
