Count routers that were cut off when the retry allowance is divided

The allowance of retries is the fleet's, and each router uses an equal part of it; but a part was that of the routers heard at the moment. Routers that were cut off from each other each took the whole: eight of them granted 480 retries where 101 are allowed (cut_does_not_multiply_the_allowance, failed before).

Routers that were heard within the last minute count now. A fleet that has shrunk for good uses its whole allowance after that minute.

--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -12,6 +12,7 @@
 pub mod direct_router;
 pub mod fleet_config;
 pub mod fleet_retry_budget;
+pub mod fleet_size;
 pub mod load_table;
 pub mod mean_wait;
 pub mod overload_detector;
@@ -49,6 +50,7 @@
     ServiceWeight,
 };
 pub use fleet_retry_budget::FleetRetryBudget;
+pub use fleet_size::FleetSize;
 pub use load_table::{LoadTable, TargetLoad};
 pub use mean_wait::MeanWait;
 pub use overload_detector::{BALANCER_DELAY, OverloadDetector, ShedAction};
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -21,6 +21,7 @@
 use crate::direct::customer_ledger::{CustomerLedger, ShareStatus};
 use crate::direct::fleet_config::FleetConfig;
 use crate::direct::fleet_retry_budget::FleetRetryBudget;
+use crate::direct::fleet_size::FleetSize;
 use crate::direct::load_table::LoadTable;
 use crate::direct::mean_wait::MeanWait;
 use crate::direct::placement::{Placement, RefusalReason};
@@ -143,6 +144,7 @@
     prefixes: PrefixMap,
     ledger: CustomerLedger,
     budgets: HashMap<String, FleetRetryBudget>,
+    fleet_size: FleetSize,
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
     stream_monitors: HashMap<String, StreamMonitor>,
@@ -173,6 +175,7 @@
             limits: TargetLimits::default(),
             prefixes: PrefixMap::default(),
             budgets: HashMap::new(),
+            fleet_size: FleetSize::default(),
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
             stream_monitors: HashMap::new(),
@@ -285,7 +288,7 @@
 
     /// Consumes one retry from a service's budget; returns false if the budget is exhausted.
     pub fn take_retry(&mut self, now: MonotonicTime, service: &str) -> bool {
-        let routers = self.loads.peer_count() + 1;
+        let routers = self.fleet_size.record(now, self.loads.peer_count() + 1);
         let budget = self.budgets.get_mut(service);
         budget.is_some_and(|budget| budget.take_retry(now, routers))
     }
@@ -441,6 +444,7 @@
             self.prefills.remove_peer(incarnation);
             self.limits.remove_peer(incarnation);
         }
+        self.fleet_size.record(now, self.loads.peer_count() + 1);
         self.expire_crashes(now);
         self.expire_streams(now);
         let removed = self.targets.expire(now);
--- a/crates/jackdaw-policy/tests/direct/fleet_retry_budget.rs
+++ b/crates/jackdaw-policy/tests/direct/fleet_retry_budget.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use jackdaw_policy::direct::FleetRetryBudget;
+use jackdaw_policy::direct::{DirectRouter, FleetRetryBudget};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::common::at;
+use crate::common::{SERVICE, at, request, router};
 
 const RATIO: f64 = 0.2;
 const ALLOWANCE: f64 = 100.0;
@@ -65,3 +65,46 @@
     let granted = (0..200).filter(|_| budget.take_retry(at(0), 10)).count();
     assert!(granted > 0 && granted <= 10, "{granted}");
 }
+
+/// Returns eight routers that have heard each other.
+fn connected_routers() -> Vec<DirectRouter> {
+    let mut routers: Vec<DirectRouter> = (0..8).map(|number| router(1 + number, 1)).collect();
+    let reports: Vec<_> = routers.iter_mut().map(|router| router.report(at(100))).collect();
+    for router in &mut routers {
+        for report in &reports {
+            router.apply_report(at(110), report);
+        }
+        router.expire(at(200));
+    }
+    routers
+}
+
+/// Returns how many retries the routers grant that each hear no other one any more.
+fn retries_apart(routers: &mut [DirectRouter], millis: u64) -> usize {
+    let mut granted = 0;
+    for router in routers {
+        router.expire(at(millis));
+        assert_eq!(router.peer_count(), 0);
+        router.record_arrival(at(millis), &request(None, 1));
+        granted += (0..200).filter(|_| router.take_retry(at(millis), SERVICE)).count();
+    }
+    granted
+}
+
+/// When routers were cut off from each other, each took the whole fleet's allowance for its own.
+#[test]
+fn cut_does_not_multiply_the_allowance() {
+    let mut routers = connected_routers();
+    let budget = ALLOWANCE + RATIO * routers.len() as f64;
+    let granted = retries_apart(&mut routers, 12_000);
+    assert!(granted > 0 && granted as f64 <= budget, "{granted} of {budget}");
+}
+
+/// Routers that have gone for good leave their part of the allowance to the others.
+#[test]
+fn allowance_follows_a_fleet_that_shrinks() {
+    let mut routers = connected_routers();
+    let last = &mut routers[..1];
+    assert!(retries_apart(last, 12_000) < 20);
+    assert!(retries_apart(last, 120_000) > 40);
+}
