Report the first crashes of a request beside many refusals

A report holds 64 findings on crashes, those behind refusals first. With some thirty refused causes nothing else fitted: no router told the others of a request's first crash, and each let it crash a target of its own (30 of 30 in first_crashes_are_reported_beside_many_refusals). Of 300 suspects of one crash the same 64 were reported each time (all_suspects_of_a_crash_are_reported). Both tests failed before.

Now half of a full report is for recent findings, and what was reported least often comes first, in an order that differs between reports, since consecutive reports may have different receivers. The size of a report is as before.

--- a/crates/jackdaw-policy/src/direct/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crash_ledger.rs
@@ -18,6 +18,7 @@
 use jackdaw_base::{MonotonicTime, plain_data};
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::direct::target_table::TargetId;
 
@@ -85,6 +86,18 @@
     }
 }
 
+impl CrashFinding {
+    /// Returns a number that orders findings differently in each report.
+    fn draw(&self, report: u64) -> u64 {
+        let (CrashCause::Request(key) | CrashCause::Part(key)) = self.cause;
+        let mut bytes = [0; 24];
+        for (chunk, number) in bytes.chunks_exact_mut(8).zip([key, self.target.0, report]) {
+            chunk.copy_from_slice(&number.to_le_bytes());
+        }
+        xxh3_64(&bytes)
+    }
+}
+
 impl fmt::Display for CrashCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -150,6 +163,7 @@
 pub struct CrashLedger {
     causes: FxHashMap<CrashCause, CauseRecord>,
     position: LedgerPosition,
+    report_count: u64,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -168,6 +182,8 @@
     position: LedgerPosition,
     /// When this router learned of the finding or of its last change.
     changed: MonotonicTime,
+    /// Number of own reports with the finding since then.
+    reports: u32,
 }
 
 impl CrashLedger {
@@ -246,7 +262,7 @@
             for finding in &mut record.findings {
                 if finding.position <= position && !finding.is_cleared {
                     finding.is_cleared = true;
-                    finding.changed = now;
+                    (finding.changed, finding.reports) = (now, 0);
                 }
             }
             changes.extend(record.change_since(was_refused).map(|change| (*cause, change)));
@@ -295,22 +311,39 @@
         }
     }
 
-    /// Returns the findings to pass on: those behind a refusal, and recent ones.
-    pub fn report(&self, now: MonotonicTime) -> Vec<CrashFinding> {
-        let mut reported = Vec::new();
+    /// Returns the findings to pass on: those behind a refusal, and recent ones. If there are more than
+    /// [`REPORT_LIMIT`], each report contains those of both kinds that were reported least often.
+    pub fn report(&mut self, now: MonotonicTime) -> Vec<CrashFinding> {
+        self.report_count += 1;
+        let (mut binding, mut recent) = (Vec::new(), Vec::new());
         for (cause, record) in &self.causes {
             let is_refused = record.is_refused();
             for known in &record.findings {
-                let age = now.since(known.changed);
-                let binds = is_refused && !known.is_cleared;
-                if !binds && age >= REPORT_TIME {
-                    continue;
+                let finding = known.to_finding(*cause);
+                // Consecutive reports may have different receivers, so the order must not repeat.
+                let order = (known.reports, finding.draw(self.report_count));
+                if is_refused && !known.is_cleared {
+                    binding.push((order, finding));
+                } else if now.since(known.changed) < REPORT_TIME {
+                    recent.push((order, finding));
                 }
-                reported.push((!binds, age, known.to_finding(*cause)));
             }
         }
-        reported.sort_by_key(|(is_minor, age, finding)| (*is_minor, *age, finding.cause));
-        reported.into_iter().take(REPORT_LIMIT).map(|(_, _, finding)| finding).collect()
+        binding.sort_unstable();
+        recent.sort_unstable();
+        let binding_share = REPORT_LIMIT - recent.len().min(REPORT_LIMIT / 2);
+        binding.truncate(binding_share);
+        recent.truncate(REPORT_LIMIT - binding.len());
+        let chosen = binding.into_iter().chain(recent).map(|(_, finding)| finding);
+        let reported: Vec<CrashFinding> = chosen.collect();
+        for finding in &reported {
+            if let Some(record) = self.causes.get_mut(&finding.cause)
+                && let Some(known) = record.find_mut(finding.target)
+            {
+                known.reports += 1;
+            }
+        }
+        reported
     }
 
     /// Drops findings that are no longer needed.
@@ -403,11 +436,15 @@
         })
     }
 
+    fn find_mut(&mut self, target: TargetId) -> Option<&mut KnownFinding> {
+        self.findings.iter_mut().find(|known| known.target == target)
+    }
+
     fn merge(&mut self, now: MonotonicTime, position: LedgerPosition, finding: &CrashFinding) {
         let CrashFinding { target, severity, is_cleared, .. } = *finding;
-        let known = self.findings.iter_mut().find(|known| known.target == target);
-        let Some(known) = known else {
-            let new = KnownFinding { target, severity, is_cleared, position, changed: now };
+        let Some(known) = self.find_mut(target) else {
+            let changed = now;
+            let new = KnownFinding { target, severity, is_cleared, position, changed, reports: 0 };
             self.findings.push(new);
             self.limit_findings();
             return;
@@ -416,7 +453,7 @@
         // A router that still reports what was cleared long ago has missed that.
         let is_outdated = known.is_cleared && !is_cleared;
         if is_news || (is_outdated && now.since(known.changed) >= REPORT_TIME) {
-            known.changed = now;
+            (known.changed, known.reports) = (now, 0);
         }
         known.severity = known.severity.max(severity);
         known.is_cleared |= is_cleared;
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -128,7 +128,7 @@
     }
 
     /// Returns the findings on crashes for the other routers.
-    pub fn crash_findings(&self, now: MonotonicTime) -> Vec<CrashFinding> {
+    pub fn crash_findings(&mut self, now: MonotonicTime) -> Vec<CrashFinding> {
         self.crashes.report(now)
     }
 
--- a/crates/jackdaw-policy/tests/direct/crash_ledger.rs
+++ b/crates/jackdaw-policy/tests/direct/crash_ledger.rs
@@ -234,8 +234,58 @@
             let [first, second] = ledgers.each_ref().map(|ledger| is_refused(ledger, 100, &causes));
             assert_eq!(first, second, "seed {seed}, part {part}");
         }
-        let mut reports = ledgers.each_ref().map(|ledger| ledger.report(at(100)));
+        let mut reports = ledgers.each_mut().map(|ledger| ledger.report(at(100)));
         reports.iter_mut().for_each(|report| report.sort());
         assert_eq!(reports[0], reports[1], "seed {seed}");
     }
 }
+
+/// Once many causes were refused, reports held nothing else, and no router told the others of a
+/// request's first crash: each let it crash a target of its own.
+#[test]
+fn first_crashes_are_reported_beside_many_refusals() {
+    let mut ledgers = vec![CrashLedger::default(); 30];
+    for number in 0..60 {
+        crash(&mut ledgers[0], 10 * number, &[CrashCause::Request(number)]);
+        crash(&mut ledgers[0], 10 * number + 1, &[CrashCause::Request(number)]);
+    }
+    exchange(&mut ledgers, 1000, 40);
+    let deadly = CrashCause::Request(0xdead);
+    let mut crashes = 0;
+    for attempt in 0..30 {
+        let millis = 20_000 + 4000 * attempt;
+        let ledger = &mut ledgers[attempt as usize];
+        if !is_refused(ledger, millis, &[deadly]) {
+            crash(ledger, millis, &[deadly]);
+            crashes += 1;
+        }
+        exchange(&mut ledgers, millis + 1, 10);
+    }
+    assert!(crashes <= 3, "{crashes} targets crashed");
+}
+
+/// When several targets crash at once, the request that caused it is one of hundreds of suspects.
+#[test]
+fn all_suspects_of_a_crash_are_reported() {
+    let mut ledgers = vec![CrashLedger::default(); 2];
+    let suspects: Vec<SuspectRun> =
+        (0..300).map(|number| begun(&ledgers[0], &[CrashCause::Request(number)])).collect();
+    ledgers[0].record_crash(at(1000), TargetId(1), &suspects);
+    exchange(&mut ledgers, 1001, 11);
+    let known = ledgers[1].len();
+    assert!(known >= 290, "{known} of 300 suspects are known to the other router");
+}
+
+/// Sends reports of all routers to all others, every quarter of a second.
+fn exchange(ledgers: &mut [CrashLedger], millis: u64, periods: u64) {
+    for period in 0..periods {
+        let now = at(millis + 250 * period);
+        let reports: Vec<_> = ledgers.iter_mut().map(|ledger| ledger.report(now)).collect();
+        for (number, ledger) in ledgers.iter_mut().enumerate() {
+            let others = reports.iter().enumerate().filter(|(other, _)| *other != number);
+            for finding in others.flat_map(|(_, report)| report) {
+                ledger.merge(now, finding);
+            }
+        }
+    }
+}
