Soak: a caller whose request crashes targets

In every other run one caller now repeats the same request at random routers; each target that begins to answer it ends and is replaced. Checked is the platform's bound: three seconds after the third crash at most three attempts reach targets.

The proxy of a target refuses connections once its target has ended, as the target's own address would; before, it accepted and closed them, which no router takes for a crash.

--- a/crates/jackdaw-soak/src/fault_plan.rs
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -84,6 +84,8 @@
     TargetRemoved(usize),
     /// A new configuration has many routes more.
     ConfigGrown,
+    /// A request crashed a target; never planned, but recorded when it happened.
+    TargetEnded,
 }
 
 impl FaultKind {
--- a/crates/jackdaw-soak/src/fault_proxy.rs
+++ b/crates/jackdaw-soak/src/fault_proxy.rs
@@ -46,14 +46,37 @@
     ///
     /// Panics if no port can be bound.
     pub async fn spawn(target: SocketAddr) -> FaultProxy {
+        let (proxy, listener) = FaultProxy::bind(target).await;
+        tokio::task::spawn_local(accept(listener, Rc::clone(&proxy.state)));
+        proxy
+    }
+
+    /// As [`FaultProxy::spawn`], but refuses connections once the target has ended, as its own address
+    /// would.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port can be bound.
+    pub async fn spawn_until_ended(target: SocketAddr) -> FaultProxy {
+        let (proxy, listener) = FaultProxy::bind(target).await;
+        let accepting = accept(listener, Rc::clone(&proxy.state));
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = accepting => {}
+                () = wait_end(target) => {}
+            }
+        });
+        proxy
+    }
+
+    async fn bind(target: SocketAddr) -> (FaultProxy, TcpListener) {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("a loopback port can be bound");
         let address = listener.local_addr().expect("listener has an address");
         let state =
             Rc::new(ProxyState { target, fault: Cell::new(None), resets: watch::Sender::new(0) });
-        tokio::task::spawn_local(accept(listener, Rc::clone(&state)));
-        FaultProxy { address, state }
+        (FaultProxy { address, state }, listener)
     }
 
     /// Sets the fault of all connections. A connection that dropped bytes drops all later ones too.
@@ -71,6 +94,14 @@
     }
 }
 
+/// Waits until a target that was just started has ended, which closes an idle connection to it.
+async fn wait_end(target: SocketAddr) {
+    if let Ok(mut connection) = TcpStream::connect(target).await {
+        // The target sends nothing on it, so that any outcome is its end.
+        let _ = connection.read(&mut [0]).await;
+    }
+}
+
 async fn relay(mut client: TcpStream, state: Rc<ProxyState>) {
     let mut resets = state.resets.subscribe();
     // If the target refuses, the client sees its connection closed.
--- a/crates/jackdaw-soak/src/lib.rs
+++ b/crates/jackdaw-soak/src/lib.rs
@@ -4,9 +4,11 @@
 //! router as a process ([`router_process`]), puts a [`fault_proxy`] on its connections from
 //! callers, to the store and to the targets, and injects the faults while [`soak_load`] sends
 //! requests. [`call_history`] then compares the outcomes that callers saw with the requests that
-//! targets ran. After the last fault, all routers must serve again with the newest configuration.
+//! targets ran. In every other run, a [`deadly_caller`] sends a request that crashes targets. After the
+//! last fault, all routers must serve again with the newest configuration.
 
 pub mod call_history;
+pub mod deadly_caller;
 pub mod fault_plan;
 pub mod fault_proxy;
 pub mod router_process;
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -14,6 +14,7 @@
 use jackdaw_proofs::ProcessSignal;
 
 use crate::call_history::{CHECK_PREFIX, CallHistory, CallKind};
+use crate::deadly_caller::{self, DeadlyCaller};
 use crate::fault_plan::{FaultKind, FaultPlan, LinkFault, PlannedFault};
 use crate::fault_proxy::FaultProxy;
 use crate::router_process::RouterProcess;
@@ -85,7 +86,7 @@
 
 /// Runs the soak test with its files in a directory. Must be called within a `LocalSet`.
 pub async fn run_soak(seed: u64, size: &SoakSize, directory: &Path) -> SoakReport {
-    let plan = FaultPlan::draw(seed, size);
+    let mut plan = FaultPlan::draw(seed, size);
     let fleet = Rc::new(SoakFleet::spawn(size, directory).await);
     for router in 0..size.routers {
         fleet.wait_serving(router).await;
@@ -95,6 +96,11 @@
     let routers = fleet.caller_links.clone();
     let context = Rc::new(LoadContext { routers, history: Rc::clone(&history), origin });
     let load = SoakLoad::spawn(&context, seed, size.callers);
+    let deadly = DeadlyCaller::spawn(&context.routers, seed);
+    let replacing = tokio::task::spawn_local({
+        let fleet = Rc::clone(&fleet);
+        async move { fleet.targets.replace_ended(&fleet.store).await }
+    });
     let mut faults = Vec::new();
     for fault in plan.faults.clone() {
         let fleet = Rc::clone(&fleet);
@@ -106,6 +112,9 @@
     for fault in faults {
         fault.await.expect("fault can be injected");
     }
+    if let Some(caller) = deadly {
+        caller.close().await;
+    }
     let recovery_start = Instant::now();
     fleet.clear_faults();
     for router in 0..size.routers {
@@ -113,6 +122,13 @@
     }
     let recovery = recovery_start.elapsed();
     load.close().await;
+    replacing.abort();
+    let arrivals = fleet.targets.deadly_arrivals();
+    plan.faults.extend(arrivals.iter().map(|arrival| PlannedFault {
+        kind: FaultKind::TargetEnded,
+        start: arrival.time.saturating_duration_since(origin),
+        duration: Duration::ZERO,
+    }));
     fleet.check_keys().await;
     let mut violations = fleet.violations.take();
     violations.extend(fleet.routers.iter().flat_map(|router| router.panic_lines()));
@@ -121,6 +137,7 @@
         plan.allows_cut_connections(from, to, after)
     }));
     violations.extend(fleet.unwanted_violations(origin, &plan));
+    violations.extend(deadly_caller::find_violation(&arrivals));
     SoakReport { violations, calls: history.len(), outcomes: history.count_outcomes(), recovery }
 }
 
@@ -205,6 +222,8 @@
             FaultKind::TargetPaused(target) => self.targets.pause(target, duration).await,
             FaultKind::TargetRemoved(target) => self.targets.withdraw(&self.store, target).await,
             FaultKind::ConfigGrown => self.grow_config(),
+            // The deadly caller does this at times that no plan knows.
+            FaultKind::TargetEnded => {}
         }
     }
 
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -1,7 +1,7 @@
 //! Targets that crash or drain and are replaced by targets with other names.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use jackdaw_platform_standins::{
@@ -11,6 +11,7 @@
 use rand::seq::SliceRandom;
 use serde_json::Value;
 
+use crate::deadly_caller::{DEADLY_PART, DeadlyArrival, is_deadly_run};
 use crate::fault_plan::LinkFault;
 use crate::fault_proxy::FaultProxy;
 
@@ -24,6 +25,9 @@
 /// Time after which the entry of a crashed target is removed from the store.
 const REMOVAL_DELAY: Duration = Duration::from_millis(800);
 
+/// Interval at which targets are checked for a crash by the deadly request.
+const END_POLL: Duration = Duration::from_millis(100);
+
 /// Software versions of the targets, which take turns.
 pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
 
@@ -156,9 +160,35 @@
         self.entries.borrow_mut().remove(name);
     }
 
-    /// Returns all requests that targets ran.
+    /// Returns all requests that targets ran, but for those of the deadly caller.
     pub(crate) fn runs(&self) -> Vec<ReceivedRequest> {
-        self.all.borrow().iter().flat_map(TargetStandin::received_requests).collect()
+        let members = self.all.borrow();
+        let runs = members.iter().flat_map(TargetStandin::received_requests);
+        runs.filter(|run| !is_deadly_run(run)).collect()
+    }
+
+    /// Returns when the deadly request reached targets.
+    pub(crate) fn deadly_arrivals(&self) -> Vec<DeadlyArrival> {
+        let members = self.all.borrow();
+        let arrivals = members.iter().flat_map(TargetStandin::deadly_arrivals);
+        arrivals.map(|(id, time)| DeadlyArrival { id, time }).collect()
+    }
+
+    /// Replaces targets that the deadly request ends, for as long as the future is polled.
+    pub(crate) async fn replace_ended(&self, store: &StoreStandin) {
+        let mut replaced = BTreeSet::new();
+        loop {
+            tokio::time::sleep(END_POLL).await;
+            let count = self.members.borrow().len();
+            for index in 0..count {
+                let (name, target) = self.current(index);
+                if !target.deadly_arrivals().is_empty() && replaced.insert(name.clone()) {
+                    tokio::time::sleep(REMOVAL_DELAY).await;
+                    self.remove_entry(store, &name);
+                    self.install_successor(store, index, &name).await;
+                }
+            }
+        }
     }
 
     fn current(&self, index: usize) -> (String, TargetStandin) {
@@ -181,7 +211,8 @@
         target.set_version(VERSIONS[self.all.borrow().len() % VERSIONS.len()]);
         target.set_default_behavior(TargetBehavior::Echo(PROCESSING_TIME));
         self.all.borrow_mut().push(target.clone());
-        let proxy = FaultProxy::spawn(target.address).await;
+        target.crash_on_part(DEADLY_PART);
+        let proxy = FaultProxy::spawn_until_ended(target.address).await;
         self.put_entry(store, &name, target.entry_at(proxy.address, SERVICE, TargetState::Ready));
         TargetMember { name, target, proxy }
     }
--- a/crates/jackdaw-soak/tests/promise_checks.rs
+++ b/crates/jackdaw-soak/tests/promise_checks.rs
@@ -1,9 +1,10 @@
 //! Tests of the checks by which the soak test finds violated guarantees.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jackdaw_platform_standins::{CallerAnswer, ReceivedRequest, echo_body, echo_events};
 use jackdaw_soak::call_history::{CallHistory, CallKind, CallOutcome, HeldEvents, SentCall};
+use jackdaw_soak::deadly_caller::{DeadlyArrival, find_violation};
 use jackdaw_soak::{FaultKind, FaultPlan, PlannedFault, SoakSize};
 
 const BODY: &str = "body";
@@ -166,3 +167,16 @@
     let earlier = HeldEvents { first_attempt: "b".to_owned(), last: 2, version: "v1".to_owned() };
     assert_eq!(cut("", Some(earlier.clone())), Some(earlier));
 }
+
+/// A request that had crashed three targets may reach further ones in three attempts only.
+#[test]
+fn deadly_request_that_is_sent_on_is_found() {
+    let origin = Instant::now();
+    let arrive =
+        |second: u64, id: &str| DeadlyArrival { id: id.to_owned(), time: origin + at(second) };
+    let mut arrivals = vec![arrive(0, "a"), arrive(0, "b"), arrive(1, "c"), arrive(3, "d")];
+    arrivals.extend([arrive(5, "e"), arrive(5, "e"), arrive(6, "f"), arrive(7, "g")]);
+    assert_eq!(find_violation(&arrivals), None, "three attempts after 4 s");
+    arrivals.push(arrive(8, "h"));
+    assert!(find_violation(&arrivals).is_some(), "four attempts after 4 s");
+}
