Answer what waits in the accept queue at a planned stop

It can happen here: of 40 callers that open a connection for each request until the router refuses one, 30 to 35 were cut (connections_in_the_accept_queue_are_served_before_a_stop, failed before).

Two causes, and either alone is enough: the listener was dropped with connections in its accept queue, which resets them; and the HTTP server closes a connection on which no request was read yet as soon as it shuts down, even if one has arrived. Now the queue is emptied without giving up the thread before the listener is closed, and open connections are read for 50 ms more. Taking only the second change left 31 callers cut.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -14,6 +14,7 @@
 use jackdaw_base::ErrorKind;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::caller_stream::CallerStream;
 use crate::edge_state::{EdgeStage, EdgeState};
@@ -34,6 +35,10 @@
 /// Minimum and maximum length of the accept queue.
 const ACCEPT_QUEUE_RANGE: (f64, f64) = (32.0, 1024.0);
 
+/// Time for which connections are read on after the last one was accepted, since requests may have
+/// arrived that were not read yet.
+const UNREAD_REQUEST_TIME: Duration = Duration::from_millis(50);
+
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -59,11 +64,13 @@
         Ok(CallerServer { task })
     }
 
-    /// Waits until the server has stopped accepting connections.
+    /// Waits until the server has stopped accepting connections, and has read the requests that had
+    /// arrived by then.
     pub async fn close(self) {
         if let Err(error) = self.task.await {
             log::error!(error:% = error; "caller server task failed");
         }
+        tokio::time::sleep(UNREAD_REQUEST_TIME).await;
     }
 }
 
@@ -81,14 +88,14 @@
 }
 
 async fn accept_callers(state: Rc<EdgeState>, listener: TcpListener) {
-    loop {
+    while state.stage() != EdgeStage::Closing {
         let pending = listener.accept().now_or_never();
         state.record_accept(pending.is_some());
         let accepted = match pending {
             Some(accepted) => accepted,
             None => tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = state.wait_closing() => return,
+                () = state.wait_closing() => break,
             },
         };
         match accepted {
@@ -96,9 +103,6 @@
                 tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
                 // Requests that are ready are served before more connections are accepted.
                 tokio::task::yield_now().await;
-                if state.stage() == EdgeStage::Closing {
-                    return;
-                }
             }
             Err(error) => {
                 log::warn!(error:% = error; "failed to accept a connection");
@@ -106,6 +110,26 @@
             }
         }
     }
+    if let Err(error) = serve_accept_queue(&state, listener) {
+        log::warn!(error:% = error; "failed to empty the accept queue");
+    }
+}
+
+/// Serves the connections in the accept queue, whose callers may have sent a request already, and
+/// closes the listener.
+fn serve_accept_queue(state: &Rc<EdgeState>, listener: TcpListener) -> io::Result<()> {
+    // The runtime may not have noticed the last connections yet, so it is not asked for them.
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        let stream = TcpStream::from_std(stream)?;
+        tokio::task::spawn_local(serve_connection(Rc::clone(state), stream));
+    }
 }
 
 async fn serve_connection(state: Rc<EdgeState>, stream: TcpStream) {
@@ -138,8 +162,15 @@
             connection.await
         }
         () = state.wait_closing() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // The HTTP server closes a connection on which no request was read yet, and one that is
+            // idle, even if a request waits there.
+            match timeout(UNREAD_REQUEST_TIME, connection.as_mut()).await {
+                Ok(result) => result,
+                Err(_) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = result {
