--- a/crates/jackdaw-policy/src/direct/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crash_ledger.rs
@@ -312,7 +312,7 @@
     }
 
     /// Returns the findings to pass on: those behind a refusal, and recent ones. If there are more than
-    /// [`REPORT_LIMIT`], each report contains those of both kinds that were reported least often.
+    /// fit in a report, it contains those of both kinds that were reported least often.
     pub fn report(&mut self, now: MonotonicTime) -> Vec<CrashFinding> {
         self.report_count += 1;
         let (mut binding, mut recent) = (Vec::new(), Vec::new());
