Give the routing decisions a folder for each subject

Two pairs of files also imported each other's folder.

Change: targets, customers, streams, crashes and fleet are folders with a page that says what they own, who feeds them and what they never read. TargetId and the re-registration grace move below all of them, and the rows of reports move from the peer table to the datagram, which no longer imports the table. No behaviour changes.

--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -20,10 +20,11 @@
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
-use crate::peer_table::{PeerTable, ReportDetails, RouterLimits, RouterPrefills, RouterReport};
+use crate::peer_table::PeerTable;
 use crate::report_datagram::{
     CrashExtension, DatagramExtension, LimitExtension, MAX_DATAGRAM_BYTES, ReceivedDatagram,
-    ReportDatagram, decode_datagram, encode_datagram,
+    ReportDatagram, ReportDetails, RouterLimits, RouterPrefills, RouterReport, decode_datagram,
+    encode_datagram,
 };
 use crate::stream_exchange::StreamExchange;
 
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -4,14 +4,14 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use jackdaw_base::{ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{
-    FetchUrgency, HolderPeer, LimitUsage, PeerReport, PeerStatus, PlanPeer, PrefillUsage,
-    ReportPlan, WatchPeer, introduce_peers, needs_introduction, plan_reports,
+    FetchUrgency, HolderPeer, PeerReport, PeerStatus, PlanPeer, ReportPlan, WatchPeer,
+    introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
 use crate::edge_state::EdgeState;
+use crate::report_datagram::{ReportDetails, RouterReport};
 
 /// Silence after which a router is removed and gets no more reports.
 const PEER_EXPIRY: Duration = Duration::from_secs(6);
@@ -29,46 +29,6 @@
 /// than `MIN_SILENCE_TIMEOUT`.
 const SILENCE_PERIODS: u32 = 3;
 
-plain_data! {
-    /// A report and the address of the router that it describes.
-    pub(crate) struct RouterReport {
-        /// Address of the router that made the report.
-        pub(crate) address: Ipv4Addr,
-        /// The reported state.
-        pub(crate) report: PeerReport,
-    }
-}
-
-plain_data! {
-    /// Recent prefills of the router with an incarnation, which follow its report in a datagram.
-    pub(crate) struct RouterPrefills {
-        /// Incarnation of the router.
-        pub(crate) incarnation: ProcessIncarnation,
-        /// Tokens by target.
-        pub(crate) usages: Vec<PrefillUsage>,
-    }
-}
-
-plain_data! {
-    /// Use of limited targets by the router with an incarnation, which follows its report in a
-    /// datagram.
-    pub(crate) struct RouterLimits {
-        /// Incarnation of the router.
-        pub(crate) incarnation: ProcessIncarnation,
-        /// Usage by target.
-        pub(crate) usages: Vec<LimitUsage>,
-    }
-}
-
-/// What follows a router's report in a datagram.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct ReportDetails {
-    /// The router's recent prefills.
-    pub(crate) prefills: Vec<PrefillUsage>,
-    /// The router's use of limited targets.
-    pub(crate) limits: Vec<LimitUsage>,
-}
-
 /// State kept for another router.
 #[derive(Debug, Clone, Default)]
 struct PeerRecord {
--- a/crates/jackdaw-edge/src/report_datagram.rs
+++ b/crates/jackdaw-edge/src/report_datagram.rs
@@ -6,15 +6,56 @@
 use std::net::Ipv4Addr;
 
 use jackdaw_base::{ProcessIncarnation, plain_data};
-use jackdaw_policy::direct::{CrashFinding, StreamBinding, StreamFinding, StreamKey, TargetId};
+use jackdaw_policy::direct::{
+    CrashFinding, LimitUsage, PeerReport, PrefillUsage, StreamBinding, StreamFinding, StreamKey,
+    TargetId,
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::peer_table::{ReportDetails, RouterLimits, RouterPrefills, RouterReport};
-
 /// Maximum size of a datagram, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
+plain_data! {
+    /// A report and the address of the router that it describes.
+    pub(crate) struct RouterReport {
+        /// Address of the router that made the report.
+        pub(crate) address: Ipv4Addr,
+        /// The reported state.
+        pub(crate) report: PeerReport,
+    }
+}
+
+plain_data! {
+    /// Recent prefills of the router with an incarnation, which follow its report in a datagram.
+    pub(crate) struct RouterPrefills {
+        /// Incarnation of the router.
+        pub(crate) incarnation: ProcessIncarnation,
+        /// Tokens by target.
+        pub(crate) usages: Vec<PrefillUsage>,
+    }
+}
+
+plain_data! {
+    /// Use of limited targets by the router with an incarnation, which follows its report in a
+    /// datagram.
+    pub(crate) struct RouterLimits {
+        /// Incarnation of the router.
+        pub(crate) incarnation: ProcessIncarnation,
+        /// Usage by target.
+        pub(crate) usages: Vec<LimitUsage>,
+    }
+}
+
+/// What follows a router's report in a datagram.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ReportDetails {
+    /// The router's recent prefills.
+    pub(crate) prefills: Vec<PrefillUsage>,
+    /// The router's use of limited targets.
+    pub(crate) limits: Vec<LimitUsage>,
+}
+
 plain_data! {
     /// A datagram sent between routers, encoded with postcard.
     #[derive(Default)]
--- a/crates/jackdaw-policy/src/direct/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crashes/crash_ledger.rs
@@ -20,7 +20,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
 
 /// Severity from which requests with a cause are refused.
 const REFUSAL_SEVERITY: u8 = 4;
--- a/crates/jackdaw-policy/src/direct/crash_ledger/stored_findings.rs
+++ b/crates/jackdaw-policy/src/direct/crashes/crash_ledger/stored_findings.rs
@@ -5,7 +5,7 @@
 use jackdaw_base::MonotonicTime;
 use rustc_hash::FxHashSet;
 
-use crate::direct::crash_ledger::{CrashFinding, CrashLedger};
+use crate::direct::crashes::crash_ledger::{CrashFinding, CrashLedger};
 
 /// Maximum number of findings in the store; new ones displace cleared ones first, then the oldest.
 const STORED_LIMIT: usize = 512;
--- a/crates/jackdaw-policy/src/direct/customer_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/customers/customer_ledger.rs
@@ -11,7 +11,7 @@
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, plain_data};
 use rustc_hash::FxHashMap;
 
-use crate::direct::peer_report::CustomerUsage;
+use crate::direct::fleet::peer_report::CustomerUsage;
 
 /// Number of buckets in the window.
 const WINDOW_BUCKETS: u32 = 8;
--- a/crates/jackdaw-policy/src/direct/refusal_tracker.rs
+++ b/crates/jackdaw-policy/src/direct/customers/refusal_tracker.rs
@@ -5,7 +5,7 @@
 use jackdaw_base::MonotonicTime;
 use rustc_hash::FxHashMap;
 
-use crate::direct::peer_report::RefusedRequest;
+use crate::direct::fleet::peer_report::RefusedRequest;
 
 /// Time after its due time for which a retry is expected.
 const RETRY_WINDOW: Duration = Duration::from_secs(6);
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -15,30 +15,31 @@
 
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
 
-use crate::direct::crash_ledger::{
+use crate::direct::crashes::crash_ledger::{
     CrashCause, CrashLedger, LedgerPosition, RequestCauses, RunPhase,
 };
-use crate::direct::customer_ledger::{CustomerLedger, ShareStatus};
+use crate::direct::customers::customer_ledger::{CustomerLedger, ShareStatus};
+use crate::direct::customers::refusal_tracker::RefusalTracker;
+use crate::direct::fleet::fleet_retry_budget::FleetRetryBudget;
+use crate::direct::fleet::fleet_size::FleetSize;
+use crate::direct::fleet::watch_election::WatchElection;
 use crate::direct::fleet_config::FleetConfig;
-use crate::direct::fleet_retry_budget::FleetRetryBudget;
-use crate::direct::fleet_size::FleetSize;
-use crate::direct::load_table::LoadTable;
-use crate::direct::mean_wait::MeanWait;
 use crate::direct::placement::{Placement, RefusalReason};
-use crate::direct::prefill_window::PrefillWindow;
-use crate::direct::prefix_map::PrefixMap;
 use crate::direct::prompt_shape::PromptShape;
-use crate::direct::refusal_tracker::RefusalTracker;
 use crate::direct::route_table::RouteTable;
-use crate::direct::software_version::VersionRule;
-use crate::direct::stream_monitor::StreamMonitor;
-use crate::direct::stream_table::StreamTable;
-use crate::direct::target_health::{SendFailure, TargetHealth};
-use crate::direct::target_limits::{LimitStatement, TargetLimits};
-use crate::direct::target_speed::TargetSpeed;
-use crate::direct::target_table::{TargetId, TargetTable};
-use crate::direct::version_history::VersionHistory;
-use crate::direct::watch_election::WatchElection;
+use crate::direct::streams::stream_monitor::StreamMonitor;
+use crate::direct::streams::stream_table::StreamTable;
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::load_table::LoadTable;
+use crate::direct::targets::mean_wait::MeanWait;
+use crate::direct::targets::prefill_window::PrefillWindow;
+use crate::direct::targets::prefix_map::PrefixMap;
+use crate::direct::targets::software_version::VersionRule;
+use crate::direct::targets::target_health::{SendFailure, TargetHealth};
+use crate::direct::targets::target_limits::{LimitStatement, TargetLimits};
+use crate::direct::targets::target_speed::TargetSpeed;
+use crate::direct::targets::target_table::TargetTable;
+use crate::direct::targets::version_history::VersionHistory;
 
 /// Configured parameters of a router's decisions.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -4,12 +4,12 @@
 
 use jackdaw_base::{MonotonicTime, VmId};
 
-use crate::direct::crash_ledger::{
+use crate::direct::crashes::crash_ledger::{
     CauseChange, CrashCause, CrashFinding, CrashVerdict, LedgerPosition, RunPhase, SuspectRun,
 };
 use crate::direct::direct_router::{DirectRouter, RunId, RunRecord};
-use crate::direct::target_health::SendFailure;
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::target_health::SendFailure;
 use crate::rendezvous::rendezvous_weight;
 
 /// Time within which broken connections and a later refused one are attributed to the same crash.
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -6,7 +6,7 @@
 use jackdaw_base::{MonotonicTime, VmId};
 use smallvec::SmallVec;
 
-use crate::direct::customer_ledger::ShareTier;
+use crate::direct::customers::customer_ledger::ShareTier;
 use crate::direct::direct_router::target_ranking::{CANDIDATE_TARGETS, RankedTargets, TopTargets};
 use crate::direct::direct_router::{DirectRequest, DirectRouter};
 use crate::direct::placement::{
@@ -14,8 +14,9 @@
     choose_spill_target, plain_wait, refuse,
 };
 use crate::direct::prompt_shape::PromptShape;
-use crate::direct::software_version::VersionRule;
-use crate::direct::target_table::{ReadyTarget, TargetId};
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::software_version::VersionRule;
+use crate::direct::targets::target_table::ReadyTarget;
 use crate::rendezvous::rendezvous_weight;
 
 /// Latency objective of services whose routes configure none.
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -3,11 +3,11 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 
 use crate::direct::direct_router::DirectRouter;
-use crate::direct::peer_report::PeerReport;
-use crate::direct::prefill_window::PrefillUsage;
-use crate::direct::target_limits::{LimitChange, LimitUsage};
-use crate::direct::target_table::{StoreContact, StoreReachability};
-use crate::direct::watch_election::{FetchBasis, FetchUrgency, FleetVersions, StoreStatus};
+use crate::direct::fleet::peer_report::PeerReport;
+use crate::direct::fleet::watch_election::{FetchBasis, FetchUrgency, FleetVersions, StoreStatus};
+use crate::direct::targets::prefill_window::PrefillUsage;
+use crate::direct::targets::target_limits::{LimitChange, LimitUsage};
+use crate::direct::targets::target_table::{StoreContact, StoreReachability};
 
 impl DirectRouter {
     /// Returns the next report for the other routers.
--- a/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -3,10 +3,10 @@
 use jackdaw_base::MonotonicTime;
 
 use crate::direct::direct_router::DirectRouter;
-use crate::direct::software_version::VersionId;
-use crate::direct::stream_lookup::StreamFinding;
-use crate::direct::stream_table::{StreamBinding, StreamKey};
-use crate::direct::watch_election::StoreStatus;
+use crate::direct::fleet::watch_election::StoreStatus;
+use crate::direct::streams::stream_lookup::StreamFinding;
+use crate::direct::streams::stream_table::{StreamBinding, StreamKey};
+use crate::direct::targets::software_version::VersionId;
 
 impl DirectRouter {
     /// Records which version began a stream; returns false if too many streams are known.
--- a/crates/jackdaw-policy/src/direct/direct_router/target_ranking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/target_ranking.rs
@@ -2,7 +2,8 @@
 
 use smallvec::SmallVec;
 
-use crate::direct::target_table::{ReadyTarget, TargetId};
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::target_table::ReadyTarget;
 
 /// Number of targets that are preferred for requests with the same shared prompt part.
 pub(super) const CANDIDATE_TARGETS: usize = 2;
--- a/crates/jackdaw-policy/src/direct/peer_report.rs
+++ b/crates/jackdaw-policy/src/direct/fleet/peer_report.rs
@@ -2,8 +2,8 @@
 
 use jackdaw_base::{CrashEvidence, CustomerId, ProcessIncarnation, plain_data};
 
-use crate::direct::target_table::TargetId;
-use crate::direct::watch_election::{FleetVersions, StoreStatus};
+use crate::direct::fleet::watch_election::{FleetVersions, StoreStatus};
+use crate::direct::target_id::TargetId;
 
 plain_data! {
     /// State of one router; replaces all earlier reports of the same incarnation.
--- a/crates/jackdaw-policy/src/direct/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/fleet/watch_election.rs
@@ -9,8 +9,7 @@
 
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 
-use crate::direct::store_revision::StoreRevision;
-use crate::direct::target_table::REREGISTRATION_GRACE;
+use crate::direct::store_revision::{REREGISTRATION_GRACE, StoreRevision};
 
 /// Routers per failure domain that watch the store; with two, changes keep arriving if one fails.
 pub const WATCHERS_PER_DOMAIN: usize = 2;
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -8,10 +8,10 @@
 
 use jackdaw_base::plain_data;
 
-use crate::direct::customer_ledger::{ShareStatus, ShareTier};
-use crate::direct::load_table::TargetLoad;
+use crate::direct::customers::customer_ledger::{ShareStatus, ShareTier};
 use crate::direct::prompt_shape::PromptShape;
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::load_table::TargetLoad;
 
 /// Weight of the prefill of shared parts relative to waiting: repeating it also delays the requests
 /// behind.
--- a/crates/jackdaw-policy/src/direct/store_revision.rs
+++ b/crates/jackdaw-policy/src/direct/store_revision.rs
@@ -2,8 +2,14 @@
 
 use std::fmt;
 
+use std::time::Duration;
+
 use jackdaw_base::plain_data;
 
+/// Time after the store is reachable again within which live targets have registered again, as
+/// specified by the platform.
+pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
+
 /// Bits of the packed value that hold the revision; the bits above hold the era.
 const REVISION_BITS: u32 = 48;
 
--- a/crates/jackdaw-policy/src/direct/stream_holders.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_holders.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::direct::stream_table::StreamKey;
+use crate::direct::streams::stream_table::StreamKey;
 use crate::rendezvous::rendezvous_weight;
 
 /// Number of failure domains that keep a stream.
--- a/crates/jackdaw-policy/src/direct/stream_lookup.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_lookup.rs
@@ -5,8 +5,8 @@
 use jackdaw_base::plain_data;
 use smallvec::SmallVec;
 
-use crate::direct::software_version::VersionId;
-use crate::direct::stream_holders::HolderList;
+use crate::direct::streams::stream_holders::HolderList;
+use crate::direct::targets::software_version::VersionId;
 
 plain_data! {
     copy
--- a/crates/jackdaw-policy/src/direct/stream_table.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_table.rs
@@ -1,7 +1,7 @@
 //! Software versions of the streams that callers may go on with.
 //!
 //! A router records which version began a stream before its caller gets the first event, and tells a
-//! few other routers ([`stream_holders`](crate::direct::stream_holders)), since the caller may come
+//! few other routers ([`stream_holders`](crate::direct::streams::stream_holders)), since the caller may come
 //! back to any router after its own is gone.
 
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct::software_version::VersionId;
+use crate::direct::targets::software_version::VersionId;
 
 /// Maximum number of streams kept. At 36 streams a second for each router, three copies of each and
 /// callers that wait for 15 s, about 1,600 are known to a router.
--- a/crates/jackdaw-policy/src/direct/load_table.rs
+++ b/crates/jackdaw-policy/src/direct/targets/load_table.rs
@@ -5,8 +5,8 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation};
 use rustc_hash::FxHashMap;
 
-use crate::direct::peer_report::TargetUsage;
-use crate::direct::target_table::TargetId;
+use crate::direct::fleet::peer_report::TargetUsage;
+use crate::direct::target_id::TargetId;
 
 /// Time after the last report of a router after which its runs are no longer counted.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
--- a/crates/jackdaw-policy/src/direct/prefill_window.rs
+++ b/crates/jackdaw-policy/src/direct/targets/prefill_window.rs
@@ -10,7 +10,7 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 use rustc_hash::FxHashMap;
 
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
 
 /// Time for which prefill counts after its end. Together with the time in the queue this covers the
 /// longest pauses that deployments allow between two events.
--- a/crates/jackdaw-policy/src/direct/prefix_map.rs
+++ b/crates/jackdaw-policy/src/direct/targets/prefix_map.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::direct::prompt_shape::PromptShape;
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
 
 /// Time after its last use for which a part is assumed to be cached.
 const PART_LIFETIME: Duration = Duration::from_secs(30);
--- a/crates/jackdaw-policy/src/direct/target_health.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_health.rs
@@ -5,7 +5,7 @@
 use jackdaw_base::MonotonicTime;
 use rustc_hash::FxHashMap;
 
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
 
 /// Time for which a target is excluded after its first failed connection; a few connection timeouts
 /// of a crashed process that restarts.
--- a/crates/jackdaw-policy/src/direct/target_limits.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_limits.rs
@@ -12,9 +12,9 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, plain_data};
 use rustc_hash::FxHashMap;
 
-use crate::direct::customer_ledger::ShareTier;
-use crate::direct::report_plan::uses_relays;
-use crate::direct::target_table::TargetId;
+use crate::direct::customers::customer_ledger::ShareTier;
+use crate::direct::fleet::report_plan::uses_relays;
+use crate::direct::target_id::TargetId;
 
 /// Window within which requests to a limited target are counted. The shorter it is, the more evenly
 /// they arrive, and the more the delay of reports matters.
--- a/crates/jackdaw-policy/src/direct/target_speed.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_speed.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::direct::target_table::TargetId;
+use crate::direct::target_id::TargetId;
 
 /// Initial estimate of the prefill time per token in microseconds; an engine for models of this
 /// size processes about a hundred tokens per millisecond.
--- a/crates/jackdaw-policy/src/direct/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table.rs
@@ -21,15 +21,16 @@
 
 use jackdaw_base::{MonotonicTime, plain_data};
 
-use crate::direct::software_version::VersionId;
-use crate::direct::store_revision::StoreRevision;
-use crate::direct::target_table::leaving_targets::LeavingTargets;
-pub use crate::direct::target_table::store_reachability::{
-    AnsweredTime, REREGISTRATION_GRACE, StoreContact, StoreReachability,
+use crate::direct::store_revision::{REREGISTRATION_GRACE, StoreRevision};
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::software_version::VersionId;
+use crate::direct::targets::target_table::leaving_targets::LeavingTargets;
+pub use crate::direct::targets::target_table::store_reachability::{
+    AnsweredTime, StoreContact, StoreReachability,
 };
-pub use crate::direct::target_table::target_entry::{TargetEntry, TargetId, TargetState};
-pub use crate::direct::target_table::target_index::ReadyTarget;
-use crate::direct::target_table::target_index::TargetIndex;
+pub use crate::direct::targets::target_table::target_entry::{TargetEntry, TargetState};
+pub use crate::direct::targets::target_table::target_index::ReadyTarget;
+use crate::direct::targets::target_table::target_index::TargetIndex;
 
 /// Time for which the revision of a removed entry is kept, so that older changes that arrive late
 /// are ignored.
--- a/crates/jackdaw-policy/src/direct/target_table/leaving_targets.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/leaving_targets.rs
@@ -9,7 +9,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::direct::store_revision::StoreRevision;
-use crate::direct::target_table::{TargetEntry, TargetId, TargetState};
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::target_table::{TargetEntry, TargetState};
 
 /// Time for which a target that left before a restore of the store is excluded if the restored
 /// entry says that it is ready. Targets that leave end within a minute.
--- a/crates/jackdaw-policy/src/direct/target_table/store_reachability.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/store_reachability.rs
@@ -4,9 +4,7 @@
 
 use jackdaw_base::MonotonicTime;
 
-/// Time after the store is reachable again within which live targets have registered again, as
-/// specified by the platform.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
+use crate::direct::store_revision::REREGISTRATION_GRACE;
 
 /// What a router learned about its contact with the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/jackdaw-policy/src/direct/target_table/target_entry.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/target_entry.rs
@@ -5,14 +5,9 @@
 use jackdaw_base::plain_data;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct::software_version::VersionId;
 use crate::direct::store_revision::StoreRevision;
-
-plain_data! {
-    copy
-    /// Identifies one instance of a target; a restarted target gets another identifier.
-    pub struct TargetId(pub u64);
-}
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::software_version::VersionId;
 
 plain_data! {
     copy
--- a/crates/jackdaw-policy/src/direct/target_table/target_index.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/target_index.rs
@@ -6,8 +6,9 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct::software_version::VersionId;
-use crate::direct::target_table::{TargetEntry, TargetId, TargetState};
+use crate::direct::target_id::TargetId;
+use crate::direct::targets::software_version::VersionId;
+use crate::direct::targets::target_table::{TargetEntry, TargetState};
 
 /// The properties of a ready target that placement needs.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/jackdaw-policy/src/direct/version_history.rs
+++ b/crates/jackdaw-policy/src/direct/targets/version_history.rs
@@ -8,7 +8,7 @@
 
 use jackdaw_base::MonotonicTime;
 
-use crate::direct::software_version::VersionId;
+use crate::direct::targets::software_version::VersionId;
 
 /// When each version of each service was last registered, as far as this router saw.
 #[derive(Debug, Default)]
