--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -152,6 +152,9 @@
             state.pool.expire(|target| router.targets.contains(target));
             expired
         };
+        let lapsed = state.router().expire_evacuations(state.now());
+        state.handle_evacuations(&lapsed, "restored store");
+        state.log_cold_notices();
         state.crash_checks.expire();
         for name in expired {
             state.metrics.target_changes.add(&[("effect", "expired")], 1);
@@ -170,6 +173,8 @@
     levels.set(&[("of", "targets")], router.targets.len() as i64);
     levels.set(&[("of", "targets_missing")], router.targets.missing_count() as i64);
     levels.set(&[("of", "targets_limited")], router.limited_count() as i64);
+    levels.set(&[("of", "targets_cold")], router.cold_count() as i64);
+    levels.set(&[("of", "domains_evacuated")], router.targets.evacuations().len() as i64);
     levels.set(&[("of", "refused_causes")], router.refused_cause_count() as i64);
     levels.set(&[("of", "streams_known")], router.stream_count() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -44,6 +44,10 @@
     pub pauses: Counter,
     /// Changes of limits that targets stated.
     pub limits: Counter,
+    /// Targets that turned cold.
+    pub cold_targets: Counter,
+    /// Failure domains that were taken out of use.
+    pub evacuations: Counter,
     /// Crashes of targets that this router recognised.
     pub target_crashes: Counter,
     /// Changes of targets by their effect on this router's table.
@@ -93,6 +97,8 @@
             leavings: plain("edge_target_leavings", "Targets that announced their leaving"),
             pauses: plain("edge_target_pauses", "Pauses that targets asked for"),
             limits: plain("edge_target_limits", "Changes of limits that targets stated"),
+            cold_targets: plain("edge_targets_turned_cold", "Targets that turned cold"),
+            evacuations: plain("edge_evacuations", "Failure domains taken out of use"),
             target_crashes: plain("edge_target_crashes", "Crashes of targets seen by own runs"),
             target_changes: registry
                 .counter("edge_target_changes", "Changes of targets by their effect"),
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -1,13 +1,14 @@
 //! State shared by the components of one router, which all run on a single thread.
 
 use std::cell::{Cell, OnceCell, RefCell, RefMut};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jackdaw_base::{MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{MonotonicTime, ProcessIncarnation, VmId};
 use jackdaw_policy::direct::{
-    CrashNotice, DirectPolicy, DirectRouter, LimitStatement, OverloadDetector, ShedAction,
-    StreamBinding, TargetId,
+    ColdNotice, ColdTolerance, CrashNotice, DirectPolicy, DirectRouter, EvacuationEffect,
+    LimitStatement, OverloadDetector, ShedAction, StreamBinding, TargetEntry, TargetId,
 };
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
@@ -240,6 +241,51 @@
         }
     }
 
+    /// Logs failure domains that were taken out of use or are in use again, and closes the idle
+    /// connections to their targets. `source` is where this router learned of it.
+    pub(crate) fn handle_evacuations(&self, effect: &EvacuationEffect, source: &str) {
+        for domain in &effect.evacuated {
+            let router = self.router();
+            let targets = router.targets.entries().filter(|entry| entry.domain == *domain);
+            let targets: Vec<TargetId> = targets.map(TargetEntry::id).collect();
+            drop(router);
+            log::warn!(domain, targets = targets.len(), source; "failure domain taken out of use");
+            self.metrics.evacuations.inc();
+            for target in targets {
+                self.pool.close_idle(target);
+            }
+        }
+        for (domain, since) in &effect.returned {
+            let age_ms = self.now().since(*since).as_millis() as u64;
+            log::warn!(domain, age_ms, source; "failure domain in use again; its targets count as cold");
+        }
+    }
+
+    /// Logs which targets have turned cold or warm since the last call.
+    pub(crate) fn log_cold_notices(&self) {
+        let notices = self.router().take_cold_notices(self.now());
+        for notice in notices {
+            let target = match &notice {
+                ColdNotice::Cold { target, .. } | ColdNotice::Warm(target) => *target,
+            };
+            let name = self.router().targets.find(target).map(|entry| entry.name.clone());
+            let target_name = name.unwrap_or_default();
+            match notice {
+                ColdNotice::Cold { left, source, part, .. } => {
+                    self.metrics.cold_targets.inc();
+                    log::info!(
+                        target_name, target_id = target.0, left_ms = left.as_millis() as u64,
+                        source:? = source, part;
+                        "target is cold"
+                    );
+                }
+                ColdNotice::Warm(_) => {
+                    log::info!(target_name, target_id = target.0; "target is warm");
+                }
+            }
+        }
+    }
+
     /// Logs and counts what became known about crashes since the last call.
     pub fn log_crash_notices(&self) {
         let notices = self.router().take_crash_notices();
@@ -303,6 +349,14 @@
 fn direct_policy(settings: &EdgeSettings) -> DirectPolicy {
     DirectPolicy {
         domain: settings.domain.clone(),
+        vm: vm_of(settings.ip()),
+        expects_others: settings.seeds.iter().any(|seed| *seed.ip() != settings.ip()),
+        regions: settings.regions.iter().cloned().collect(),
+        cold_tolerance: ColdTolerance {
+            factor: settings.cold_factor,
+            allowance: settings.cold_allowance,
+        },
+        has_evacuations: settings.evacuation_time.is_some(),
         share_window: settings.share_window,
         retry_window: settings.repeat_window,
         retry_ratio: settings.repeat_ratio,
@@ -310,6 +364,11 @@
     }
 }
 
+/// Returns the identifier of the VM with an address.
+pub(crate) fn vm_of(address: Ipv4Addr) -> VmId {
+    VmId(u64::from(u32::from(address)))
+}
+
 /// Guard that counts one request as in progress.
 pub struct OpenRequest {
     state: Rc<EdgeState>,
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -132,6 +132,7 @@
         customer: found.customer,
         name: found.name.clone(),
         rank: table.rank_below_first(Some(found)),
+        homes: found.homes.clone(),
     }))
 }
 
--- a/crates/jackdaw-edge/src/local_response.rs
+++ b/crates/jackdaw-edge/src/local_response.rs
@@ -48,6 +48,16 @@
             RefusalReason::VersionGone => {
                 (ErrorKind::NoCapacity, "the version that began the stream serves no longer")
             }
+            RefusalReason::ColdTargets => {
+                (ErrorKind::NoCapacity, "the targets have just started and take few requests")
+            }
+            RefusalReason::Evacuated => {
+                (ErrorKind::NoCapacity, "all targets are in failure domains that are out of use")
+            }
+            RefusalReason::NoHome => (
+                ErrorKind::NoCapacity,
+                "no target is in a home region of the route and the customer",
+            ),
             RefusalReason::VersionUnknown => {
                 (ErrorKind::NoCapacity, "the version that began the stream is not known")
             }
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -17,14 +17,14 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
-use crate::edge_state::EdgeState;
+use crate::edge_state::{EdgeState, vm_of};
 use crate::log_text::format_names;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::PeerTable;
 use crate::report_datagram::{
-    CrashExtension, DatagramExtension, LimitExtension, MAX_DATAGRAM_BYTES, ReceivedDatagram,
-    ReportDatagram, ReportDetails, RouterLimits, RouterPrefills, RouterReport, decode_datagram,
-    encode_datagram,
+    CrashExtension, DatagramExtension, EvacuationExtension, LimitExtension, MAX_DATAGRAM_BYTES,
+    ReceivedDatagram, ReportDatagram, ReportDetails, RouterLimits, RouterPrefills, RouterReport,
+    StreamExtension, decode_datagram, encode_datagram,
 };
 use crate::stream_exchange::StreamExchange;
 
@@ -127,6 +127,7 @@
                 continue;
             }
             let details = received.details(report.incarnation);
+            self.state.router().record_member(now, vm_of(*address));
             self.state.router().apply_prefill(report.incarnation, &details.prefills);
             let limits = &details.limits;
             let changes = self.state.router().apply_limits(now, report.incarnation, limits);
@@ -150,6 +151,10 @@
         for target in &received.extension.leaving {
             self.state.record_leaving(*target, &source);
         }
+        if let Some(evacuations) = &received.evacuations.evacuations {
+            let effect = self.state.router().merge_evacuations(now, evacuations);
+            self.state.handle_evacuations(&effect, &source);
+        }
         if let Some(streams) = self.state.streams() {
             streams.receive(&self.state, sender, &received.streams);
         }
@@ -228,7 +233,15 @@
         let crashes = CrashExtension { findings: self.state.router().crash_findings(now) };
         let mut limits = LimitExtension { limits };
         limits.limits.retain(|limits| !limits.usages.is_empty());
-        let Some(bytes) = encode_datagram(&(datagram, extension, crashes, limits)) else {
+        let encoded = match self.state.router().evacuation_state(now) {
+            None => encode_datagram(&(datagram, extension, crashes, limits)),
+            Some(evacuations) => {
+                let evacuations = EvacuationExtension { evacuations: Some(evacuations) };
+                let streams = StreamExtension::default();
+                encode_datagram(&(datagram, extension, crashes, limits, streams, evacuations))
+            }
+        };
+        let Some(bytes) = encoded else {
             return;
         };
         let port = self.state.settings().report_port;
--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::{FleetConfig, StoreStatus, TargetId, TargetSnapshot};
+use jackdaw_policy::direct::{ColdStart, FleetConfig, StoreStatus, TargetId, TargetSnapshot};
 use tokio::net::TcpStream;
 
 use crate::edge_state::EdgeState;
@@ -57,6 +57,54 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`VersionExtension`], as known to builds that heed cold targets and homes.
+    #[derive(Default)]
+    struct ColdExtension {
+        /// How much longer the targets stay cold as their entries state it, in their order.
+        cold_left: Vec<Option<Duration>>,
+        /// What cold targets of the configuration's services take, in their order.
+        cold_starts: Vec<Option<ColdStart>>,
+        /// Home regions of the configuration's routes, in their order.
+        route_homes: Vec<Vec<String>>,
+        /// Home regions of the configuration's customers, in their order.
+        customer_homes: Vec<Vec<String>>,
+    }
+}
+
+impl ColdExtension {
+    fn new(snapshot: &FleetSnapshot) -> ColdExtension {
+        let config = snapshot.config.as_ref();
+        let services = config.iter().flat_map(|config| &config.services);
+        let routes = config.iter().flat_map(|config| &config.routes);
+        let customers = config.iter().flat_map(|config| &config.customers);
+        ColdExtension {
+            cold_left: snapshot.targets.entries.iter().map(|entry| entry.cold_left).collect(),
+            cold_starts: services.map(|service| service.cold_start).collect(),
+            route_homes: routes.map(|route| route.homes.clone()).collect(),
+            customer_homes: customers.map(|customer| customer.homes.clone()).collect(),
+        }
+    }
+
+    fn apply(self, snapshot: &mut FleetSnapshot) {
+        for (entry, cold_left) in snapshot.targets.entries.iter_mut().zip(self.cold_left) {
+            entry.cold_left = cold_left;
+        }
+        let Some(config) = &mut snapshot.config else {
+            return;
+        };
+        for (service, cold_start) in config.services.iter_mut().zip(self.cold_starts) {
+            service.cold_start = cold_start;
+        }
+        for (route, homes) in config.routes.iter_mut().zip(self.route_homes) {
+            route.homes = homes;
+        }
+        for (customer, homes) in config.customers.iter_mut().zip(self.customer_homes) {
+            customer.homes = homes;
+        }
+    }
+}
+
 /// Encodes a snapshot of this router. `query` is the requesting router's configuration version.
 pub fn encode_snapshot(state: &EdgeState, query: Option<&str>) -> Vec<u8> {
     let known_version = query.and_then(|query| query.parse().ok()).unwrap_or(0);
@@ -73,7 +121,8 @@
     let extension = SnapshotExtension { leaving, pause_objectives };
     let versions = snapshot.targets.entries.iter().map(|entry| entry.version.clone()).collect();
     let versions = VersionExtension { versions };
-    postcard::to_stdvec(&(snapshot, extension, versions)).unwrap_or_else(|error| {
+    let cold = ColdExtension::new(&snapshot);
+    postcard::to_stdvec(&(snapshot, extension, versions, cold)).unwrap_or_else(|error| {
         log::error!(error:% = error; "failed to encode the snapshot");
         Vec::new()
     })
@@ -110,8 +159,11 @@
         postcard::take_from_bytes(bytes).change_context(ErrorKind::ProtocolViolation)?;
     let (extension, rest): (SnapshotExtension, _) =
         take_extension(rest).change_context(ErrorKind::ProtocolViolation)?;
-    let (versions, _): (VersionExtension, _) =
+    let (versions, rest): (VersionExtension, _) =
+        take_extension(rest).change_context(ErrorKind::ProtocolViolation)?;
+    let (cold, _): (ColdExtension, _) =
         take_extension(rest).change_context(ErrorKind::ProtocolViolation)?;
+    cold.apply(&mut snapshot);
     for (entry, version) in snapshot.targets.entries.iter_mut().zip(versions.versions) {
         entry.version = version;
     }
--- a/crates/jackdaw-edge/src/report_datagram.rs
+++ b/crates/jackdaw-edge/src/report_datagram.rs
@@ -7,8 +7,8 @@
 
 use jackdaw_base::{ProcessIncarnation, plain_data};
 use jackdaw_policy::direct::{
-    CrashFinding, LimitUsage, PeerReport, PrefillUsage, StreamBinding, StreamFinding, StreamKey,
-    TargetId,
+    CrashFinding, EvacuationState, LimitUsage, PeerReport, PrefillUsage, StreamBinding,
+    StreamFinding, StreamKey, TargetId,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -134,6 +134,15 @@
     }
 }
 
+plain_data! {
+    /// Data that follows a [`StreamExtension`], as known to builds that heed evacuations.
+    #[derive(Default)]
+    pub(crate) struct EvacuationExtension {
+        /// Evacuated domains as the sender knows them; `None` while it does not.
+        pub(crate) evacuations: Option<EvacuationState>,
+    }
+}
+
 /// A datagram with all that follows it.
 pub(crate) struct ReceivedDatagram {
     pub(crate) datagram: ReportDatagram,
@@ -141,6 +150,7 @@
     pub(crate) crashes: CrashExtension,
     pub(crate) limits: LimitExtension,
     pub(crate) streams: StreamExtension,
+    pub(crate) evacuations: EvacuationExtension,
 }
 
 impl ReceivedDatagram {
@@ -178,8 +188,9 @@
     let (extension, rest) = take_extension(rest)?;
     let (crashes, rest) = take_extension(rest)?;
     let (limits, rest) = take_extension(rest)?;
-    let (streams, _) = take_extension(rest)?;
-    Ok(ReceivedDatagram { datagram, extension, crashes, limits, streams })
+    let (streams, rest) = take_extension(rest)?;
+    let (evacuations, _) = take_extension(rest)?;
+    Ok(ReceivedDatagram { datagram, extension, crashes, limits, streams, evacuations })
 }
 
 /// Decodes an extension, which is empty if the bytes end before it, and returns the bytes after it.
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -9,8 +9,8 @@
 use jackdaw_base::{CustomerId, ErrorKind};
 use jackdaw_platform::RequestHead;
 use jackdaw_policy::direct::{
-    DirectRequest, Placement, PromptShape, RefusalReason, RouteConfig, ShareStatus, TargetEntry,
-    TargetId, VersionId, VersionRule,
+    DirectRequest, HomeRule, Placement, PromptShape, RefusalReason, RouteConfig, ShareStatus,
+    TargetEntry, TargetId, VersionId, VersionRule,
 };
 
 use crate::edge_state::{EdgeState, OpenRequest};
@@ -56,6 +56,8 @@
     pub(crate) name: String,
     /// Priority levels below the highest one; zero is the highest.
     pub(crate) rank: u32,
+    /// Regions to which the customer's requests are confined.
+    pub(crate) homes: Vec<String>,
 }
 
 /// Shared handle to the state of one request. The request ends when the last clone is dropped, if
@@ -229,6 +231,10 @@
             rank: customer.map_or(0, |customer| customer.rank),
             service: &inner.request.service,
             prompt: inner.request.head.prompt.as_ref(),
+            homes: HomeRule {
+                route: &inner.request.route.homes,
+                customer: customer.map_or(&[], |customer| &customer.homes),
+            },
             time_left: self.time_left(),
             fingerprint: inner.request.fingerprint,
             version_rule: inner.version_rule.get(),
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -1,6 +1,7 @@
 //! Watches configuration, targets and crash findings in the platform's store while this router is
 //! assigned to.
 
+mod evacuation_watch;
 mod finding_sync;
 
 use std::rc::Rc;
@@ -14,6 +15,7 @@
 
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
+use crate::store_watch::evacuation_watch::watch_evacuations_loop;
 use crate::store_watch::finding_sync::{watch_findings_loop, write_findings_loop};
 
 /// How long the store may hold a long-poll request. A connection that went silent is detected after
@@ -65,12 +67,15 @@
 impl StoreWatch {
     /// Starts the watches, which run until [`StoreWatch::close`].
     pub fn spawn(state: &Rc<EdgeState>) -> StoreWatch {
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::task::spawn_local(watch_config_loop(Rc::clone(state))),
             tokio::task::spawn_local(watch_targets_loop(Rc::clone(state))),
             tokio::task::spawn_local(watch_findings_loop(Rc::clone(state))),
             tokio::task::spawn_local(write_findings_loop(Rc::clone(state))),
         ];
+        if state.settings().evacuation_time.is_some() {
+            tasks.push(tokio::task::spawn_local(watch_evacuations_loop(Rc::clone(state))));
+        }
         StoreWatch { tasks }
     }
 
--- a/crates/jackdaw-edge/tests/edge/mixed_builds.rs
+++ b/crates/jackdaw-edge/tests/edge/mixed_builds.rs
@@ -29,6 +29,7 @@
         priority: 0,
         max_attempts: 1,
         is_public: true,
+        homes: Vec::new(),
         services: vec![ServiceWeight { service: "s".to_owned(), weight: 1 }],
     };
     FleetConfig {
@@ -56,6 +57,7 @@
         slots: 8,
         state: TargetState::Ready,
         started_unix_ms: 5,
+        cold_left: None,
         revision: 4.into(),
     }
 }
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -5,11 +5,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use jackdaw_base::{MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{MonotonicTime, ProcessIncarnation, VmId};
 use jackdaw_policy::direct::{
-    CallerLimits, DirectPolicy, DirectRequest, DirectRouter, FleetConfig, PeerReport, Placement,
-    RequestKind, RouteConfig, RunId, RunOutcome, ServiceConfig, ServiceWeight, TargetChange,
-    TargetEntry, TargetId, TargetState, VersionRule,
+    CallerLimits, ColdTolerance, DirectPolicy, DirectRequest, DirectRouter, DomainRegions,
+    FleetConfig, HomeRule, PeerReport, Placement, RequestKind, RouteConfig, RunId, RunOutcome,
+    ServiceConfig, ServiceWeight, TargetChange, TargetEntry, TargetId, TargetState, VersionRule,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -170,6 +170,7 @@
             prompt: Some(&request.prompt),
             time_left: Duration::from_secs(15),
             fingerprint: index as u64,
+            homes: HomeRule::default(),
             version_rule: VersionRule::Any,
         };
         let now = MonotonicTime(time);
@@ -317,6 +318,7 @@
         slots: EngineProfile::default().slots as u32,
         state: TargetState::Ready,
         started_unix_ms: 1,
+        cold_left: Some(Duration::ZERO),
         revision: (1 + index as u64).into(),
     }
 }
@@ -324,6 +326,11 @@
 fn model_router(index: usize, profile: &FleetProfile, entries: &[TargetEntry]) -> DirectRouter {
     let policy = DirectPolicy {
         domain: format!("domain-{}", index % 3),
+        vm: VmId(1),
+        expects_others: false,
+        regions: DomainRegions::new(),
+        cold_tolerance: ColdTolerance::default(),
+        has_evacuations: false,
         share_window: Duration::from_secs(4),
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
@@ -352,6 +359,7 @@
         priority: 0,
         max_attempts: 1,
         is_public: true,
+        homes: Vec::new(),
         services: vec![ServiceWeight { service: SERVICE.to_owned(), weight: 1 }],
     };
     FleetConfig {
@@ -361,6 +369,7 @@
             name: SERVICE.to_owned(),
             connection_limit: 1000,
             memory_tokens: Some(profile.engine.memory_tokens),
+            cold_start: None,
         }],
         customers: Vec::new(),
         limits: CallerLimits {
--- a/crates/jackdaw-policy/examples/direct_slopes.rs
+++ b/crates/jackdaw-policy/examples/direct_slopes.rs
@@ -5,10 +5,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, VmId};
 use jackdaw_policy::direct::{
-    DirectPolicy, DirectRequest, DirectRouter, Placement, PromptPart, PromptShape, RunOutcome,
-    TargetChange, TargetEntry, TargetState, VersionRule,
+    ColdTolerance, DirectPolicy, DirectRequest, DirectRouter, DomainRegions, HomeRule, Placement,
+    PromptPart, PromptShape, RunOutcome, TargetChange, TargetEntry, TargetState, VersionRule,
 };
 use smallvec::smallvec;
 
@@ -69,6 +69,7 @@
             prompt: Some(&prompt),
             time_left: Duration::from_secs(15),
             fingerprint: number,
+            homes: HomeRule::default(),
             version_rule: VersionRule::Any,
         };
         router.record_arrival(now, &request);
@@ -87,6 +88,11 @@
 fn router(incarnation: u64, targets: usize) -> DirectRouter {
     let policy = DirectPolicy {
         domain: "a".to_owned(),
+        vm: VmId(1),
+        expects_others: false,
+        regions: DomainRegions::new(),
+        cold_tolerance: ColdTolerance::default(),
+        has_evacuations: false,
         share_window: Duration::from_secs(4),
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
@@ -104,6 +110,7 @@
             slots: 128,
             state: TargetState::Ready,
             started_unix_ms: 1,
+            cold_left: Some(Duration::ZERO),
             revision: (1 + index as u64).into(),
         };
         router.targets.apply(now, TargetChange::Present(entry));
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -16,8 +16,10 @@
 pub mod direct_router;
 pub mod fleet;
 pub mod fleet_config;
+pub mod home_rule;
 pub mod placement;
 pub mod prompt_shape;
+pub mod request_rate;
 pub mod route_table;
 pub mod store_revision;
 pub mod streams;
@@ -31,9 +33,11 @@
 pub use customers::customer_ledger::{CustomerLedger, ShareStatus, ShareTier};
 pub use customers::refusal_tracker::RefusalTracker;
 pub use direct_router::{
-    CrashNotice, DirectPolicy, DirectRequest, DirectRouter, FindingSource, RunId, RunOutcome,
+    ColdNotice, ColdTolerance, CrashNotice, DirectPolicy, DirectRequest, DirectRouter,
+    FindingSource, RunId, RunOutcome,
 };
 pub use fleet::fleet_retry_budget::FleetRetryBudget;
+pub use fleet::fleet_roster::FleetRoster;
 pub use fleet::fleet_size::FleetSize;
 pub use fleet::overload_detector::{BALANCER_DELAY, OverloadDetector, ShedAction};
 pub use fleet::peer_report::{CustomerUsage, PeerReport, RefusedRequest, TargetUsage};
@@ -46,11 +50,13 @@
     WatchPeer,
 };
 pub use fleet_config::{
-    CallerLimits, CustomerConfig, FleetConfig, RequestKind, RouteConfig, ServiceConfig,
+    CallerLimits, ColdStart, CustomerConfig, FleetConfig, RequestKind, RouteConfig, ServiceConfig,
     ServiceWeight,
 };
+pub use home_rule::{DomainRegions, HomeRule};
 pub use placement::{Placement, PlacementRequest, RefusalReason};
 pub use prompt_shape::{PromptPart, PromptShape};
+pub use request_rate::RequestRate;
 pub use route_table::{KeyError, RouteTable};
 pub use store_revision::StoreRevision;
 pub use streams::stream_holders::{HolderList, HolderPeer, stream_receivers, stream_sources};
@@ -58,6 +64,11 @@
 pub use streams::stream_monitor::StreamMonitor;
 pub use streams::stream_table::{StreamBinding, StreamKey, StreamTable};
 pub use target_id::TargetId;
+pub use targets::cold_shares::{ColdDivision, ColdShares};
+pub use targets::cold_targets::{ColdSource, ColdTargets};
+pub use targets::evacuation_table::{
+    EvacuationChange, EvacuationEffect, EvacuationState, EvacuationTable,
+};
 pub use targets::load_table::{LoadTable, TargetLoad};
 pub use targets::mean_wait::MeanWait;
 pub use targets::prefill_window::{PrefillUsage, PrefillWindow};
@@ -65,7 +76,7 @@
 pub use targets::software_version::{VersionId, VersionRule};
 pub use targets::target_health::{SendFailure, TargetHealth};
 pub use targets::target_limits::{
-    LimitChange, LimitStatement, LimitUsage, ReceivedStatement, RequestRate, TargetLimits,
+    LimitChange, LimitStatement, LimitUsage, ReceivedStatement, TargetLimits,
 };
 pub use targets::target_speed::TargetSpeed;
 pub use targets::target_table::{
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -1,11 +1,13 @@
 //! State machine of a router that sends requests directly to targets.
 
+mod cold_tracking;
 mod crash_tracking;
 mod placement_view;
 mod report_exchange;
 mod stream_tracking;
 mod target_ranking;
 
+pub use cold_tracking::{ColdNotice, ColdTolerance};
 use crash_tracking::BrokenRun;
 pub use crash_tracking::{CrashNotice, FindingSource};
 
@@ -13,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, VmId};
 
 use crate::direct::crashes::crash_ledger::{
     CrashCause, CrashLedger, LedgerPosition, RequestCauses, RunPhase,
@@ -21,15 +23,18 @@
 use crate::direct::customers::customer_ledger::{CustomerLedger, ShareStatus};
 use crate::direct::customers::refusal_tracker::RefusalTracker;
 use crate::direct::fleet::fleet_retry_budget::FleetRetryBudget;
+use crate::direct::fleet::fleet_roster::FleetRoster;
 use crate::direct::fleet::fleet_size::FleetSize;
 use crate::direct::fleet::watch_election::WatchElection;
 use crate::direct::fleet_config::FleetConfig;
+use crate::direct::home_rule::{DomainRegions, HomeRule};
 use crate::direct::placement::{Placement, RefusalReason};
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::route_table::RouteTable;
 use crate::direct::streams::stream_monitor::StreamMonitor;
 use crate::direct::streams::stream_table::StreamTable;
 use crate::direct::target_id::TargetId;
+use crate::direct::targets::cold_shares::ColdShares;
 use crate::direct::targets::load_table::LoadTable;
 use crate::direct::targets::mean_wait::MeanWait;
 use crate::direct::targets::prefill_window::PrefillWindow;
@@ -46,6 +51,17 @@
 pub struct DirectPolicy {
     /// Failure domain of the router.
     pub domain: String,
+    /// VM of the router.
+    pub vm: VmId,
+    /// Whether there are other routers even if none was heard yet.
+    pub expects_others: bool,
+    /// Regions of the failure domains.
+    pub regions: DomainRegions,
+    /// How many more requests than their stated rate cold targets take.
+    pub cold_tolerance: ColdTolerance,
+    /// Whether the operator may take failure domains out of use; requests are then refused until it is
+    /// known which ones are.
+    pub has_evacuations: bool,
     /// Sliding window over which customers' shares are computed.
     pub share_window: Duration,
     /// Sliding window of the fleet-wide retry budget.
@@ -67,6 +83,8 @@
     pub service: &'a str,
     /// Prompt of the request; `None` for a plain service.
     pub prompt: Option<&'a PromptShape>,
+    /// Regions in which the targets must be.
+    pub homes: HomeRule<'a>,
     /// Time until the caller's deadline.
     pub time_left: Duration,
     /// Digest of customer and content.
@@ -146,6 +164,10 @@
     ledger: CustomerLedger,
     budgets: HashMap<String, FleetRetryBudget>,
     fleet_size: FleetSize,
+    roster: FleetRoster,
+    cold_shares: ColdShares,
+    /// Targets that counted as cold when that was last reviewed.
+    noted_cold: Vec<TargetId>,
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
     stream_monitors: HashMap<String, StreamMonitor>,
@@ -165,6 +187,7 @@
     pub fn new(policy: DirectPolicy, incarnation: ProcessIncarnation) -> DirectRouter {
         DirectRouter {
             ledger: CustomerLedger::new(policy.share_window),
+            roster: FleetRoster::new(policy.vm, policy.expects_others),
             policy,
             incarnation,
             table: None,
@@ -177,6 +200,8 @@
             prefixes: PrefixMap::default(),
             budgets: HashMap::new(),
             fleet_size: FleetSize::default(),
+            cold_shares: ColdShares::default(),
+            noted_cold: Vec::new(),
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
             stream_monitors: HashMap::new(),
@@ -225,9 +250,15 @@
         true
     }
 
-    /// Returns whether requests can be routed: a configuration and at least one target are known.
+    /// Returns whether requests can be routed: a configuration, at least one target and the evacuated
+    /// domains are known.
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && !self.targets.is_empty()
+        self.table.is_some() && !self.targets.is_empty() && self.knows_evacuations()
+    }
+
+    /// Returns whether it is known which failure domains are out of use, or none can be.
+    pub(super) fn knows_evacuations(&self) -> bool {
+        !self.policy.has_evacuations || self.targets.evacuations().is_known()
     }
 
     /// Returns the number of other routers that currently report.
@@ -307,6 +338,9 @@
         self.loads.add_queued(target, prefill_tokens, memory_tokens);
         self.health.record_send(now, target);
         self.limits.record_send(now, target);
+        if self.cold_left(now, target).is_some() {
+            self.cold_shares.record_send(now, target);
+        }
         if let Some(prompt) = request.prompt {
             self.prefixes.record_send(now, target, prompt);
             if let Some(customer) = request.customer {
@@ -382,9 +416,12 @@
     }
 
     /// Returns whether a request that was placed on a target may still be sent to it: the target
-    /// has neither announced its leaving nor asked for a pause in the meantime.
+    /// has neither announced its leaving nor asked for a pause in the meantime, and its failure domain
+    /// was not evacuated.
     pub fn accepts_placed(&self, now: MonotonicTime, target: TargetId) -> bool {
-        !self.targets.is_leaving(target) && self.health.accepts_placed(now, target)
+        !self.targets.is_leaving(target)
+            && !self.targets.is_evacuated(target)
+            && self.health.accepts_placed(now, target)
     }
 
     /// Records the outcome of a run; returns whether the target is temporarily excluded.
@@ -446,6 +483,7 @@
             self.limits.remove_peer(incarnation);
         }
         self.fleet_size.record(now, self.loads.peer_count() + 1);
+        self.roster.expire(now);
         self.expire_crashes(now);
         self.expire_streams(now);
         let removed = self.targets.expire(now);
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -9,6 +9,8 @@
 use crate::direct::customers::customer_ledger::ShareTier;
 use crate::direct::direct_router::target_ranking::{CANDIDATE_TARGETS, RankedTargets, TopTargets};
 use crate::direct::direct_router::{DirectRequest, DirectRouter};
+use crate::direct::fleet_config::ColdStart;
+use crate::direct::home_rule::HomeRule;
 use crate::direct::placement::{
     Placement, PlacementLimits, PlacementRequest, PlacementTarget, RefusalReason, choose_candidate,
     choose_spill_target, plain_wait, refuse,
@@ -22,6 +24,13 @@
 /// Latency objective of services whose routes configure none.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(500);
 
+/// Retry delay while it is not known which failure domains are out of use, which a router learns
+/// shortly after its start.
+const EVACUATION_RETRY: Duration = Duration::from_millis(500);
+
+/// How much slower a cold target is assumed to be, which its service does not state.
+const COLD_SLOWDOWN: f64 = 1.5;
+
 impl DirectRouter {
     fn placement_request<'a>(
         &mut self,
@@ -46,6 +55,7 @@
             mean_wait,
             stream_pause_limit: self.stream_pause_limit(request.service),
             shortest_target_pause: None,
+            no_target_reason: RefusalReason::NoTarget,
         }
     }
 
@@ -61,12 +71,25 @@
         let table = self.table.as_ref();
         let service = table.and_then(|table| table.service(request.service));
         let memory_tokens = service.and_then(|service| service.memory_tokens);
+        let cold_start = service.and_then(|service| service.cold_start);
         let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
         let ready = match select_version(&ready, request.version_rule) {
             Ok(ready) => ready,
             // Another try does not help, as long as no target of the version registers.
             Err(reason) => return Placement::Refuse { reason, retry_after: Duration::ZERO },
         };
+        if !self.knows_evacuations() {
+            let reason = RefusalReason::NoTarget;
+            return Placement::Refuse { reason, retry_after: EVACUATION_RETRY };
+        }
+        let ready = match self.select_homes(&ready, request.homes) {
+            Some(ready) => ready,
+            None => {
+                let reason = RefusalReason::NoHome;
+                return Placement::Refuse { reason, retry_after: Duration::ZERO };
+            }
+        };
+        self.prepare_cold_shares(now, cold_start, &ready);
         let mut placement_request = self.placement_request(now, request, mean_wait);
         let tier = placement_request.share.tier;
         let (placement, withheld) = {
@@ -76,6 +99,7 @@
                 request,
                 tier,
                 memory_tokens,
+                cold_start: cold_start.filter(|_| !self.targets.cold().is_empty()),
                 ready: &ready,
                 tried,
             };
@@ -83,6 +107,7 @@
             let RankedTargets { candidates: ranked, withheld } = view.rank_targets();
             if ranked.is_empty() {
                 placement_request.shortest_target_pause = view.shortest_target_pause();
+                placement_request.no_target_reason = view.no_target_reason();
             }
             let candidates: Vec<PlacementTarget> =
                 ranked.iter().map(|target| view.placement_target(target, &ranked)).collect();
@@ -100,6 +125,22 @@
         placement
     }
 
+    /// Returns the ready targets in a request's home regions; `None` if the request may go to none of
+    /// them and there are others.
+    fn select_homes(
+        &self,
+        ready: &Rc<[ReadyTarget]>,
+        homes: HomeRule<'_>,
+    ) -> Option<Rc<[ReadyTarget]>> {
+        if homes.is_open() {
+            return Some(Rc::clone(ready));
+        }
+        let regions = &self.policy.regions;
+        let at_home = ready.iter().filter(|target| homes.allows(regions, &target.domain));
+        let at_home: Rc<[ReadyTarget]> = at_home.cloned().collect();
+        (ready.is_empty() || !at_home.is_empty()).then_some(at_home)
+    }
+
     /// Returns the longest pause of a service's streams while prefill beside them is limited.
     fn stream_pause_limit(&self, service: &str) -> Option<Duration> {
         self.stream_monitors.get(service).filter(|monitor| monitor.is_limiting())?;
@@ -167,6 +208,8 @@
     tier: ShareTier,
     /// Memory of the service's targets; `None` for a plain service.
     memory_tokens: Option<u64>,
+    /// What the service's targets take while they are cold; `None` if none of them is.
+    cold_start: Option<ColdStart>,
     /// Ready targets of the service.
     ready: &'a [ReadyTarget],
     /// Targets to exclude.
@@ -182,9 +225,23 @@
         !self.tried.contains(&target) && self.router.health.is_usable(self.now, target)
     }
 
-    /// Returns whether a target takes one more request by the limit that it states.
+    /// Returns how long a target stays cold; `None` if it is warm.
+    fn cold_left(&self, target: TargetId) -> Option<Duration> {
+        let duration = self.cold_start?.duration;
+        let (left, _) = self.router.targets.cold().cold_left(self.now, target, duration)?;
+        Some(left)
+    }
+
+    /// Returns whether a target takes one more request by the limit that it states, and by this
+    /// router's part if it is cold.
     fn is_within_limit(&self, target: TargetId) -> bool {
         let router = self.router;
+        if self.cold_left(target).is_some() {
+            let is_settled = router.roster.is_settled(self.now);
+            if !is_settled || !router.cold_shares.admits(self.now, target) {
+                return false;
+            }
+        }
         if router.limits.is_empty() {
             return true;
         }
@@ -232,11 +289,24 @@
     fn shortest_target_pause(&self) -> Option<Duration> {
         let left = |target: &ReadyTarget| {
             let pause = self.router.health.pause_left(self.now, target.id);
-            pause.max(self.router.limits.mean_interval(target.id))
+            let interval = self.router.limits.mean_interval(target.id);
+            pause.max(interval).max(self.cold_left(target.id))
         };
         self.ready.iter().filter_map(left).min()
     }
 
+    /// Returns why a request whose candidates all refuse it finds no target.
+    fn no_target_reason(&self) -> RefusalReason {
+        let is_cold = |target: &ReadyTarget| self.cold_left(target.id).is_some();
+        if self.ready.iter().any(is_cold) {
+            return RefusalReason::ColdTargets;
+        }
+        match self.router.targets.has_evacuated(self.request.service) {
+            true => RefusalReason::Evacuated,
+            false => RefusalReason::NoTarget,
+        }
+    }
+
     /// Returns the usable targets other than `candidates` that are idle enough for the request.
     fn spill_targets(
         &self,
@@ -270,17 +340,19 @@
             Some(_) => router.speeds.first_event_overhead(),
             None => router.speeds.service_time(id),
         };
+        let slowdown = if self.cold_left(id).is_some() { COLD_SLOWDOWN } else { 1.0 };
+        let prefill_time = |tokens| router.speeds.prefill_time(id, tokens).mul_f64(slowdown);
         PlacementTarget {
             target: id,
             slots: target.slots,
             memory_tokens: self.memory_tokens,
             load,
-            queue_time: router.speeds.prefill_time(id, load.queued_tokens),
-            recent_time: router.speeds.prefill_time(id, router.prefills.tokens(id)),
+            queue_time: prefill_time(load.queued_tokens),
+            recent_time: prefill_time(router.prefills.tokens(id)),
             prefill_tokens: own + missing,
-            prefill_time: router.speeds.prefill_time(id, own + missing),
-            repeated_prefill_time: router.speeds.prefill_time(id, missing),
-            base_time,
+            prefill_time: prefill_time(own + missing),
+            repeated_prefill_time: prefill_time(missing),
+            base_time: base_time.mul_f64(slowdown),
             failure_rate: router.health.failure_rate(self.now, id),
             is_same_domain: target.domain == router.policy.domain,
             is_candidate: candidates.iter().any(|candidate| candidate.id == id),
--- a/crates/jackdaw-policy/src/direct/fleet.rs
+++ b/crates/jackdaw-policy/src/direct/fleet.rs
@@ -5,6 +5,7 @@
 //! customers or streams beyond the rows of a report.
 
 pub mod fleet_retry_budget;
+pub mod fleet_roster;
 pub mod fleet_size;
 pub mod overload_detector;
 pub mod peer_report;
--- a/crates/jackdaw-policy/src/direct/fleet_config.rs
+++ b/crates/jackdaw-policy/src/direct/fleet_config.rs
@@ -4,6 +4,8 @@
 
 use jackdaw_base::{CustomerId, plain_data};
 
+use crate::direct::request_rate::RequestRate;
+
 plain_data! {
     /// Complete fleet configuration; a higher version replaces a lower one.
     pub struct FleetConfig {
@@ -73,6 +75,10 @@
         pub max_attempts: u32,
         /// Whether requests are accepted without a key.
         pub is_public: bool,
+        /// Regions to which the route's requests are confined; empty if they may go to all. Snapshots
+        /// carry them apart, since older builds do not know them.
+        #[serde(skip)]
+        pub homes: Vec<String>,
         /// Services among which the route divides its requests.
         pub services: Vec<ServiceWeight>,
     }
@@ -97,6 +103,21 @@
         pub connection_limit: u32,
         /// Memory of one target in tokens; `None` for a plain service.
         pub memory_tokens: Option<u64>,
+        /// What the service's targets take while they are cold; `None` if they are never cold.
+        /// Snapshots carry it apart, since older builds do not know it.
+        #[serde(skip)]
+        pub cold_start: Option<ColdStart>,
+    }
+}
+
+plain_data! {
+    copy
+    /// Behavior of a service's targets after their start.
+    pub struct ColdStart {
+        /// How long a target is cold.
+        pub duration: Duration,
+        /// Requests that a cold target takes from all routers together.
+        pub rate: RequestRate,
     }
 }
 
@@ -111,6 +132,10 @@
         pub keys: Vec<String>,
         /// Priority, which overrides that of the route.
         pub priority: Option<u32>,
+        /// Regions to which the customer's requests are confined; empty if they may go to all.
+        /// Snapshots carry them apart, since older builds do not know them.
+        #[serde(skip)]
+        pub homes: Vec<String>,
     }
 }
 
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -86,6 +86,8 @@
     /// Time until the first target accepts requests again, if all that could be used asked for a
     /// pause.
     pub shortest_target_pause: Option<Duration>,
+    /// Why there is no target if none can be used.
+    pub no_target_reason: RefusalReason,
 }
 
 /// Properties of one target for the placement of one request.
@@ -136,6 +138,12 @@
         VersionGone,
         /// It is not known which software version began the stream.
         VersionUnknown,
+        /// The targets that could be used are cold, and this router has sent them its part.
+        ColdTargets,
+        /// All targets are in failure domains that are out of use.
+        Evacuated,
+        /// No target is in the home regions of the route and the customer.
+        NoHome,
     }
 }
 
@@ -325,7 +333,7 @@
             Some(pause) => pause.max(shortest),
             None => longest / 4,
         };
-        return Placement::Refuse { reason: RefusalReason::NoTarget, retry_after };
+        return Placement::Refuse { reason: request.no_target_reason, retry_after };
     };
     if request.share.tier != ShareTier::Owed {
         let delay = Duration::from_secs(1).mul_f64(request.share.share_used.min(4.0));
--- a/crates/jackdaw-policy/src/direct/targets.rs
+++ b/crates/jackdaw-policy/src/direct/targets.rs
@@ -4,6 +4,9 @@
 //! Fed by entries of the store, by responses to this router's runs, and by other routers' reports.
 //! Never reads routes, and of customers only the tier of their share.
 
+pub mod cold_shares;
+pub mod cold_targets;
+pub mod evacuation_table;
 pub mod load_table;
 pub mod mean_wait;
 pub mod prefill_window;
--- a/crates/jackdaw-policy/src/direct/targets/target_limits.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_limits.rs
@@ -14,6 +14,7 @@
 
 use crate::direct::customers::customer_ledger::ShareTier;
 use crate::direct::fleet::report_plan::uses_relays;
+use crate::direct::request_rate::RequestRate;
 use crate::direct::target_id::TargetId;
 
 /// Window within which requests to a limited target are counted. The shorter it is, the more evenly
@@ -49,12 +50,6 @@
 /// As [`EXCESS_RESERVE`], for customers above one of their two shares.
 const SURPLUS_RESERVE: f64 = 0.2;
 
-plain_data! {
-    copy
-    /// Rate of requests, in thousandths of a request a second.
-    pub struct RequestRate(pub u32);
-}
-
 plain_data! {
     copy
     /// What a response of a target states about the requests that it takes.
@@ -104,17 +99,6 @@
 }
 
 impl RequestRate {
-    /// Converts a number of requests a second. Negative numbers become zero, and numbers over four
-    /// million the largest rate.
-    pub fn from_per_second(requests: f64) -> RequestRate {
-        RequestRate((requests * 1000.0) as u32)
-    }
-
-    /// Returns the number of requests a second.
-    pub fn per_second(self) -> f64 {
-        f64::from(self.0) / 1000.0
-    }
-
     /// Returns the rate that is applied, in requests a second.
     fn applied(self) -> f64 {
         self.per_second().max(LOWEST_RATE)
--- a/crates/jackdaw-policy/src/direct/targets/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table.rs
@@ -23,6 +23,8 @@
 
 use crate::direct::store_revision::{REREGISTRATION_GRACE, StoreRevision};
 use crate::direct::target_id::TargetId;
+use crate::direct::targets::cold_targets::{ColdSource, ColdTargets};
+use crate::direct::targets::evacuation_table::{EvacuationEffect, EvacuationTable};
 use crate::direct::targets::software_version::VersionId;
 use crate::direct::targets::target_table::leaving_targets::LeavingTargets;
 pub use crate::direct::targets::target_table::store_reachability::{
@@ -96,7 +98,11 @@
     /// Revision of the first listing or snapshot of the latest era; later revisions of that era
     /// were written after the restore.
     era_start: StoreRevision,
-    /// Empty after a change of the entries or of the leaving targets.
+    cold: ColdTargets,
+    evacuations: EvacuationTable,
+    /// Whether a listing or a snapshot was applied; targets that appear later have just started.
+    has_listing: bool,
+    /// Empty after a change of the entries, the leaving targets or the evacuated domains.
     index: OnceCell<TargetIndex>,
 }
 
@@ -159,6 +165,47 @@
         self.leaving.contains(target)
     }
 
+    /// Returns the failure domains that are out of use.
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
+    /// Updates the failure domains that are out of use. Targets of domains that return are in doubt.
+    pub fn update_evacuations(
+        &mut self,
+        update: impl FnOnce(&mut EvacuationTable) -> EvacuationEffect,
+    ) -> EvacuationEffect {
+        let effect = update(&mut self.evacuations);
+        if effect != EvacuationEffect::default() {
+            self.index.take();
+        }
+        for (domain, time) in &effect.returned {
+            let returned = self.targets.values().map(|known| &known.entry);
+            for entry in returned.filter(|entry| entry.domain == *domain) {
+                self.cold.doubt(*time, entry.id(), ColdSource::Returned);
+            }
+        }
+        effect
+    }
+
+    /// Returns which targets are cold.
+    pub fn cold(&self) -> &ColdTargets {
+        &self.cold
+    }
+
+    /// Returns whether a target's failure domain is out of use.
+    pub fn is_evacuated(&self, target: TargetId) -> bool {
+        !self.evacuations.is_empty()
+            && self.find(target).is_some_and(|entry| self.evacuations.contains(&entry.domain))
+    }
+
+    /// Returns whether a service has targets that would accept requests if their failure domains were
+    /// in use.
+    pub fn has_evacuated(&self, service: &str) -> bool {
+        !self.evacuations.is_empty()
+            && self.ready_entries(service).any(|entry| self.evacuations.contains(&entry.domain))
+    }
+
     /// Returns the latest revision that changed the table.
     pub fn change_revision(&self) -> StoreRevision {
         self.change_revision
@@ -235,6 +282,7 @@
             self.removals.insert(name, (revision, now));
         }
         self.change_revision = self.change_revision.max(snapshot.change_revision);
+        self.has_listing = true;
         effect
     }
 
@@ -274,6 +322,7 @@
                 effect.withdrawn.push(name);
             }
         }
+        self.has_listing = true;
         effect
     }
 
@@ -285,6 +334,7 @@
         if self.leaving.expire(now, era, |target| registered.contains(&target)) {
             self.index.take();
         }
+        self.cold.retain(now, |target| registered.contains(&target));
         // Further outages and restores do not extend the time that a target has to register again.
         let is_settled = self.reachability.is_settled(now);
         let answered = self.answered.total(now);
@@ -308,6 +358,11 @@
 
     /// Returns the entries of the targets of a service that accept requests.
     pub fn ready_targets(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
+        self.ready_entries(service).filter(|entry| !self.evacuations.contains(&entry.domain))
+    }
+
+    /// As [`TargetTable::ready_targets`], including evacuated domains.
+    fn ready_entries(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
         let ready = self.entries().filter(|entry| {
             entry.state == TargetState::Ready && !self.leaving.contains(entry.id())
         });
@@ -335,8 +390,10 @@
     }
 
     fn index(&self) -> &TargetIndex {
-        let is_leaving = |target| self.leaving.contains(target);
-        self.index.get_or_init(|| TargetIndex::build(self.entries(), is_leaving))
+        let is_withdrawn = |entry: &TargetEntry| {
+            self.leaving.contains(entry.id()) || self.evacuations.contains(&entry.domain)
+        };
+        self.index.get_or_init(|| TargetIndex::build(self.entries(), is_withdrawn))
     }
 
     /// Notes a revision of a listing or snapshot. The first one of a new era starts the grace period
@@ -422,6 +479,9 @@
             return ChangeEffect::Ignored;
         }
         self.leaving.update(now, &entry, self.era_start);
+        let id = entry.id();
+        let is_new = self.has_listing && known.is_none_or(|known| known.entry.id() != id);
+        self.cold.record_entry(now, id, entry.cold_left, is_new);
         let target = KnownTarget { entry, missed_at: None };
         self.targets_mut().insert(target.entry.name.clone(), target);
         ChangeEffect::Applied
--- a/crates/jackdaw-policy/src/direct/targets/target_table/target_entry.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/target_entry.rs
@@ -1,6 +1,7 @@
 //! Registration of a target.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jackdaw_base::plain_data;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -41,6 +42,10 @@
         pub state: TargetState,
         /// Start time in Unix milliseconds; distinguishes instances with the same name.
         pub started_unix_ms: u64,
+        /// How much longer the target stays cold, as of the time at which it wrote the entry; `None` if
+        /// it does not state that. Not part of the serialized form that older builds know.
+        #[serde(skip)]
+        pub cold_left: Option<Duration>,
         /// Revision that the store assigned to the entry.
         pub revision: StoreRevision,
     }
--- a/crates/jackdaw-policy/src/direct/targets/target_table/target_index.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table/target_index.rs
@@ -38,11 +38,11 @@
 }
 
 impl TargetIndex {
-    /// Builds the tables. Targets for which `is_leaving` returns true are not ready, whatever their
+    /// Builds the tables. Targets for which `is_withdrawn` returns true are not ready, whatever their
     /// entries say.
     pub(super) fn build<'a>(
         entries: impl Iterator<Item = &'a TargetEntry>,
-        is_leaving: impl Fn(TargetId) -> bool,
+        is_withdrawn: impl Fn(&TargetEntry) -> bool,
     ) -> TargetIndex {
         let mut index = TargetIndex::default();
         let mut ready: HashMap<&str, Vec<ReadyTarget>> = HashMap::new();
@@ -55,7 +55,7 @@
             if !versions.any(|(service, known)| *service == entry.service && *known == version) {
                 index.versions.push((entry.service.clone(), version));
             }
-            if entry.state == TargetState::Ready && !is_leaving(id) {
+            if entry.state == TargetState::Ready && !is_withdrawn(entry) {
                 let target =
                     ReadyTarget { id, slots: entry.slots, domain: entry.domain.clone(), version };
                 ready.entry(&entry.service).or_default().push(target);
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -3,11 +3,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, VmId};
 use jackdaw_policy::direct::{
-    CallerLimits, CustomerConfig, DirectPolicy, DirectRequest, DirectRouter, FleetConfig,
-    PromptPart, PromptShape, RequestKind, RouteConfig, ServiceConfig, ServiceWeight, StoreContact,
-    TargetChange, TargetEntry, TargetState, VersionRule,
+    CallerLimits, ColdTolerance, CustomerConfig, DirectPolicy, DirectRequest, DirectRouter,
+    DomainRegions, FleetConfig, HomeRule, PromptPart, PromptShape, RequestKind, RouteConfig,
+    ServiceConfig, ServiceWeight, StoreContact, TargetChange, TargetEntry, TargetState,
+    VersionRule,
 };
 use rand::Rng;
 use smallvec::smallvec;
@@ -30,6 +31,7 @@
         priority: 0,
         max_attempts: 1,
         is_public: false,
+        homes: Vec::new(),
         services: vec![ServiceWeight { service: SERVICE.to_owned(), weight: 1 }],
     }
 }
@@ -42,12 +44,14 @@
             name: SERVICE.to_owned(),
             connection_limit: 1000,
             memory_tokens: Some(800_000),
+            cold_start: None,
         }],
         customers: vec![CustomerConfig {
             customer: CustomerId::from_name("north"),
             name: "north".to_owned(),
             keys: vec!["key-of-north".to_owned()],
             priority: None,
+            homes: Vec::new(),
         }],
         limits: CallerLimits {
             header_bytes: 16_384,
@@ -69,20 +73,30 @@
         slots: 64,
         state: TargetState::Ready,
         started_unix_ms: 1,
+        cold_left: Some(Duration::ZERO),
         revision: revision.into(),
     }
 }
 
-/// Returns a router with a configuration and `targets` ready targets.
-pub(crate) fn router(incarnation: u64, targets: usize) -> DirectRouter {
-    let policy = DirectPolicy {
+/// Returns the parameters of a router without others.
+pub(crate) fn direct_policy() -> DirectPolicy {
+    DirectPolicy {
         domain: "a".to_owned(),
+        vm: VmId(1),
+        expects_others: false,
+        regions: DomainRegions::new(),
+        cold_tolerance: ColdTolerance::default(),
+        has_evacuations: false,
         share_window: Duration::from_secs(4),
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
         retry_allowance: 100.0,
-    };
-    let mut router = DirectRouter::new(policy, ProcessIncarnation(incarnation));
+    }
+}
+
+/// Returns a router with a configuration and `targets` ready targets.
+pub(crate) fn router(incarnation: u64, targets: usize) -> DirectRouter {
+    let mut router = DirectRouter::new(direct_policy(), ProcessIncarnation(incarnation));
     router.install_config(config(1));
     for index in 0..targets {
         let entry = entry(&format!("target-{index}"), 1 + index as u64);
@@ -111,6 +125,7 @@
         prompt,
         time_left: Duration::from_secs(15),
         fingerprint,
+        homes: HomeRule::default(),
         version_rule: VersionRule::Any,
     }
 }
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -1,9 +1,11 @@
 //! Tests of a router that sends requests directly to targets.
 
+mod cold_targets;
 mod common;
 mod crash_ledger;
 mod crash_quarantine;
 mod customer_shares;
+mod domain_evacuation;
 mod fleet_retry_budget;
 mod load_reports;
 mod overload_detector;
--- a/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
+++ b/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
@@ -5,8 +5,8 @@
 use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::placement::{PlacementTarget, choose_target};
 use jackdaw_policy::direct::{
-    Placement, PlacementRequest, PrefillUsage, PrefillWindow, ShareStatus, ShareTier,
-    StreamMonitor, TargetId, TargetLoad,
+    Placement, PlacementRequest, PrefillUsage, PrefillWindow, RefusalReason, ShareStatus,
+    ShareTier, StreamMonitor, TargetId, TargetLoad,
 };
 
 use crate::common::{at, prompt};
@@ -101,6 +101,7 @@
         mean_wait: Duration::ZERO,
         stream_pause_limit,
         shortest_target_pause: None,
+        no_target_reason: RefusalReason::NoTarget,
     };
     let targets = std::slice::from_ref(target);
     matches!(choose_target(&request, targets), Placement::Send { .. })
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -8,7 +8,7 @@
 
 use jackdaw_policy::direct::placement::{PlacementTarget, choose_target};
 use jackdaw_policy::direct::{
-    Placement, PlacementRequest, ShareStatus, ShareTier, TargetId, TargetLoad,
+    Placement, PlacementRequest, RefusalReason, ShareStatus, ShareTier, TargetId, TargetLoad,
 };
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -103,6 +103,7 @@
                 .expect("a wait"),
             stream_pause_limit: None,
             shortest_target_pause: None,
+            no_target_reason: RefusalReason::NoTarget,
         };
         let expected = choose_from_ranking(&request, &targets);
         let chosen = match choose_target(&request, &targets) {
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -25,6 +25,7 @@
         mean_wait,
         stream_pause_limit: None,
         shortest_target_pause: None,
+        no_target_reason: RefusalReason::NoTarget,
     }
 }
 
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -31,6 +31,17 @@
     parse: |text| parse_number(text, 1024.0),
 };
 
+/// Failure domains with their regions.
+const REGIONS: ValueRule<Vec<(String, String)>> = ValueRule {
+    allowed: "domains with their regions, such as a:north,b:north",
+    parse: parse_regions,
+};
+
+const MILLIS: ValueRule<Duration> = ValueRule {
+    allowed: "milliseconds from 0 to 1000000000",
+    parse: |text| parse_number(text, 1e9).map(|millis| Duration::from_secs_f64(millis / 1e3)),
+};
+
 const SECONDS: ValueRule<Duration> =
     ValueRule { allowed: "seconds from 0 to 1000000", parse: parse_seconds };
 
@@ -77,6 +88,15 @@
     pub repeat_ratio: f64,
     /// The retries that the fleet may make per window in addition to those of `repeat_ratio`.
     pub repeat_allowance: f64,
+    /// The failure domains of the fleet with their regions; empty if no request is confined to some.
+    pub regions: Vec<(String, String)>,
+    /// The factor by which requests to a cold target may exceed the rate that its service states.
+    pub cold_factor: f64,
+    /// The requests a second to a cold target that are allowed in addition.
+    pub cold_allowance: f64,
+    /// The time within which requests must have left a failure domain that is taken out of use; `None`
+    /// if domains are never taken out of use, so that the store is not asked for them.
+    pub evacuation_time: Option<Duration>,
     /// Level and output of the log.
     pub log: LogSettings,
 }
@@ -145,6 +165,10 @@
         let repeat_window = reader.optional_or_empty("limits", "repeat_window_s", &SECONDS);
         let repeat_ratio = reader.optional_or_empty("limits", "repeat_ratio", &AMOUNT);
         let repeat_allowance = reader.optional_or_empty("limits", "repeat_allowance", &AMOUNT);
+        let regions = reader.optional_or_empty("domains", "regions", &REGIONS);
+        let evacuation_time = reader.optional_or_empty("domains", "evacuation_ms", &MILLIS);
+        let cold_factor = reader.optional_or_empty("cold", "rate_factor", &AMOUNT);
+        let cold_allowance = reader.optional_or_empty("cold", "rate_allowance", &AMOUNT);
         let log = LogSettings::read(reader);
         let SocketAddr::V4(peer_address) = peer_address? else {
             reader.add_error("listen", "peers", "an IPv6 address".into(), "an IPv4 address".into());
@@ -167,6 +191,10 @@
             repeat_window: repeat_window?.unwrap_or(Duration::from_secs(10)).max(MIN_WINDOW),
             repeat_ratio: repeat_ratio?.unwrap_or(0.2),
             repeat_allowance: repeat_allowance?.unwrap_or(0.0),
+            regions: regions?.unwrap_or_default(),
+            cold_factor: cold_factor?.unwrap_or(1.0),
+            cold_allowance: cold_allowance?.unwrap_or(0.0),
+            evacuation_time: evacuation_time?,
             log: log?,
         })
     }
@@ -189,6 +217,17 @@
     words.map(|word| word.parse().ok()).collect()
 }
 
+fn parse_regions(text: &str) -> Option<Vec<(String, String)>> {
+    let words = text.split(',').map(str::trim).filter(|word| !word.is_empty());
+    let pair = |word: &str| {
+        let (domain, region) = word.split_once(':')?;
+        let (domain, region) = (domain.trim(), region.trim());
+        let is_named = !domain.is_empty() && !region.is_empty();
+        is_named.then(|| (domain.to_owned(), region.to_owned()))
+    };
+    words.map(pair).collect()
+}
+
 fn parse_number(text: &str, limit: f64) -> Option<f64> {
     text.parse().ok().filter(|number: &f64| (0.0..=limit).contains(number))
 }
