Copy cached prompt parts between targets instead of prefilling them again

The services state how a target copies what another one keeps, and nothing asked for it.

Change: a request names the other candidate for its shared part as the source of a copy. Missing parts cost their copy time in the decision, weighed 2 rather than 12, and do not count as prefill.

--- a/crates/jackdaw-edge/src/peer_snapshot.rs
+++ b/crates/jackdaw-edge/src/peer_snapshot.rs
@@ -9,7 +9,9 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::rt::TokioIo;
 use jackdaw_base::{ErrorKind, plain_data};
-use jackdaw_policy::direct::{ColdStart, FleetConfig, StoreStatus, TargetId, TargetSnapshot};
+use jackdaw_policy::direct::{
+    CacheTransfer, ColdStart, FleetConfig, StoreStatus, TargetId, TargetSnapshot,
+};
 use tokio::net::TcpStream;
 
 use crate::edge_state::EdgeState;
@@ -65,6 +67,8 @@
         cold_left: Vec<Option<Duration>>,
         /// What cold targets of the configuration's services take, in their order.
         cold_starts: Vec<Option<ColdStart>>,
+        /// How targets of these services copy cached prompt parts, in the same order.
+        cache_transfers: Vec<Option<CacheTransfer>>,
         /// Home regions of the configuration's routes, in their order.
         route_homes: Vec<Vec<String>>,
         /// Home regions of the configuration's customers, in their order.
@@ -75,12 +79,13 @@
 impl ColdExtension {
     fn new(snapshot: &FleetSnapshot) -> ColdExtension {
         let config = snapshot.config.as_ref();
-        let services = config.iter().flat_map(|config| &config.services);
+        let services = || config.iter().flat_map(|config| &config.services);
         let routes = config.iter().flat_map(|config| &config.routes);
         let customers = config.iter().flat_map(|config| &config.customers);
         ColdExtension {
             cold_left: snapshot.targets.entries.iter().map(|entry| entry.cold_left).collect(),
-            cold_starts: services.map(|service| service.cold_start).collect(),
+            cold_starts: services().map(|service| service.cold_start).collect(),
+            cache_transfers: services().map(|service| service.cache_transfer).collect(),
             route_homes: routes.map(|route| route.homes.clone()).collect(),
             customer_homes: customers.map(|customer| customer.homes.clone()).collect(),
         }
@@ -96,6 +101,9 @@
         for (service, cold_start) in config.services.iter_mut().zip(self.cold_starts) {
             service.cold_start = cold_start;
         }
+        for (service, transfer) in config.services.iter_mut().zip(self.cache_transfers) {
+            service.cache_transfer = transfer;
+        }
         for (route, homes) in config.routes.iter_mut().zip(self.route_homes) {
             route.homes = homes;
         }
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -97,9 +97,9 @@
                 }
                 return Err(LocalResponse::refusal(reason, retry_after));
             }
-            Placement::Send { target, expected, prefill_tokens } => {
+            Placement::Send { target, expected, prefill_tokens, cache_source } => {
                 context.record_placement(target, expected);
-                match context.send(target, prefill_tokens, resume_after).await {
+                match context.send(target, prefill_tokens, cache_source, resume_after).await {
                     SendOutcome::Answered(response) => return Ok(response),
                     SendOutcome::NotRun => context.check_unrun_sends()?,
                     SendOutcome::MayHaveRun => {
@@ -127,6 +127,7 @@
         &self,
         target: TargetId,
         prefill_tokens: u64,
+        cache_source: Option<TargetId>,
         resume_after: Option<u64>,
     ) -> SendOutcome {
         let inner = &self.inner;
@@ -148,8 +149,12 @@
                 return SendOutcome::NotRun;
             }
         }
+        let source = cache_source.and_then(|source| {
+            inner.state.router().targets.find(source).map(|entry| entry.address)
+        });
         let headers = FleetHeaders {
             target: name,
+            cache_source: source,
             customer: inner.request.customer.as_ref().map(|customer| customer.name.as_str()),
             time_left: self.time_left(),
             resume_after,
@@ -416,9 +421,9 @@
             Placement::Refuse { .. } => {
                 SendOutcome::Answered(TargetResponse::Complete(parts, body))
             }
-            Placement::Send { target, expected, prefill_tokens } => {
+            Placement::Send { target, expected, prefill_tokens, cache_source } => {
                 self.record_placement(target, expected);
-                match Box::pin(self.send(target, prefill_tokens, None)).await {
+                match Box::pin(self.send(target, prefill_tokens, cache_source, None)).await {
                     SendOutcome::Answered(response) => SendOutcome::Answered(response),
                     _ => SendOutcome::Answered(TargetResponse::Complete(parts, body)),
                 }
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -180,7 +180,12 @@
             PlacementRule::Product => router.place(now, &direct_request, &[]),
             PlacementRule::Random => {
                 let target = self.targets[self.rng.random_range(0..self.targets.len())];
-                Placement::Send { target, expected: Duration::ZERO, prefill_tokens: 0 }
+                Placement::Send {
+                    target,
+                    expected: Duration::ZERO,
+                    prefill_tokens: 0,
+                    cache_source: None,
+                }
             }
         };
         let Placement::Send { target, prefill_tokens, .. } = placement else {
@@ -370,6 +375,7 @@
             connection_limit: 1000,
             memory_tokens: Some(profile.engine.memory_tokens),
             cold_start: None,
+            cache_transfer: None,
         }],
         customers: Vec::new(),
         limits: CallerLimits {
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -50,8 +50,8 @@
     WatchPeer,
 };
 pub use fleet_config::{
-    CallerLimits, ColdStart, CustomerConfig, FleetConfig, RequestKind, RouteConfig, ServiceConfig,
-    ServiceWeight,
+    CacheTransfer, CallerLimits, ColdStart, CustomerConfig, FleetConfig, RequestKind, RouteConfig,
+    ServiceConfig, ServiceWeight,
 };
 pub use home_rule::{DomainRegions, HomeRule};
 pub use placement::{Placement, PlacementRequest, RefusalReason};
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -9,7 +9,7 @@
 use crate::direct::customers::customer_ledger::ShareTier;
 use crate::direct::direct_router::target_ranking::{CANDIDATE_TARGETS, RankedTargets, TopTargets};
 use crate::direct::direct_router::{DirectRequest, DirectRouter};
-use crate::direct::fleet_config::ColdStart;
+use crate::direct::fleet_config::{CacheTransfer, ColdStart};
 use crate::direct::home_rule::HomeRule;
 use crate::direct::placement::{
     Placement, PlacementLimits, PlacementRequest, PlacementTarget, RefusalReason, choose_candidate,
@@ -72,6 +72,7 @@
         let service = table.and_then(|table| table.service(request.service));
         let memory_tokens = service.and_then(|service| service.memory_tokens);
         let cold_start = service.and_then(|service| service.cold_start);
+        let cache_transfer = service.and_then(|service| service.cache_transfer);
         let mean_wait = self.update_mean_wait(now, request.service, &ready, memory_tokens);
         let ready = match select_version(&ready, request.version_rule) {
             Ok(ready) => ready,
@@ -100,6 +101,7 @@
                 tier,
                 memory_tokens,
                 cold_start: cold_start.filter(|_| !self.targets.cold().is_empty()),
+                cache_transfer,
                 ready: &ready,
                 tried,
             };
@@ -210,6 +212,8 @@
     memory_tokens: Option<u64>,
     /// What the service's targets take while they are cold; `None` if none of them is.
     cold_start: Option<ColdStart>,
+    /// How targets copy cached prompt parts from each other.
+    cache_transfer: Option<CacheTransfer>,
     /// Ready targets of the service.
     ready: &'a [ReadyTarget],
     /// Targets to exclude.
@@ -323,6 +327,14 @@
         idle.map(|target| self.placement_target(target, candidates))
     }
 
+    /// Returns the target from which `target` can copy shared parts of the prompt: the best-ranked
+    /// other candidate.
+    fn cache_source(&self, target: TargetId, candidates: &[&ReadyTarget]) -> Option<TargetId> {
+        self.cache_transfer?;
+        self.request.prompt.filter(|prompt| prompt.shared_tokens() > 0)?;
+        candidates.iter().map(|candidate| candidate.id).find(|candidate| *candidate != target)
+    }
+
     fn placement_target(
         &self,
         target: &ReadyTarget,
@@ -336,6 +348,12 @@
         let missing = prompt
             .map_or(0, |prompt| router.prefixes.missing_tokens(self.now, id, prompt, is_home));
         let own = prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
+        let cache_source = self.cache_source(id, candidates);
+        let transfer = self.cache_transfer.filter(|_| cache_source.is_some());
+        let (missing, copy_time) = match transfer {
+            Some(transfer) => (0, transfer.time(missing)),
+            None => (missing, Duration::ZERO),
+        };
         let base_time = match self.memory_tokens {
             Some(_) => router.speeds.first_event_overhead(),
             None => router.speeds.service_time(id),
@@ -352,6 +370,8 @@
             prefill_tokens: own + missing,
             prefill_time: prefill_time(own + missing),
             repeated_prefill_time: prefill_time(missing),
+            copy_time,
+            cache_source,
             base_time: base_time.mul_f64(slowdown),
             failure_rate: router.health.failure_rate(self.now, id),
             is_same_domain: target.domain == router.policy.domain,
--- a/crates/jackdaw-policy/src/direct/fleet_config.rs
+++ b/crates/jackdaw-policy/src/direct/fleet_config.rs
@@ -107,6 +107,29 @@
         /// Snapshots carry it apart, since older builds do not know it.
         #[serde(skip)]
         pub cold_start: Option<ColdStart>,
+        /// How targets copy cached prompt parts from each other; `None` if they cannot. Snapshots carry
+        /// it apart, since older builds do not know it.
+        #[serde(skip)]
+        pub cache_transfer: Option<CacheTransfer>,
+    }
+}
+
+plain_data! {
+    copy
+    /// Speed at which one target copies cached prompt parts from another.
+    pub struct CacheTransfer {
+        /// Size of the cache of one token, in bytes.
+        pub token_bytes: u32,
+        /// Bandwidth of a target's link, in bytes per millisecond.
+        pub bytes_per_ms: u64,
+    }
+}
+
+impl CacheTransfer {
+    /// Returns the time to copy the cache of `tokens`.
+    pub fn time(self, tokens: u64) -> Duration {
+        let bytes = tokens.saturating_mul(u64::from(self.token_bytes));
+        Duration::from_micros(bytes.saturating_mul(1000) / self.bytes_per_ms.max(1))
     }
 }
 
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -17,6 +17,10 @@
 /// behind.
 const REPEATED_PREFILL_WEIGHT: f64 = 12.0;
 
+/// Weight of the time to copy shared parts from another target, relative to waiting: it occupies the
+/// links of both.
+const COPY_WEIGHT: f64 = 2.0;
+
 /// Cost of each running request at a target, as a wait, since it slows every step of the target.
 const RUNNING_WAIT: Duration = Duration::from_micros(500);
 
@@ -111,6 +115,10 @@
     pub prefill_time: Duration,
     /// Share of [`prefill_time`](Self::prefill_time) that is spent on shared parts.
     pub repeated_prefill_time: Duration,
+    /// Time to copy shared parts from another target instead.
+    pub copy_time: Duration,
+    /// Target from which it copies them.
+    pub cache_source: Option<TargetId>,
     /// Time to the first event in addition to prefill, or the service time of a plain target.
     pub base_time: Duration,
     /// Recent failure rate of requests to the target, from 0 to 1.
@@ -158,6 +166,8 @@
         expected: Duration,
         /// Tokens that the target is expected to prefill.
         prefill_tokens: u64,
+        /// Target from which it can copy cached parts of the prompt.
+        cache_source: Option<TargetId>,
     },
     /// Refuse the request.
     Refuse {
@@ -179,13 +189,14 @@
 
     /// Returns the expected time to the first event or the response.
     fn expected(&self) -> Duration {
-        self.wait() + self.prefill_time + self.base_time
+        self.wait() + self.copy_time + self.prefill_time + self.base_time
     }
 
     /// Returns the cost by which targets are ranked, in microseconds.
     pub fn cost(&self) -> f64 {
         let mut cost = self.expected().as_micros() as f64;
         cost += REPEATED_PREFILL_WEIGHT * self.repeated_prefill_time.as_micros() as f64;
+        cost += COPY_WEIGHT * self.copy_time.as_micros() as f64;
         match self.memory_tokens {
             Some(_) => cost += RUNNING_WAIT.as_micros() as f64 * f64::from(self.load.running),
             // A plain target with free slots has no queue; the less loaded one is preferred.
@@ -220,6 +231,7 @@
             target: self.target,
             expected: self.expected(),
             prefill_tokens: self.prefill_tokens,
+            cache_source: self.cache_source,
         }
     }
 
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -45,6 +45,7 @@
             connection_limit: 1000,
             memory_tokens: Some(800_000),
             cold_start: None,
+            cache_transfer: None,
         }],
         customers: vec![CustomerConfig {
             customer: CustomerId::from_name("north"),
--- a/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
+++ b/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
@@ -82,6 +82,8 @@
         prefill_tokens: 600,
         prefill_time: Duration::from_millis(60),
         repeated_prefill_time: Duration::ZERO,
+        copy_time: Duration::ZERO,
+        cache_source: None,
         base_time: Duration::from_millis(40),
         failure_rate: 0.0,
         is_same_domain: true,
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -38,6 +38,8 @@
         prefill_tokens: 600,
         prefill_time: Duration::from_millis(6 + missing_ms),
         repeated_prefill_time: Duration::from_millis(missing_ms),
+        copy_time: Duration::ZERO,
+        cache_source: None,
         base_time: Duration::from_millis(40),
         failure_rate: random.random_range(0.0..0.5),
         is_same_domain: random.random_bool(0.3),
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -40,6 +40,8 @@
         prefill_tokens: 600,
         prefill_time: Duration::from_millis(6),
         repeated_prefill_time: Duration::ZERO,
+        copy_time: Duration::ZERO,
+        cache_source: None,
         base_time: Duration::from_millis(40),
         failure_rate: 0.0,
         is_same_domain: true,
