--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -373,6 +373,7 @@
             copy_time,
             cache_source,
             base_time: base_time.mul_f64(slowdown),
+            is_fast: router.speeds.is_fast(id),
             failure_rate: router.health.failure_rate(self.now, id),
             is_same_domain: target.domain == router.policy.domain,
             is_candidate: candidates.iter().any(|candidate| candidate.id == id),
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -55,7 +55,7 @@
 
 /// Prefill within the window and in the queue of a target with running streams, as a fraction of the
 /// pause objective, up to which a request may add its own where streams pause too long.
-const BURST_FRACTION: f64 = 0.82;
+const BURST_FRACTION: f64 = 0.7;
 
 /// As [`BURST_FRACTION`], for requests whose own prefill would leave less: long prompts are not
 /// excluded from targets that are nearly idle.
@@ -121,6 +121,8 @@
     pub cache_source: Option<TargetId>,
     /// Time to the first event in addition to prefill, or the service time of a plain target.
     pub base_time: Duration,
+    /// Whether the target prefills clearly faster than the slow ones.
+    pub is_fast: bool,
     /// Recent failure rate of requests to the target, from 0 to 1.
     pub failure_rate: f64,
     /// Whether the target is in the router's failure domain.
@@ -217,9 +219,11 @@
     }
 
     /// Returns whether the request's prefill leaves the events of running streams on time. Prefill
-    /// shortly before and in the queue delays the same events.
+    /// shortly before and in the queue delays the same events. Targets interleave prefill and events in
+    /// small steps, so that the streams that pause too long are those of the slower targets.
     fn spares_streams(&self, request: &PlacementRequest<'_>) -> bool {
-        let Some(pause) = request.stream_pause_limit.filter(|_| self.load.running > 0) else {
+        let has_slow_streams = self.load.running > 0 && !self.is_fast;
+        let Some(pause) = request.stream_pause_limit.filter(|_| has_slow_streams) else {
             return true;
         };
         let room = pause.mul_f64(BURST_FRACTION).saturating_sub(self.prefill_time);
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -24,6 +24,7 @@
 mod target_faults;
 mod target_limits;
 mod target_pauses;
+mod target_speeds;
 mod target_table;
 mod wait_tiers;
 mod watch_election;
--- a/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
+++ b/crates/jackdaw-policy/tests/direct/prefill_bursts.rs
@@ -85,6 +85,7 @@
         copy_time: Duration::ZERO,
         cache_source: None,
         base_time: Duration::from_millis(40),
+        is_fast: false,
         failure_rate: 0.0,
         is_same_domain: true,
         is_candidate: true,
--- a/crates/jackdaw-policy/tests/direct/staged_placement.rs
+++ b/crates/jackdaw-policy/tests/direct/staged_placement.rs
@@ -41,6 +41,7 @@
         copy_time: Duration::ZERO,
         cache_source: None,
         base_time: Duration::from_millis(40),
+        is_fast: false,
         failure_rate: random.random_range(0.0..0.5),
         is_same_domain: random.random_bool(0.3),
         is_candidate: random.random_bool(CANDIDATE_PROBABILITY),
--- a/crates/jackdaw-policy/tests/direct/wait_tiers.rs
+++ b/crates/jackdaw-policy/tests/direct/wait_tiers.rs
@@ -43,6 +43,7 @@
         copy_time: Duration::ZERO,
         cache_source: None,
         base_time: Duration::from_millis(40),
+        is_fast: false,
         failure_rate: 0.0,
         is_same_domain: true,
         is_candidate: true,
