Log and count why a request was refused, and teach the soak cold targets and evacuations

Cause: refusals because of cold targets, evacuated domains and homes ended as no-capacity like all others, so that an operator could not tell them apart. The soak knew neither.

Change: the line of a request's end has the reason, and edge_refusals counts by reason. The soak's targets are in two failure domains, one of which is out of use for most of a run of the default size; targets that start during a run state that they are cold. It checks from what targets see that nothing arrives more than six seconds after an evacuation, and that cold targets stay within their bound.

Conclusion: the reasons are told apart from logs and metrics alone.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -16,6 +16,8 @@
     pub registry: Arc<MetricRegistry>,
     /// Responses to callers, by route and outcome.
     pub responses: CounterFamily,
+    /// Selections of a target that failed, by reason.
+    pub refusals: CounterFamily,
     /// Requests sent to targets.
     pub sends: Counter,
     /// Retries of requests at another target.
@@ -74,6 +76,7 @@
         let plain = |name: &str, help: &str| registry.counter(name, help).handle(&[]);
         EdgeMetrics {
             responses: registry.counter("edge_answers", "Answered requests by route and outcome"),
+            refusals: registry.counter("edge_refusals", "Requests without a target by reason"),
             sends: plain("edge_sends", "Requests sent to targets"),
             retries: plain("edge_repeats", "Requests sent again to another target"),
             resumptions: plain("edge_stream_resumptions", "Streams resumed within one answer"),
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -90,6 +90,8 @@
     pub(crate) version_rule: Cell<VersionRule>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
+    /// Why the last selection of a target failed.
+    refusal: Cell<Option<RefusalReason>>,
     first_byte: Cell<Option<Duration>>,
     last_byte: Cell<Duration>,
     longest_pause: Cell<Duration>,
@@ -119,6 +121,7 @@
             version_rule: Cell::default(),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
+            refusal: Cell::new(None),
             first_byte: Cell::new(None),
             last_byte: Cell::new(Duration::ZERO),
             longest_pause: Cell::new(Duration::ZERO),
@@ -253,7 +256,12 @@
         let now = inner.state.now();
         let customer = inner.request.customer.as_ref().map(|customer| customer.customer);
         inner.share_status.set(router.share_status(now, customer));
-        router.place(now, &self.policy_view(), &inner.tried.borrow())
+        let placement = router.place(now, &self.policy_view(), &inner.tried.borrow());
+        if let Placement::Refuse { reason, .. } = placement {
+            inner.refusal.set(Some(reason));
+            inner.state.metrics.refusals.add(&[("reason", reason.name())], 1);
+        }
+        placement
     }
 
     /// Returns whether the request may be retried at another target although one may have run it.
@@ -359,6 +367,7 @@
             customer = self.request.customer.as_ref().map_or("", |customer| customer.name.as_str()),
             outcome,
             status,
+            reason = self.refusal.get().map_or("", RefusalReason::name),
             digest = self.digest(),
             target_name = self.target_name(),
             target_id = self.last_target.get(),
--- a/crates/jackdaw-policy/src/direct/placement.rs
+++ b/crates/jackdaw-policy/src/direct/placement.rs
@@ -157,6 +157,23 @@
     }
 }
 
+impl RefusalReason {
+    /// Returns the name of the reason in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::NoTarget => "no-target",
+            RefusalReason::Overloaded => "overloaded",
+            RefusalReason::OverShare => "over-share",
+            RefusalReason::Quarantined => "quarantined",
+            RefusalReason::VersionGone => "version-gone",
+            RefusalReason::VersionUnknown => "version-unknown",
+            RefusalReason::ColdTargets => "cold-targets",
+            RefusalReason::Evacuated => "evacuated",
+            RefusalReason::NoHome => "no-home",
+        }
+    }
+}
+
 /// Decision on one request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Placement {
--- a/crates/jackdaw-soak/src/fault_plan.rs
+++ b/crates/jackdaw-soak/src/fault_plan.rs
@@ -84,6 +84,8 @@
     TargetRemoved(usize),
     /// A new configuration has many routes more.
     ConfigGrown,
+    /// A failure domain of targets is taken out of use.
+    DomainEvacuated,
     /// A request crashed a target; never planned, but recorded when it happened.
     TargetEnded,
 }
@@ -106,6 +108,7 @@
                 | FaultKind::TargetPaused(_)
                 | FaultKind::TargetRemoved(_)
                 | FaultKind::ConfigGrown
+                | FaultKind::DomainEvacuated
         )
     }
 
@@ -166,10 +169,29 @@
         }
         faults.extend(FaultPlan::draw_announced_faults(seed, size));
         faults.extend(FaultPlan::draw_removals(seed, size));
+        faults.extend(FaultPlan::plan_evacuation(size));
         faults.sort_by_key(|fault| fault.start);
         FaultPlan { faults }
     }
 
+    /// Plans an evacuation that lasts long enough for late requests to be seen; `None` in a short run.
+    fn plan_evacuation(size: &SoakSize) -> Option<PlannedFault> {
+        let start = EVACUATION_START;
+        let duration = size.fault_window.checked_sub(start * 2)?;
+        let kind = FaultKind::DomainEvacuated;
+        (duration > MIN_EVACUATION).then_some(PlannedFault { kind, start, duration })
+    }
+
+    /// Returns whether the connections to a target are harmed between `from` and `to`, so that
+    /// requests may arrive together that were sent apart.
+    pub fn harms_targets(&self, from: Duration, to: Duration) -> bool {
+        self.faults.iter().any(|fault| {
+            matches!(fault.kind, FaultKind::TargetLink(..) | FaultKind::RouterFrozen(_))
+                && fault.start < to
+                && fault.start + fault.duration > from
+        })
+    }
+
     /// Draws faults that targets and the store announce in their responses. They have a generator of
     /// their own, so that a seed draws the other faults as it did before these existed.
     fn draw_announced_faults(seed: u64, size: &SoakSize) -> Vec<PlannedFault> {
@@ -235,6 +257,12 @@
     }
 }
 
+/// Time from the start of a run to its evacuation, and from the end of that to the end of the faults.
+const EVACUATION_START: Duration = Duration::from_millis(300);
+
+/// Shortest evacuation: requests that arrive later than six seconds after its start are late.
+const MIN_EVACUATION: Duration = Duration::from_secs(7);
+
 /// Number of kinds of faults that [`draw_kind`] draws from.
 const KIND_COUNT: usize = 14;
 
--- a/crates/jackdaw-soak/src/soak_run.rs
+++ b/crates/jackdaw-soak/src/soak_run.rs
@@ -12,6 +12,7 @@
     build_request_with_key, sample_config, sample_config_with_routes, send_request,
 };
 use jackdaw_proofs::ProcessSignal;
+use serde_json::Value;
 
 use crate::call_history::{CHECK_PREFIX, CallHistory, CallKind};
 use crate::deadly_caller::{self, DeadlyCaller};
@@ -19,7 +20,7 @@
 use crate::fault_proxy::FaultProxy;
 use crate::router_process::RouterProcess;
 use crate::soak_load::{LoadContext, SoakLoad};
-use crate::target_fleet::TargetFleet;
+use crate::target_fleet::{COLD_RATE, COLD_TIME_S, DOMAIN_SETTINGS, TargetFleet};
 
 /// Maximum number of routers listed as seeds in the settings of all routers.
 const SEED_ROUTERS: usize = 2;
@@ -137,6 +138,7 @@
         plan.allows_cut_connections(from, to, after)
     }));
     violations.extend(fleet.unwanted_violations(origin, &plan));
+    violations.extend(fleet.cold_violations(origin, &plan));
     violations.extend(deadly_caller::find_violation(&arrivals));
     SoakReport { violations, calls: history.len(), outcomes: history.count_outcomes(), recovery }
 }
@@ -144,7 +146,7 @@
 impl SoakFleet {
     async fn spawn(size: &SoakSize, directory: &Path) -> SoakFleet {
         let store = StoreStandin::bind().await;
-        store.put_config(&sample_config(1, &[DEFAULT_API_KEY, &version_key(1)]));
+        store.put_config(&with_cold_start(sample_config(1, &[DEFAULT_API_KEY, &version_key(1)])));
         let targets = TargetFleet::spawn(&store, size.targets).await;
         let domains = ["a", "b"];
         let endpoints: Vec<RouterEndpoints> = (0..size.routers)
@@ -163,8 +165,8 @@
         };
         for router in &endpoints {
             let store_link = FaultProxy::spawn(fleet.store.address).await;
-            let settings =
-                router.settings(&endpoints[..size.routers.min(SEED_ROUTERS)], store_link.address);
+            let seeds = &endpoints[..size.routers.min(SEED_ROUTERS)];
+            let settings = router.settings(seeds, store_link.address) + DOMAIN_SETTINGS;
             fleet.routers.push(RouterProcess::spawn(*router, &settings, directory));
             fleet.store_links.push(store_link);
             fleet.caller_links.push(FaultProxy::spawn(router.caller_address()).await);
@@ -222,6 +224,11 @@
             FaultKind::TargetPaused(target) => self.targets.pause(target, duration).await,
             FaultKind::TargetRemoved(target) => self.targets.withdraw(&self.store, target).await,
             FaultKind::ConfigGrown => self.grow_config(),
+            FaultKind::DomainEvacuated => {
+                self.targets.set_evacuated(&self.store, true);
+                tokio::time::sleep(duration).await;
+                self.targets.set_evacuated(&self.store, false);
+            }
             // The deadly caller does this at times that no plan knows.
             FaultKind::TargetEnded => {}
         }
@@ -245,6 +252,7 @@
         tokio::time::sleep(REWRITE_DELAY).await;
         self.targets.rewrite_entries(&self.store, &mut rand::rng());
         self.put_config(self.config_version.get());
+        self.targets.write_evacuation(&self.store);
     }
 
     fn rotate_key(&self) {
@@ -259,7 +267,8 @@
     fn put_config(&self, version: u64) {
         self.config_version.set(version);
         let keys = [DEFAULT_API_KEY, &version_key(version)];
-        self.store.put_config(&sample_config_with_routes(version, &keys, self.added_routes.get()));
+        let config = sample_config_with_routes(version, &keys, self.added_routes.get());
+        self.store.put_config(&with_cold_start(config));
     }
 
     /// Returns the violations among the requests that targets did not want. What only the store
@@ -268,13 +277,28 @@
         let unwanted = self.targets.unwanted_requests();
         let violations = unwanted.into_iter().filter(|request| {
             let (from, to) = (request.since - origin, request.arrived - origin);
-            request.reason != UnwantedReason::StoredLeaving || !plan.may_delay_updates(from, to)
+            let is_stored =
+                matches!(request.reason, UnwantedReason::StoredLeaving | UnwantedReason::Evacuated);
+            !is_stored || !plan.may_delay_updates(from, to)
         });
         violations
             .map(|request| format!("request that a target did not want: {request:?}"))
             .collect()
     }
 
+    /// Returns the cold targets that got more requests than they take, unless the connections to
+    /// targets were harmed.
+    fn cold_violations(&self, origin: Instant, plan: &FaultPlan) -> Vec<String> {
+        let excesses = self.targets.cold_excesses().into_iter().filter(|excess| {
+            let (from, to) =
+                (excess.started.saturating_duration_since(origin), excess.warm - origin);
+            !plan.harms_targets(from, to)
+        });
+        excesses
+            .map(|excess| format!("{} requests in a second to a cold target", excess.requests))
+            .collect()
+    }
+
     /// Ends all faults, since one of several overlapping faults may remain active.
     fn clear_faults(&self) {
         self.store.set_mode(StoreMode::Available);
@@ -342,6 +366,13 @@
     link.set_fault(None);
 }
 
+/// Adds to a configuration what cold targets take.
+fn with_cold_start(mut config: Value) -> Value {
+    config["services"][0]["cold_start_s"] = COLD_TIME_S.into();
+    config["services"][0]["cold_per_s"] = COLD_RATE.into();
+    config
+}
+
 /// Returns the API key that is valid only in one version of the configuration.
 fn version_key(version: u64) -> String {
     format!("key-of-{version}")
--- a/crates/jackdaw-soak/src/target_fleet.rs
+++ b/crates/jackdaw-soak/src/target_fleet.rs
@@ -1,8 +1,8 @@
 //! Targets that crash or drain and are replaced by targets with other names.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jackdaw_platform_standins::{
     ReceivedRequest, StoreStandin, TargetBehavior, TargetStandin, TargetState, UnwantedRequest,
@@ -42,16 +42,51 @@
 /// Pause that targets ask for, in seconds; longer than most faults.
 const PAUSE_SECONDS: &str = "2.5";
 
+/// Failure domains of the targets, which take turns.
+const DOMAINS: [&str; 2] = ["a", "b"];
+
+/// Failure domain that is taken out of use.
+pub(crate) const EVACUATED_DOMAIN: &str = DOMAINS[1];
+
+/// Time for which a target that starts during the run states that it is cold.
+const COLD_TIME: Duration = Duration::from_secs(2);
+pub(crate) const COLD_TIME_S: f64 = 2.0;
+
+/// Requests a second that cold targets state, and those that [`DOMAIN_SETTINGS`] allow.
+pub(crate) const COLD_RATE: f64 = 4.0;
+const COLD_BOUND: usize = 11;
+
+/// Settings of routers that heed cold targets and evacuated domains.
+pub(crate) const DOMAIN_SETTINGS: &str =
+    "[domains]\nevacuation_ms = 5000\n[cold]\nrate_factor = 1.5\nrate_allowance = 5\n";
+
 /// Targets of a run.
 #[derive(Default)]
 pub(crate) struct TargetFleet {
     members: RefCell<Vec<TargetMember>>,
     /// All targets so far, including replaced ones, with the requests that they ran.
     all: RefCell<Vec<TargetStandin>>,
+    /// When those targets started that started during the run.
+    started: RefCell<Vec<(TargetStandin, Instant)>>,
+    /// Whether targets that start now start during the run.
+    is_running: Cell<bool>,
+    /// Whether one of the failure domains is out of use.
+    is_evacuated: Cell<bool>,
     /// Entries that the targets have registered, by name.
     entries: RefCell<BTreeMap<String, Value>>,
 }
 
+/// More requests to a cold target than it takes.
+#[derive(Debug)]
+pub(crate) struct ColdExcess {
+    /// When the target started.
+    pub(crate) started: Instant,
+    /// When it was warm.
+    pub(crate) warm: Instant,
+    /// The most requests within a second in between.
+    pub(crate) requests: usize,
+}
+
 struct TargetMember {
     name: String,
     target: TargetStandin,
@@ -66,6 +101,7 @@
             let member = fleet.spawn_member(store).await;
             fleet.members.borrow_mut().push(member);
         }
+        fleet.is_running.set(true);
         fleet
     }
 
@@ -95,7 +131,11 @@
     pub(crate) async fn replace(&self, store: &StoreStandin, index: usize) {
         let (name, target) = self.current(index);
         let address = self.members.borrow()[index].proxy.address;
-        self.put_entry(store, &name, target.entry_at(address, SERVICE, TargetState::Draining));
+        let mut entry = target.entry_at(address, SERVICE, TargetState::Draining);
+        if let Some(registered) = self.entries.borrow().get(&name) {
+            entry["zone"] = registered["zone"].clone();
+        }
+        self.put_entry(store, &name, entry);
         target.retire();
         self.install_successor(store, index, &name).await;
         tokio::time::sleep(DRAIN_TIME).await;
@@ -144,6 +184,45 @@
         }
     }
 
+    /// Takes one of the failure domains out of use, or back into use.
+    pub(crate) fn set_evacuated(&self, store: &StoreStandin, is_evacuated: bool) {
+        self.is_evacuated.set(is_evacuated);
+        self.write_evacuation(store);
+        let members = self.all.borrow();
+        let concerned = members.iter().enumerate();
+        for (_, target) in concerned.filter(|(number, _)| domain_of(*number) == EVACUATED_DOMAIN) {
+            target.set_evacuated(is_evacuated);
+        }
+    }
+
+    /// Writes the operator's evacuation, or removes it.
+    pub(crate) fn write_evacuation(&self, store: &StoreStandin) {
+        match self.is_evacuated.get() {
+            true => store.evacuate(EVACUATED_DOMAIN),
+            // It may be gone already.
+            false => drop(store.end_evacuation(EVACUATED_DOMAIN)),
+        }
+    }
+
+    /// Returns the cold targets that got more requests than they take.
+    pub(crate) fn cold_excesses(&self) -> Vec<ColdExcess> {
+        let mut excesses = Vec::new();
+        for (target, started) in self.started.borrow().iter() {
+            let warm = *started + COLD_TIME;
+            let arrivals: Vec<Instant> =
+                target.arrivals().into_iter().filter(|time| *time < warm).collect();
+            let within = |first: &Instant| {
+                let end = *first + Duration::from_secs(1);
+                arrivals.iter().filter(|time| *time >= first && **time < end).count()
+            };
+            let requests = arrivals.iter().map(within).max().unwrap_or(0);
+            if requests > COLD_BOUND {
+                excesses.push(ColdExcess { started: *started, warm, requests });
+            }
+        }
+        excesses
+    }
+
     /// Returns the requests that targets did not want.
     pub(crate) fn unwanted_requests(&self) -> Vec<UnwantedRequest> {
         self.all.borrow().iter().flat_map(TargetStandin::unwanted_requests).collect()
@@ -206,18 +285,32 @@
     }
 
     async fn spawn_member(&self, store: &StoreStandin) -> TargetMember {
-        let name = target_name(self.all.borrow().len());
+        let number = self.all.borrow().len();
+        let name = target_name(number);
         let target = TargetStandin::bind(&name).await;
         target.set_version(VERSIONS[self.all.borrow().len() % VERSIONS.len()]);
         target.set_default_behavior(TargetBehavior::Echo(PROCESSING_TIME));
         self.all.borrow_mut().push(target.clone());
         target.crash_on_part(DEADLY_PART);
         let proxy = FaultProxy::spawn_until_ended(target.address).await;
-        self.put_entry(store, &name, target.entry_at(proxy.address, SERVICE, TargetState::Ready));
+        let mut entry = target.entry_at(proxy.address, SERVICE, TargetState::Ready);
+        entry["zone"] = domain_of(number).into();
+        if self.is_running.get() {
+            entry["cold_left_ms"] = (COLD_TIME.as_millis() as u64).into();
+            self.started.borrow_mut().push((target.clone(), Instant::now()));
+        }
+        if self.is_evacuated.get() && domain_of(number) == EVACUATED_DOMAIN {
+            target.set_evacuated(true);
+        }
+        self.put_entry(store, &name, entry);
         TargetMember { name, target, proxy }
     }
 }
 
+fn domain_of(number: usize) -> &'static str {
+    DOMAINS[number % DOMAINS.len()]
+}
+
 fn target_name(number: usize) -> String {
     format!("i-{number}")
 }
