--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, VmId};
+use rustc_hash::FxHashSet;
 
 use crate::direct::crashes::crash_ledger::{
     CrashCause, CrashLedger, LedgerPosition, RequestCauses, RunPhase,
@@ -167,7 +168,7 @@
     roster: FleetRoster,
     cold_shares: ColdShares,
     /// Targets that counted as cold when that was last reviewed.
-    noted_cold: Vec<TargetId>,
+    noted_cold: FxHashSet<TargetId>,
     mean_waits: HashMap<String, MeanWait>,
     prefills: PrefillWindow,
     stream_monitors: HashMap<String, StreamMonitor>,
@@ -201,7 +202,7 @@
             budgets: HashMap::new(),
             fleet_size: FleetSize::default(),
             cold_shares: ColdShares::default(),
-            noted_cold: Vec::new(),
+            noted_cold: FxHashSet::default(),
             mean_waits: HashMap::new(),
             prefills: PrefillWindow::default(),
             stream_monitors: HashMap::new(),
@@ -484,6 +485,7 @@
         }
         self.fleet_size.record(now, self.loads.peer_count() + 1);
         self.roster.expire(now);
+        self.review_cold_shares(now);
         self.expire_crashes(now);
         self.expire_streams(now);
         let removed = self.targets.expire(now);
--- a/crates/jackdaw-policy/src/direct/direct_router/cold_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/cold_tracking.rs
@@ -3,18 +3,17 @@
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, VmId};
+use rustc_hash::FxHashSet;
 
 use crate::direct::direct_router::DirectRouter;
 use crate::direct::fleet_config::ColdStart;
+use crate::direct::store_revision::StoreRevision;
 use crate::direct::target_id::TargetId;
 use crate::direct::targets::cold_targets::ColdSource;
 use crate::direct::targets::evacuation_table::{
     EvacuationChange, EvacuationEffect, EvacuationState,
 };
 
-use crate::direct::store_revision::StoreRevision;
-use crate::direct::targets::target_table::ReadyTarget;
-
 /// How many more requests than its stated rate a cold target takes.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct ColdTolerance {
@@ -101,12 +100,12 @@
             return notices;
         }
         let targets: Vec<TargetId> = self.targets.cold().targets().collect();
-        let mut cold = Vec::new();
+        let mut cold = FxHashSet::default();
         for target in targets {
             let Some((left, source)) = self.cold_left(now, target) else {
                 continue;
             };
-            cold.push(target);
+            cold.insert(target);
             if !self.noted_cold.contains(&target) {
                 let part = self.cold_shares.part(target);
                 notices.push(ColdNotice::Cold { target, left, source, part });
@@ -133,26 +132,33 @@
         now: MonotonicTime,
         target: TargetId,
     ) -> Option<(Duration, ColdSource)> {
-        let entry = self.targets.find(target)?;
-        let service = self.table.as_ref()?.service(&entry.service)?;
-        self.targets.cold().cold_left(now, target, service.cold_start?.duration)
+        if self.targets.cold().is_empty() {
+            return None;
+        }
+        self.targets.cold().cold_left(now, target, self.cold_start(target)?.duration)
     }
 
-    /// Determines this router's parts of a service's cold targets.
-    pub(super) fn prepare_cold_shares(
-        &mut self,
-        now: MonotonicTime,
-        cold_start: Option<ColdStart>,
-        ready: &[ReadyTarget],
-    ) {
-        let Some(cold_start) = cold_start.filter(|_| !self.targets.cold().is_empty()) else {
+    /// Determines this router's parts of the cold targets. Until that is done, a target that has turned
+    /// cold gets nothing from this router.
+    pub(super) fn review_cold_shares(&mut self, now: MonotonicTime) {
+        if self.targets.cold().is_empty() {
             return;
-        };
-        let bound = self.policy.cold_tolerance.bound(&cold_start);
-        for target in ready {
-            if self.targets.cold().cold_left(now, target.id, cold_start.duration).is_some() {
-                self.cold_shares.prepare(target.id, &self.roster, bound);
+        }
+        let targets: Vec<TargetId> = self.targets.cold().targets().collect();
+        for target in targets {
+            if self.cold_left(now, target).is_none() {
+                continue;
+            }
+            if let Some(cold_start) = self.cold_start(target) {
+                let bound = self.policy.cold_tolerance.bound(&cold_start);
+                self.cold_shares.prepare(target, &self.roster, bound);
             }
         }
     }
+
+    /// Returns what a target's service states about its cold targets.
+    fn cold_start(&self, target: TargetId) -> Option<ColdStart> {
+        let entry = self.targets.find(target)?;
+        self.table.as_ref()?.service(&entry.service)?.cold_start
+    }
 }
--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -90,7 +90,6 @@
                 return Placement::Refuse { reason, retry_after: Duration::ZERO };
             }
         };
-        self.prepare_cold_shares(now, cold_start, &ready);
         let mut placement_request = self.placement_request(now, request, mean_wait);
         let tier = placement_request.share.tier;
         let (placement, withheld) = {
--- a/crates/jackdaw-policy/src/direct/targets/cold_shares.rs
+++ b/crates/jackdaw-policy/src/direct/targets/cold_shares.rs
@@ -75,8 +75,8 @@
 }
 
 impl ColdShares {
-    /// Determines this router's part of `target`. Must be called before [`ColdShares::admits`]
-    /// whenever the members may have changed.
+    /// Determines this router's part of `target`, if it or the members are new. A target whose part was
+    /// not determined gets nothing.
     pub fn prepare(&mut self, target: TargetId, roster: &FleetRoster, bound: f64) {
         let (generation, division) = (roster.generation(), ColdDivision::new(bound, roster.len()));
         let known = self.parts.get(&target);
--- a/crates/jackdaw-policy/tests/direct/cold_targets.rs
+++ b/crates/jackdaw-policy/tests/direct/cold_targets.rs
@@ -193,6 +193,7 @@
 
 fn list(router: &mut DirectRouter, now: u64, entries: Vec<TargetEntry>, revision: u64) {
     router.targets.replace(at(now), entries, StoreRevision::from(revision));
+    router.expire(at(now));
 }
 
 /// Sends equal requests of one customer at once; returns how many were sent, and the last refusal.
@@ -279,6 +280,7 @@
     let mut router = cold_router();
     list(&mut router, 0, vec![cold_entry("warm", 1, Some(0))], 1);
     router.targets.apply(at(5000), TargetChange::Present(cold_entry("cold", 2, Some(3000))));
+    router.expire(at(5000));
     let cold = cold_entry("cold", 2, None).id();
     let (mut to_cold, mut to_warm) = (0, 0);
     for number in 0..40 {
