Share the handling of failed calls between the watches of the store

Cause: the watch of evacuations repeated the branch of the watch of findings line by line. Change: WatchSession::retry, used by the three watches whose failures do not change the store's reachability. No behaviour changes.

--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -156,6 +156,16 @@
         self.listing_age = ListingAge::MayBeStale;
     }
 
+    /// Logs a failed call and waits before the next one.
+    async fn retry(&mut self, state: &EdgeState, subject: &str, report: &Report<ErrorKind>) {
+        let now = state.now();
+        state.router().watch.record_store_call(now, false);
+        log_failure(subject, report, self.backoff.failures);
+        let longest = state.router().watch.longest_retry_pause();
+        self.allow_stale();
+        self.backoff.wait(longest).await;
+    }
+
     /// Adds the calls since the previous invocation to the metrics.
     fn count_calls(&mut self, state: &EdgeState) {
         let calls = self.client.call_count();
@@ -177,14 +187,7 @@
                 }
                 session.backoff.reset();
             }
-            Err(report) => {
-                let now = state.now();
-                state.router().watch.record_store_call(now, false);
-                log_failure("configuration", &report, session.backoff.failures);
-                let longest = state.router().watch.longest_retry_pause();
-                session.allow_stale();
-                session.backoff.wait(longest).await;
-            }
+            Err(report) => session.retry(&state, "configuration", &report).await,
         }
     }
 }
--- a/crates/jackdaw-edge/src/store_watch/evacuation_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch/evacuation_watch.rs
@@ -7,7 +7,7 @@
 use jackdaw_platform::EvacuationUpdate;
 
 use crate::edge_state::EdgeState;
-use crate::store_watch::{LONG_POLL_WAIT, WatchSession, log_failure};
+use crate::store_watch::{LONG_POLL_WAIT, WatchSession};
 
 /// Follows the evacuated domains while this router is assigned to watch the store. The other routers
 /// learn of them from reports.
@@ -19,14 +19,7 @@
         session.count_calls(&state);
         match outcome {
             Ok(()) => session.backoff.reset(),
-            Err(report) => {
-                let now = state.now();
-                state.router().watch.record_store_call(now, false);
-                log_failure("evacuations", &report, session.backoff.failures);
-                let longest = state.router().watch.longest_retry_pause();
-                session.allow_stale();
-                session.backoff.wait(longest).await;
-            }
+            Err(report) => session.retry(&state, "evacuations", &report).await,
         }
     }
 }
--- a/crates/jackdaw-edge/src/store_watch/finding_sync.rs
+++ b/crates/jackdaw-edge/src/store_watch/finding_sync.rs
@@ -32,14 +32,7 @@
         session.count_calls(&state);
         match outcome {
             Ok(()) => session.backoff.reset(),
-            Err(report) => {
-                let now = state.now();
-                state.router().watch.record_store_call(now, false);
-                log_failure("crash findings", &report, session.backoff.failures);
-                let longest = state.router().watch.longest_retry_pause();
-                session.allow_stale();
-                session.backoff.wait(longest).await;
-            }
+            Err(report) => session.retry(&state, "crash findings", &report).await,
         }
     }
 }
