--- a/crates/jackdaw-edge/tests/edge/mixed_builds.rs
+++ b/crates/jackdaw-edge/tests/edge/mixed_builds.rs
@@ -29,7 +29,7 @@
         priority: 0,
         max_attempts: 1,
         is_public: true,
-        homes: Vec::new(),
+        homes: vec!["north".to_owned()],
         services: vec![ServiceWeight { service: "s".to_owned(), weight: 1 }],
     };
     FleetConfig {
@@ -57,7 +57,7 @@
         slots: 8,
         state: TargetState::Ready,
         started_unix_ms: 5,
-        cold_left: None,
+        cold_left: Some(Duration::from_secs(2)),
         revision: 4.into(),
     }
 }
@@ -71,11 +71,12 @@
 }
 
 #[test]
-fn own_snapshots_carry_leavings_and_pauses() {
+fn own_snapshots_carry_what_older_builds_lack() {
     let (snapshot, extension) = decode_snapshot(&snapshot_bytes()).expect("own format");
     assert_eq!(extension.leaving, [TargetId(7)]);
     let config = snapshot.config.expect("newer configuration");
     assert_eq!(config.routes[0].pause_objective, Some(PAUSE));
+    assert_eq!(config.routes[0].homes, ["north"]);
     assert_eq!(snapshot.targets.entries, [target()]);
 }
 
