Copy cached parts only between targets of the same software version

Cause: during a release the other candidate may run another version, whose caches do not fit. Change: it is no source then; the part is prefilled as before. A test with two versions. Conclusion: found by reading the diff, no run showed it.

--- a/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/placement_view.rs
@@ -327,11 +327,13 @@
     }
 
     /// Returns the target from which `target` can copy shared parts of the prompt: the best-ranked
-    /// other candidate.
-    fn cache_source(&self, target: TargetId, candidates: &[&ReadyTarget]) -> Option<TargetId> {
+    /// other candidate. Caches of another software version are of no use.
+    fn cache_source(&self, target: &ReadyTarget, candidates: &[&ReadyTarget]) -> Option<TargetId> {
         self.cache_transfer?;
         self.request.prompt.filter(|prompt| prompt.shared_tokens() > 0)?;
-        candidates.iter().map(|candidate| candidate.id).find(|candidate| *candidate != target)
+        let others = candidates.iter().filter(|candidate| candidate.id != target.id);
+        let mut sources = others.filter(|candidate| candidate.version == target.version);
+        sources.next().map(|source| source.id)
     }
 
     fn placement_target(
@@ -347,7 +349,7 @@
         let missing = prompt
             .map_or(0, |prompt| router.prefixes.missing_tokens(self.now, id, prompt, is_home));
         let own = prompt.map_or(0, |prompt| u64::from(prompt.own_tokens()));
-        let cache_source = self.cache_source(id, candidates);
+        let cache_source = self.cache_source(target, candidates);
         let transfer = self.cache_transfer.filter(|_| cache_source.is_some());
         let (missing, copy_time) = match transfer {
             Some(transfer) => (0, transfer.time(missing)),
--- a/crates/jackdaw-policy/tests/direct/cache_copies.rs
+++ b/crates/jackdaw-policy/tests/direct/cache_copies.rs
@@ -4,7 +4,7 @@
 
 use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::{
-    CacheTransfer, DirectRouter, Placement, PromptShape, TargetChange, TargetId,
+    CacheTransfer, DirectRouter, Placement, PromptShape, TargetChange, TargetEntry, TargetId,
 };
 
 use crate::common::{at, config, direct_policy, entry, prompt, request};
@@ -102,3 +102,14 @@
     let (_, without) = send_crowd(&mut router(None, 8), 12);
     assert!(without.len() <= counts.len(), "{without:?}");
 }
+
+/// During a release, targets copy from those of their own software version only.
+#[test]
+fn other_versions_are_no_source() {
+    let mut router = router(Some(TRANSFER), 1);
+    let newer = TargetEntry { version: Some("v2".to_owned()), ..entry("target-1", 2) };
+    router.targets.apply(at(0), TargetChange::Present(newer));
+    for part in 0..20 {
+        assert_eq!(place(&mut router, &prompt(part, 5000, 300)).2, None);
+    }
+}
