--- a/crates/jackdaw-edge/tests/edge/settings_reload.rs
+++ b/crates/jackdaw-edge/tests/edge/settings_reload.rs
@@ -93,3 +93,19 @@
     assert_eq!(settings.caller_address.port(), 7410);
     assert_eq!(settings.store_address.port(), 7513);
 }
+
+/// A router that follows no evacuations must not start to wait for them.
+#[test]
+fn evacuations_are_switched_on_at_a_start_only() {
+    let mut case = ReloadCase::open();
+    let before = case.state.router().is_ready();
+    case.write(&format!(
+        "{TEXT}[domains]\nevacuation_ms = 5000\nregions = a:north\n[cold]\nrate_factor = 2\n"
+    ));
+    case.file.reload_if_changed(&case.state);
+    let settings = case.state.settings();
+    assert_eq!(settings.evacuation_time, None);
+    assert_eq!(settings.regions, [("a".to_owned(), "north".to_owned())]);
+    assert!((settings.cold_factor - 2.0).abs() < 1e-9);
+    assert_eq!(case.state.router().is_ready(), before);
+}
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -144,6 +144,9 @@
         revert(&mut self.metrics_port, &running.metrics_port, "listen.metrics_port", &mut reverted);
         let share = &running.processor_share;
         revert(&mut self.processor_share, share, "limits.processor_share", &mut reverted);
+        // The store's entries are followed from the start, or not at all.
+        let evacuation = &running.evacuation_time;
+        revert(&mut self.evacuation_time, evacuation, "domains.evacuation_ms", &mut reverted);
         revert(&mut self.log, &running.log, "log", &mut reverted);
         reverted
     }
