--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -2,6 +2,7 @@
 
 mod cold_tracking;
 mod crash_tracking;
+mod direct_policy;
 mod placement_view;
 mod report_exchange;
 mod stream_tracking;
@@ -10,12 +11,13 @@
 pub use cold_tracking::{ColdNotice, ColdTolerance};
 use crash_tracking::BrokenRun;
 pub use crash_tracking::{CrashNotice, FindingSource};
+pub use direct_policy::DirectPolicy;
 
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation, VmId};
+use jackdaw_base::{CustomerId, MonotonicTime, ProcessIncarnation};
 use rustc_hash::FxHashSet;
 
 use crate::direct::crashes::crash_ledger::{
@@ -28,7 +30,7 @@
 use crate::direct::fleet::fleet_size::FleetSize;
 use crate::direct::fleet::watch_election::WatchElection;
 use crate::direct::fleet_config::FleetConfig;
-use crate::direct::home_rule::{DomainRegions, HomeRule};
+use crate::direct::home_rule::HomeRule;
 use crate::direct::placement::{Placement, RefusalReason};
 use crate::direct::prompt_shape::PromptShape;
 use crate::direct::route_table::RouteTable;
@@ -47,32 +49,6 @@
 use crate::direct::targets::target_table::TargetTable;
 use crate::direct::targets::version_history::VersionHistory;
 
-/// Configured parameters of a router's decisions.
-#[derive(Debug, Clone, PartialEq)]
-pub struct DirectPolicy {
-    /// Failure domain of the router.
-    pub domain: String,
-    /// VM of the router.
-    pub vm: VmId,
-    /// Whether there are other routers even if none was heard yet.
-    pub expects_others: bool,
-    /// Regions of the failure domains.
-    pub regions: DomainRegions,
-    /// How many more requests than their stated rate cold targets take.
-    pub cold_tolerance: ColdTolerance,
-    /// Whether the operator may take failure domains out of use; requests are then refused until it is
-    /// known which ones are.
-    pub has_evacuations: bool,
-    /// Sliding window over which customers' shares are computed.
-    pub share_window: Duration,
-    /// Sliding window of the fleet-wide retry budget.
-    pub retry_window: Duration,
-    /// Retries granted to the fleet per request.
-    pub retry_ratio: f64,
-    /// Retries granted to the fleet per window in addition to those per request.
-    pub retry_allowance: f64,
-}
-
 /// The properties of a request that routing decisions depend on.
 #[derive(Debug, Clone)]
 pub struct DirectRequest<'a> {
