Review: a burst of large requests exceeds the memory of a machine

LOST is broken. Bodies of requests are bounded one by one and not together, so that clients within the limits end a router of 96 MB, and with it what it had passed on.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -177,16 +177,7 @@
     for (number, store) in stores.into_iter().enumerate() {
         let path = folder.0.join(format!("edge-{number}.ini"));
         fs::write(&path, settings(&template, number, net, store)).expect("settings");
-        let log = File::create(folder.0.join(format!("edge-{number}.log"))).expect("log");
-        let child = Command::new("target/release/jackdaw-edge")
-            .env_clear()
-            .env("PATH", "/usr/bin:/bin")
-            .env("JACKDAWVALE_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("target/release/jackdaw-edge; build it first");
+        let child = spawn_router(folder, number);
         routers.push(Router { child, ip: net.ip(number as u8 + 1) });
     }
     let end = Instant::now() + Duration::from_secs(15);
@@ -202,6 +193,27 @@
     routers
 }
 
+/// Starts the process of a router as the deploy file says.
+fn spawn_router(folder: &Folder, number: usize) -> Child {
+    let path = folder.0.join(format!("edge-{number}.ini"));
+    let log = folder.0.join(format!("edge-{number}.log"));
+    let log = File::options().create(true).append(true).open(log).expect("log");
+    Command::new("target/release/jackdaw-edge")
+        .env_clear()
+        .env("PATH", "/usr/bin:/bin")
+        .env("JACKDAWVALE_NODE_FILE", &path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("log"))
+        .stderr(log)
+        .spawn()
+        .expect("target/release/jackdaw-edge; build it first")
+}
+
+/// Starts the process of a router again after it has ended.
+pub fn restart_router(router: &mut Router, folder: &Folder, number: usize) {
+    router.child = spawn_router(folder, number);
+}
+
 /// Entry that an engine registers.
 pub fn entry(address: SocketAddr, service: &str, born: u64) -> Value {
     json!({"service": service, "address": address.to_string(), "zone": "guj-surat", "version": "v1",
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod big_bodies;
 mod engine;
 mod fleet;
 mod silent_store;
@@ -16,6 +17,7 @@
     let args: Vec<String> = std::env::args().collect();
     let words: Vec<&str> = args.iter().skip(1).map(String::as_str).collect();
     let is_broken = match words.as_slice() {
+        ["big-bodies", folder] => big_bodies::run(Path::new(folder)),
         ["slow-readers", folder] => slow_readers::run(Path::new(folder)),
         ["silent-store", folder] => silent_store::run(Path::new(folder)),
         ["unframed-crash", folder] => unframed_crash::run(Path::new(folder)),
