--- a/review/standins/src/big_bodies.rs
+++ b/review/standins/src/big_bodies.rs
@@ -60,11 +60,16 @@
     let store = Store::start(&net.ip(4));
     let begun: Arc<Mutex<HashSet<String>>> = Arc::default();
     let seen = Arc::clone(&begun);
-    let address = engine::start(&net.ip(5), "i-1", 1, Arc::new(move |connection, head, _| {
-        seen.lock().expect("runs").insert(head.get("attempt-id").to_owned());
-        thread::sleep(WORK);
-        connection.write(&response("200 OK", &engine::run_headers(head), b"done"))
-    }));
+    let address = engine::start(
+        &net.ip(5),
+        "i-1",
+        1,
+        Arc::new(move |connection, head, _| {
+            seen.lock().expect("runs").insert(head.get("attempt-id").to_owned());
+            thread::sleep(WORK);
+            connection.write(&response("200 OK", &engine::run_headers(head), b"done"))
+        }),
+    );
     store.put("servers", "i-1", &entry(address, "booking", 1));
     let routes = [route("issue", "unsafe", "booking", 4_000, 1)];
     store.put("config", "main", &config(1, &routes, &["booking"]));
@@ -78,7 +83,8 @@
     let cut: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut clients = Vec::new();
     for number in 0..BURST {
-        let (is_over, is_burst, answered) = (Arc::clone(&is_over), Arc::clone(&is_burst), Arc::clone(&large));
+        let (is_over, is_burst, answered) =
+            (Arc::clone(&is_over), Arc::clone(&is_burst), Arc::clone(&large));
         clients.push(thread::spawn(move || {
             let mut count = 0;
             while !is_over.load(Ordering::Relaxed) {
@@ -137,7 +143,9 @@
         let used = resident_mb(routers[0].child.id());
         peak = peak.max(used);
         if used > MEMORY_MB {
-            record.line(&format!("the router uses {used:.1} MB of {MEMORY_MB} MB; the platform kills it"));
+            record.line(&format!(
+                "the router uses {used:.1} MB of {MEMORY_MB} MB; the platform kills it"
+            ));
             let _ = (routers[0].child.kill(), routers[0].child.wait());
             kills += 1;
             thread::sleep(RESTART_PAUSE);
@@ -153,9 +161,12 @@
     let lost = cut.lock().expect("cut").iter().filter(|id| begun.contains(*id)).count();
     record.line(&format!(
         "answered: {} large, {} small; most memory {peak:.1} MB, killed {kills} times",
-        large.load(Ordering::Relaxed), small.load(Ordering::Relaxed)
+        large.load(Ordering::Relaxed),
+        small.load(Ordering::Relaxed)
+    ));
+    record.line(&format!(
+        "{lost} small requests that the engine ran ended with their connection, without an answer"
     ));
-    record.line(&format!("{lost} small requests that the engine ran ended with their connection, without an answer"));
     record.line(if lost > ALLOWED { "LOST is broken" } else { "LOST holds" });
     lost > ALLOWED
 }
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -88,15 +88,7 @@
 
 impl Router {
     pub fn front(&self) -> SocketAddr {
-        format!("{}:{FRONT}", self.ip).parse().expect("address")
-    }
-
-    pub fn is_ready(&self) -> bool {
-        let address: SocketAddr = format!("{}:{READY}", self.ip).parse().expect("address");
-        let Ok(mut connection) = Connection::open(address) else { return false };
-        let _ = connection.stream.set_read_timeout(Some(Duration::from_millis(500)));
-        let _ = connection.write(b"GET /api/readiness HTTP/1.1\r\nhost: x\r\n\r\n");
-        matches!(connection.read_head(), Ok(Some(head)) if head.status() == 200)
+        front(&self.ip)
     }
 
     pub fn signal(&self, signal: i32) {
@@ -112,6 +104,22 @@
     }
 }
 
+/// Returns the address of a router for clients.
+pub fn front(ip: &str) -> SocketAddr {
+    format!("{ip}:{FRONT}").parse().expect("address")
+}
+
+/// Asks a router whether it is ready.
+pub fn is_ready(ip: &str) -> bool {
+    let address: SocketAddr = format!("{ip}:{READY}").parse().expect("address");
+    let Ok(mut connection) = Connection::open(address) else {
+        return false;
+    };
+    let _ = connection.stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let _ = connection.write(b"GET /api/readiness HTTP/1.1\r\nhost: x\r\n\r\n");
+    matches!(connection.read_head(), Ok(Some(head)) if head.status() == 200)
+}
+
 /// Temporary folder of a run.
 pub struct Folder(pub PathBuf);
 
@@ -181,7 +189,7 @@
         routers.push(Router { child, ip: net.ip(number as u8 + 1) });
     }
     let end = Instant::now() + Duration::from_secs(15);
-    while !routers.iter().all(Router::is_ready) {
+    while !routers.iter().all(|router| is_ready(&router.ip)) {
         if Instant::now() > end {
             record.line("routers are not ready; the case can't run");
             drop(routers);
