Review: a late extra answer makes a recording run twice

TWICE is broken. An answer without an Attempt-Id that says 'not run' is taken for the answer to the request that waits on its connection; the connection of a shed request is reused, so that a late second copy of the shed answer makes the router send an unsafe request to another engine while the first one runs it.

It rests on sheds without an identifier, as the wire examples print them.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod big_bodies;
 mod engine;
 mod fleet;
+mod late_extra;
 mod rolling_restart;
 mod silent_store;
 mod slow_readers;
@@ -19,6 +20,7 @@
     let words: Vec<&str> = args.iter().skip(1).map(String::as_str).collect();
     let is_broken = match words.as_slice() {
         ["big-bodies", folder] => big_bodies::run(Path::new(folder)),
+        ["late-extra", folder] => late_extra::run(Path::new(folder)),
         ["rolling-restart", folder] => rolling_restart::run(Path::new(folder)),
         ["slow-readers", folder] => slow_readers::run(Path::new(folder)),
         ["silent-store", folder] => silent_store::run(Path::new(folder)),
