--- a/review/standins/src/big_bodies.rs
+++ b/review/standins/src/big_bodies.rs
@@ -25,11 +25,11 @@
 /// Clients with large requests as usual, and in a burst of 2.5 times as many.
 const USUAL: usize = 8;
 const BURST: usize = 20;
-const BURST_SPAN: Duration = Duration::from_secs(3);
+const BURST_SPAN: Duration = Duration::from_millis(4500);
 
-/// Bytes that a client with a large request sends a second: together they stay below the link's
-/// 700 Mbit/s, also in the burst.
-const UPLOAD_RATE: f64 = 4.0e6;
+/// Bytes that a client with a large request sends a second: also in the burst, what comes in and what
+/// goes on to the engine stay below the link's 700 Mbit/s together.
+const UPLOAD_RATE: f64 = 2.0e6;
 
 /// Clients with small requests, each on a connection that it keeps.
 const KEPT: usize = 8;
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -133,7 +133,10 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
+        // With KEEP set, the routers' logs and settings stay.
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
     }
 }
 
--- a/review/standins/src/late_extra.rs
+++ b/review/standins/src/late_extra.rs
@@ -65,6 +65,8 @@
     let record = Record::create(folder);
     let (net, temporary) = (Net::find(), Folder::create());
     let store = Store::start(&net.ip(4));
+    // For comparison only: with SHED_ID=1, answers of sheds carry the identifier too.
+    let names_sheds = std::env::var("SHED_ID").is_ok_and(|value| value == "1");
     let runs: Runs = Arc::default();
     let (sheds, extras) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     for number in 0..ENGINES {
@@ -89,7 +91,9 @@
             }
             let answer = if is_faulty() && dice.falls(SHED) {
                 sheds.fetch_add(1, Ordering::Relaxed);
-                response(SHED_ANSWER, "not-executed: 1\r\n", b"")
+                let named = format!("attempt-id: {id}\r\nnot-executed: 1\r\n");
+                let headers = if names_sheds { named.as_str() } else { "not-executed: 1\r\n" };
+                response(SHED_ANSWER, headers, b"")
             } else {
                 runs.lock().expect("runs").entry(id.to_owned()).or_default().push(number);
                 thread::sleep(WORK);
--- a/review/standins/src/rolling_restart.rs
+++ b/review/standins/src/rolling_restart.rs
@@ -63,6 +63,9 @@
     went_on: AtomicUsize,
     sent_new: AtomicUsize,
     begun_new: AtomicUsize,
+    /// Streams taken up at machines out of touch, which don't count, and those of them that went on.
+    elsewhere: AtomicUsize,
+    elsewhere_on: AtomicUsize,
 }
 
 pub fn run(folder: &Path) -> bool {
@@ -136,6 +139,11 @@
         "at machines in touch: {went_on} of {taken_up} streams that clients took up again went on; \
          {begun_new} of {sent_new} new streams began"
     ));
+    record.line(&format!(
+        "not counted, at machines out of touch: {} of {} streams that were taken up again went on",
+        count(&counts.elsewhere_on),
+        count(&counts.elsewhere)
+    ));
     // went_on / taken_up < begun_new / sent_new / 2
     let is_broken = taken_up >= LEAST && 2 * went_on * sent_new < begun_new * taken_up;
     record.line(if is_broken { "LOST is broken" } else { "LOST holds" });
@@ -252,6 +260,10 @@
         if is_counted && !std::mem::replace(&mut is_taken_up, true) {
             counts.taken_up.fetch_add(1, Ordering::Relaxed);
         }
+        if !is_counted && attempt == 1 {
+            counts.elsewhere.fetch_add(1, Ordering::Relaxed);
+            counts.elsewhere_on.fetch_add(usize::from(more > 0), Ordering::Relaxed);
+        }
         if more > 0 {
             counts.went_on.fetch_add(usize::from(is_taken_up), Ordering::Relaxed);
             return;
--- a/review/standins/src/silent_store.rs
+++ b/review/standins/src/silent_store.rs
@@ -28,6 +28,13 @@
 const PACE: Duration = Duration::from_millis(20);
 const SPAN: Duration = Duration::from_millis(6500);
 
+/// Time from the change before the silence to the silence: half a gap. LULL_MS sets another one, to see
+/// how far the case depends on it.
+fn lull() -> Duration {
+    let set = std::env::var("LULL_MS").ok().and_then(|value| value.parse().ok());
+    set.map_or(GAP / 2, Duration::from_millis)
+}
+
 /// Forwards connections. Those that are open when the generation rises carry nothing any more.
 struct Proxy {
     address: SocketAddr,
@@ -123,7 +130,7 @@
             if is_last { ", which moves the route from booking to archive" } else { "" }
         ));
         if number == SILENT_AFTER && has_trouble() {
-            thread::sleep(GAP / 2);
+            thread::sleep(lull());
             silent = Instant::now();
             proxy.silence();
             record.line("open connections to the store are silent from now on; new ones work");
