Pass on what is known of streams when routers stop, end or start

Cause: which version began a stream was told once, at its first event, to two routers. As these were restarted, the copies were gone, and neither the router that still relayed the stream nor one about to exit told it again.

Change: each report period, a router compares the routers it hears with those before, and tells those that keep a stream from now on, or that have started again, of the streams it knows (binding_repair). A router that stops tells all routers that would be asked, twice, after its last request.

--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -25,6 +25,11 @@
 /// Interval of checks for a settings file that changed without a reload signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 
+/// How often what is known of streams is handed over before the process exits, since datagrams may be
+/// lost, and the pause after each time.
+const HANDOVER_SENDS: u32 = 2;
+const HANDOVER_PAUSE: Duration = Duration::from_millis(30);
+
 /// Interval of checks for requests in progress during shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -123,6 +128,8 @@
         while state.open_requests() > 0 && started.elapsed() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
+        // The callers of streams that are cut come back to other routers at once.
+        hand_over_streams(state).await;
         // Lets the last responses be flushed.
         tokio::time::sleep(DRAIN_POLL).await;
         log::info!(
@@ -140,6 +147,16 @@
     }
 }
 
+async fn hand_over_streams(state: &EdgeState) {
+    let Some(streams) = state.streams() else {
+        return;
+    };
+    for _ in 0..HANDOVER_SENDS {
+        streams.hand_over(state);
+        tokio::time::sleep(HANDOVER_PAUSE).await;
+    }
+}
+
 async fn run_housekeeping(state: Rc<EdgeState>) {
     loop {
         tokio::time::sleep(TICK_PERIOD).await;
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -34,6 +34,10 @@
     pub bindings_received: Counter,
     /// Versions of streams that were not recorded, because too many are known.
     pub bindings_dropped: Counter,
+    /// Versions of streams told to routers that took over from others.
+    pub bindings_repaired: Counter,
+    /// Versions of streams told to other routers before this one stopped.
+    pub bindings_handed_over: Counter,
     /// Datagrams about streams that could not be sent.
     pub stream_send_failures: Counter,
     /// Connections whose target was asked for its identity.
@@ -87,6 +91,14 @@
                 "edge_stream_bindings_heard",
                 "Versions of streams told by others",
             ),
+            bindings_repaired: plain(
+                "edge_stream_bindings_repaired",
+                "Versions of streams told to routers that took over from others",
+            ),
+            bindings_handed_over: plain(
+                "edge_stream_bindings_handed_over",
+                "Versions of streams told to others before stopping",
+            ),
             bindings_dropped: plain(
                 "edge_stream_bindings_dropped",
                 "Versions of streams not recorded",
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -275,6 +275,9 @@
             peers.expire(&seeds);
             peers.review_watch(&exchange.state);
         }
+        if let Some(streams) = exchange.state.streams() {
+            streams.repair(&exchange.state);
+        }
         period += 1;
         tokio::time::sleep(pause).await;
     }
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use jackdaw_policy::direct::{
-    FetchUrgency, HolderPeer, PeerReport, PeerStatus, PlanPeer, ReportPlan, WatchPeer,
-    introduce_peers, needs_introduction, plan_reports,
+    FetchUrgency, HolderMember, HolderPeer, PeerReport, PeerStatus, PlanPeer, ReportPlan,
+    WatchPeer, introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -132,6 +132,17 @@
         peers.collect()
     }
 
+    /// Returns the same routers with their incarnations.
+    pub(crate) fn holder_members(&self) -> BTreeMap<Ipv4Addr, HolderMember> {
+        let timeout = self.silence_timeout();
+        let members = self.peers.iter().filter_map(|(ip, record)| {
+            let last = record.last.as_ref().filter(|last| last.is_recent(timeout))?;
+            let PeerReport { incarnation, domain, .. } = &last.report;
+            Some((*ip, HolderMember { incarnation: *incarnation, domain: domain.clone() }))
+        });
+        members.collect()
+    }
+
     fn plan_peers(&self) -> Vec<PlanPeer<'_>> {
         let timeout = self.silence_timeout();
         let peers = self.peers.iter().map(|(ip, record)| PlanPeer {
--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -2,7 +2,8 @@
 //!
 //! Before a caller gets the first event of a stream, a few routers are told which version began it.
 //! A router that the caller comes back to asks them. Lost datagrams of the first kind leave a stream
-//! that fewer routers know; questions are repeated.
+//! that fewer routers know; questions are repeated. When routers come or go, the others pass on what
+//! they know to those that take over, and a router that stops passes on everything.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -11,8 +12,8 @@
 use std::time::Duration;
 
 use jackdaw_policy::direct::{
-    LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, stream_receivers,
-    stream_sources,
+    HolderRoster, LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, TellingPlan,
+    plan_handover, stream_receivers, stream_sources,
 };
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
@@ -36,10 +37,15 @@
 /// Maximum number of lookups at the same time.
 const MAX_OPEN_LOOKUPS: usize = 1024;
 
+/// Streams told in one datagram: some 1,000 bytes, which fit a packet.
+const MAX_TOLD_STREAMS: usize = 48;
+
 /// Sends and receives what routers tell each other about streams.
 pub(crate) struct StreamExchange {
     socket: Rc<UdpSocket>,
     peers: Rc<RefCell<PeerTable>>,
+    /// The routers that kept streams when it was last checked who has to be told again.
+    roster: RefCell<HolderRoster>,
     /// Lookups that wait for answers, by random numbers that answers repeat.
     lookups: RefCell<HashMap<u64, OpenLookup>>,
 }
@@ -85,6 +91,7 @@
         StreamExchange {
             socket: Rc::clone(socket),
             peers: Rc::clone(peers),
+            roster: RefCell::default(),
             lookups: RefCell::default(),
         }
     }
@@ -98,6 +105,48 @@
         self.send(state, &receivers, extension);
     }
 
+    /// Tells routers that are new, have started again or take the place of others of the streams that
+    /// they keep from now on.
+    pub(crate) fn repair(&self, state: &EdgeState) {
+        let members = self.peers.borrow().holder_members();
+        let count = members.len();
+        let plan = {
+            let router = state.router();
+            self.roster.borrow_mut().update(members, router.stream_bindings(state.now()))
+        };
+        let told = self.send_plan(state, &plan);
+        if told > 0 {
+            state.metrics.bindings_repaired.inc_by(told);
+            log::info!(routers = plan.len(), told, members = count; "routers changed; told others of streams again");
+        }
+    }
+
+    /// Tells other routers of all streams that this one knows, because it is about to stop.
+    pub(crate) fn hand_over(&self, state: &EdgeState) {
+        let plan = {
+            let (router, peers) = (state.router(), self.peers.borrow());
+            plan_handover(&peers.holder_peers(), router.stream_bindings(state.now()))
+        };
+        let told = self.send_plan(state, &plan);
+        state.metrics.bindings_handed_over.inc_by(told);
+        let known = state.router().stream_count();
+        log::info!(routers = plan.len(), told, known; "handed over what is known of streams");
+    }
+
+    /// Sends a plan; returns the number of streams told, counted for each receiver.
+    fn send_plan(&self, state: &EdgeState, plan: &TellingPlan) -> u64 {
+        let mut told = 0;
+        for (receiver, bindings) in plan {
+            told += bindings.len() as u64;
+            for bindings in bindings.chunks(MAX_TOLD_STREAMS) {
+                let bindings = bindings.to_vec();
+                let extension = StreamExtension { bindings, ..StreamExtension::default() };
+                self.send(state, &[*receiver], extension);
+            }
+        }
+        told
+    }
+
     /// Finds out which version began a stream of a service; `None` stands for a stream that its caller
     /// does not name.
     pub(crate) async fn look_up(
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -59,7 +59,10 @@
 pub use request_rate::RequestRate;
 pub use route_table::{KeyError, RouteTable};
 pub use store_revision::StoreRevision;
-pub use streams::stream_holders::{HolderList, HolderPeer, stream_receivers, stream_sources};
+pub use streams::binding_repair::{HolderMember, HolderRoster, TellingPlan, plan_handover};
+pub use streams::stream_holders::{
+    HolderList, HolderMap, HolderPeer, stream_receivers, stream_sources,
+};
 pub use streams::stream_lookup::{LookupResult, StreamFinding, StreamLookup};
 pub use streams::stream_monitor::StreamMonitor;
 pub use streams::stream_table::{StreamBinding, StreamKey, StreamTable};
--- a/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -34,6 +34,11 @@
         StreamFinding::Unknown { sole }
     }
 
+    /// Returns the streams that callers may come back to, with their versions.
+    pub fn stream_bindings(&self, now: MonotonicTime) -> impl Iterator<Item = StreamBinding> {
+        self.streams.bindings(now)
+    }
+
     /// Returns the versions of a service's registered targets.
     pub fn present_versions(&self, service: &str) -> Vec<Option<VersionId>> {
         let versions = self.targets.versions().iter();
--- a/crates/jackdaw-policy/src/direct/streams.rs
+++ b/crates/jackdaw-policy/src/direct/streams.rs
@@ -1,9 +1,10 @@
-//! What is known of streams: which software version began each, which routers keep that, and how
-//! long streams pause.
+//! What is known of streams: which software version began each, which routers keep that, when they are
+//! told again, and how long streams pause.
 //!
 //! Fed by this router's streams and by questions and answers between routers. Never reads load or
 //! shares.
 
+pub mod binding_repair;
 pub mod stream_holders;
 pub mod stream_lookup;
 pub mod stream_monitor;
--- a/crates/jackdaw-policy/src/direct/streams/stream_holders.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_holders.rs
@@ -33,47 +33,82 @@
     pub domain: &'a str,
 }
 
-/// Returns the routers that are told of a stream; `peers` are those that report.
-pub fn stream_receivers(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
-    rank_holders(key, peers, TOLD_PER_DOMAIN)
+/// The routers that may keep streams, by failure domain.
+#[derive(Debug, Default)]
+pub struct HolderMap<'a> {
+    domains: Vec<HolderDomain<'a>>,
 }
 
-/// Returns the routers that are asked for a stream.
-pub fn stream_sources(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
-    rank_holders(key, peers, ASKED_PER_DOMAIN)
+/// Routers of one failure domain.
+#[derive(Debug)]
+struct HolderDomain<'a> {
+    name: &'a str,
+    node: VmId,
+    members: Vec<Ipv4Addr>,
 }
 
-fn rank_holders(key: StreamKey, peers: &[HolderPeer<'_>], per_domain: usize) -> HolderList {
-    let mut domains: SmallVec<[(u64, &str); 8]> = SmallVec::new();
-    for peer in peers {
-        if !domains.iter().any(|(_, domain)| *domain == peer.domain) {
-            let weight = rendezvous_weight(key.0, VmId(xxh3_64(peer.domain.as_bytes())));
-            domains.push((weight, peer.domain));
+impl<'a> HolderMap<'a> {
+    /// Creates the map of the routers that report.
+    pub fn new(peers: &[HolderPeer<'a>]) -> HolderMap<'a> {
+        let mut map = HolderMap::default();
+        for peer in peers {
+            match map.domains.iter_mut().find(|domain| domain.name == peer.domain) {
+                Some(domain) => domain.members.push(peer.address),
+                None => map.domains.push(HolderDomain {
+                    name: peer.domain,
+                    node: VmId(xxh3_64(peer.domain.as_bytes())),
+                    members: vec![peer.address],
+                }),
+            }
         }
+        map
+    }
+
+    /// Returns the routers that are told of a stream.
+    pub fn receivers(&self, key: StreamKey) -> HolderList {
+        self.rank(key, TOLD_PER_DOMAIN)
+    }
+
+    /// Returns the routers that are asked for a stream.
+    pub fn sources(&self, key: StreamKey) -> HolderList {
+        self.rank(key, ASKED_PER_DOMAIN)
+    }
+
+    fn rank(&self, key: StreamKey, per_domain: usize) -> HolderList {
+        let mut domains: SmallVec<[(u64, &HolderDomain<'_>); 8]> = SmallVec::new();
+        let weighted =
+            self.domains.iter().map(|domain| (rendezvous_weight(key.0, domain.node), domain));
+        domains.extend(weighted);
+        domains.sort_unstable_by(|a, b| (b.0, b.1.name).cmp(&(a.0, a.1.name)));
+        domains.truncate(HOLDING_DOMAINS);
+        // With a single domain, its routers stand in for those of another one.
+        let count = per_domain * HOLDING_DOMAINS / domains.len().max(1);
+        domains.iter().flat_map(|(_, domain)| domain.top(key, count)).collect()
     }
-    domains.sort_unstable_by(|a, b| b.cmp(a));
-    domains.truncate(HOLDING_DOMAINS);
-    // With a single domain, its routers stand in for those of another one.
-    let count = per_domain * HOLDING_DOMAINS / domains.len().max(1);
-    let holders = domains.iter().flat_map(|(_, domain)| top_of_domain(key, peers, domain, count));
-    holders.collect()
 }
 
-fn top_of_domain(
-    key: StreamKey,
-    peers: &[HolderPeer<'_>],
-    domain: &str,
-    count: usize,
-) -> HolderList {
-    let mut ranked: SmallVec<[(u64, Ipv4Addr); 4]> = SmallVec::new();
-    for peer in peers.iter().filter(|peer| peer.domain == domain) {
-        let node = VmId(u64::from(u32::from(peer.address)));
-        let weighted = (rendezvous_weight(key.0, node), peer.address);
-        let position = ranked.partition_point(|other| *other >= weighted);
-        if position < count {
-            ranked.truncate(count - 1);
-            ranked.insert(position, weighted);
+impl HolderDomain<'_> {
+    fn top(&self, key: StreamKey, count: usize) -> HolderList {
+        let mut ranked: SmallVec<[(u64, Ipv4Addr); 4]> = SmallVec::new();
+        for address in &self.members {
+            let node = VmId(u64::from(u32::from(*address)));
+            let weighted = (rendezvous_weight(key.0, node), *address);
+            let position = ranked.partition_point(|other| *other >= weighted);
+            if position < count {
+                ranked.truncate(count - 1);
+                ranked.insert(position, weighted);
+            }
         }
+        ranked.into_iter().map(|(_, address)| address).collect()
     }
-    ranked.into_iter().map(|(_, address)| address).collect()
+}
+
+/// Returns the routers that are told of a stream; `peers` are those that report.
+pub fn stream_receivers(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
+    HolderMap::new(peers).receivers(key)
+}
+
+/// Returns the routers that are asked for a stream.
+pub fn stream_sources(key: StreamKey, peers: &[HolderPeer<'_>]) -> HolderList {
+    HolderMap::new(peers).sources(key)
 }
--- a/crates/jackdaw-policy/src/direct/streams/stream_table.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_table.rs
@@ -103,6 +103,16 @@
         Some(stream.version)
     }
 
+    /// Returns the streams whose callers may still come back, with the time left for that.
+    pub fn bindings(&self, now: MonotonicTime) -> impl Iterator<Item = StreamBinding> {
+        let current = self.streams.iter().filter(move |(_, stream)| now < stream.expires);
+        current.map(move |(key, stream)| StreamBinding {
+            key: *key,
+            version: stream.version,
+            lifetime_ms: stream.expires.since(now).as_millis() as u32,
+        })
+    }
+
     /// Returns the time after which no caller comes back to a stream that began earlier.
     pub fn return_span(&self) -> Duration {
         self.longest_lifetime.max(MIN_RETURN_SPAN)
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a router that sends requests directly to targets.
 
+mod binding_repair;
 mod cache_copies;
 mod cold_targets;
 mod common;
