Refuse what outlasts a planned stop, and answer what is left before the exit

What callers saw: in a planned stop, a request whose body came late in the grace was sent to a target and cut without an answer when the process exited; so was each request that a target still worked on. For requests that may run once, their callers could not know what had happened.

Cause: only the accepting of connections knew of the stop. Reading a body, sending a request and the exit itself did not.

Change: 0.3 s after the last connection was accepted, a request is begun only if its deadline passes before the exit; others get 503 with Retry-After, which is true, since nothing was sent. At the exit, requests without a response get 502 if they may have run and 503 if not, 120 ms before the process ends.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -88,7 +88,7 @@
 }
 
 async fn accept_callers(state: Rc<EdgeState>, listener: TcpListener) {
-    while state.stage() != EdgeStage::Closing {
+    while state.stage() < EdgeStage::Closing {
         let pending = listener.accept().now_or_never();
         state.record_accept(pending.is_some());
         let accepted = match pending {
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::caller_server::CallerServer;
-use crate::edge_state::{EdgeStage, EdgeState, TICK_PERIOD};
+use crate::edge_state::{EdgeStage, EdgeState, StopSchedule, TICK_PERIOD};
 use crate::internal_server::InternalServer;
 use crate::peer_reports::PeerReports;
 use crate::settings_file::SettingsFile;
@@ -25,6 +25,13 @@
 /// Interval of checks for a settings file that changed without a reload signal.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 
+/// Time after the last connection was accepted in which requests are still begun that may outlast the
+/// process. They were sent before, and a process that lags reads them late.
+const LAST_BEGIN_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time for writing the responses to requests that have none when the process is about to exit.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(120);
+
 /// How often what is known of streams is handed over before the process exits, since datagrams may be
 /// lost, and the pause after each time.
 const HANDOVER_SENDS: u32 = 2;
@@ -122,18 +129,27 @@
         state.enter_stage(EdgeStage::Leaving);
         let limit = state.settings().shutdown_grace.saturating_sub(EXIT_MARGIN);
         // Accepts requests until the load balancer sends this router no more connections.
-        tokio::time::sleep(BALANCER_DELAY.min(limit / 2)).await;
+        let accepting = BALANCER_DELAY.min(limit / 2);
+        let last_begin = started + accepting + LAST_BEGIN_MARGIN;
+        state.schedule_stop(StopSchedule { last_begin, exit: started + limit });
+        tokio::time::sleep(accepting).await;
         state.enter_stage(EdgeStage::Closing);
         self.callers.close().await;
         while state.open_requests() > 0 && started.elapsed() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
+        let cut_requests = state.open_requests();
+        if cut_requests > 0 {
+            state.enter_stage(EdgeStage::Exiting);
+            tokio::time::sleep(LAST_RESPONSE_TIME).await;
+        }
         // The callers of streams that are cut come back to other routers at once.
         hand_over_streams(state).await;
         // Lets the last responses be flushed.
         tokio::time::sleep(DRAIN_POLL).await;
         log::info!(
-            cut_requests = state.open_requests(),
+            cut_requests,
+            cut_streams = state.open_requests(),
             seconds = started.elapsed().as_secs_f64();
             "edge router stopped"
         );
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -26,7 +26,7 @@
 pub const TICK_PERIOD: Duration = Duration::from_millis(200);
 
 /// Lifecycle stage of the router.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EdgeStage {
     /// Accepts requests once configuration and targets are known.
     Serving,
@@ -34,6 +34,17 @@
     Leaving,
     /// No connections are accepted, and idle ones are closed.
     Closing,
+    /// The process is about to exit: requests without a response get one at once.
+    Exiting,
+}
+
+/// Times of a shutdown.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StopSchedule {
+    /// When the router stops to begin requests that may outlast it.
+    pub(crate) last_begin: Instant,
+    /// When requests without a response get one, since the process is about to exit.
+    pub(crate) exit: Instant,
 }
 
 /// Shared state of one router.
@@ -55,6 +66,8 @@
     pub callers: CallerConnections,
     router: RefCell<DirectRouter>,
     stage: watch::Sender<EdgeStage>,
+    /// Times of the shutdown; `None` while none was requested.
+    stop: Cell<Option<StopSchedule>>,
     watch_reviewed: Notify,
     overload: RefCell<OverloadDetector>,
     open_requests: Cell<usize>,
@@ -76,6 +89,7 @@
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
             stage: watch::Sender::new(EdgeStage::Serving),
+            stop: Cell::new(None),
             watch_reviewed: Notify::new(),
             overload: RefCell::new(OverloadDetector::new(MonotonicTime(0), TICK_PERIOD)),
             open_requests: Cell::new(0),
@@ -149,9 +163,26 @@
 
     /// Waits for [`EdgeStage::Closing`].
     pub async fn wait_closing(&self) {
+        self.wait_stage(EdgeStage::Closing).await;
+    }
+
+    /// Waits for a stage or a later one.
+    pub(crate) async fn wait_stage(&self, awaited: EdgeStage) {
         let mut stage = self.stage.subscribe();
         // `wait_for` fails only after the sender is dropped, and `self` owns the sender.
-        let _ = stage.wait_for(|stage| *stage == EdgeStage::Closing).await;
+        let _ = stage.wait_for(|stage| *stage >= awaited).await;
+    }
+
+    /// Sets the times of the shutdown that begins.
+    pub(crate) fn schedule_stop(&self, schedule: StopSchedule) {
+        self.stop.set(Some(schedule));
+    }
+
+    /// Returns whether a request that has been read may be sent to a target now. Late in a shutdown, it
+    /// may only if its deadline passes before the process exits: another router can still serve it.
+    pub(crate) fn may_begin(&self, deadline: Instant) -> bool {
+        let stop = self.stop.get();
+        stop.is_none_or(|stop| Instant::now() <= stop.last_begin || deadline <= stop.exit)
     }
 
     /// Wakes the tasks in [`EdgeState::wait_store_watch`].
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::caller_stream::CallerStream;
-use crate::edge_state::EdgeState;
+use crate::edge_state::{EdgeStage, EdgeState};
 use crate::local_response::LocalResponse;
 use crate::request_context::{AdmittedRequest, RequestContext, RequestCustomer};
 use crate::response_relay::{ResponseBody, ResponseRelay};
@@ -24,6 +24,10 @@
 /// reaches another router.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(300);
 
+/// Delay after which a caller may retry when this router is shutting down; the retry reaches another
+/// router.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
 /// Serves one request and returns its response.
 pub async fn serve_request(
     state: Rc<EdgeState>,
@@ -96,10 +100,18 @@
         service.ok_or(LocalResponse::new(ErrorKind::NoCapacity, "the route has no service"))?;
     let limit = table.config().limits.body_bytes;
     let time_limit = head.timeout.min(route.timeout);
-    let outcome = tokio::time::timeout(time_limit, read_body(body, limit)).await;
+    // The caller's deadline also covers the time that the request waited to be read.
+    let received = received.checked_sub(lag).unwrap_or(received);
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout(time_limit, read_body(body, limit)) => outcome,
+        () = state.wait_stage(EdgeStage::Exiting) => return Err(stopping_response()),
+    };
     let body = outcome.map_err(|_| {
         LocalResponse::new(ErrorKind::DeadlineUnreachable, "the body did not come in time")
     })??;
+    if !state.may_begin(received + time_limit) {
+        return Err(stopping_response());
+    }
     let fingerprint = fingerprint(customer.as_ref(), &parts, &body);
     let request = AdmittedRequest {
         parts,
@@ -109,13 +121,21 @@
         service: service.to_owned(),
         customer,
         fingerprint,
-        // The caller's deadline also covers the time that the request waited to be read.
-        received: received.checked_sub(lag).unwrap_or(received),
+        received,
         config_version: table.config().version,
     };
     Ok(RequestContext::new(state, request, open))
 }
 
+/// Returns the response to a request that this router is too late to begin.
+fn stopping_response() -> LocalResponse {
+    LocalResponse {
+        kind: ErrorKind::NotReady,
+        detail: "the router is shutting down",
+        retry_after: STOPPING_RETRY,
+    }
+}
+
 fn authorize(
     table: &RouteTable,
     route: &RouteConfig,
@@ -168,9 +188,14 @@
     }
     context.record_arrival();
     let deadline = context.deadline_at();
-    let result = match tokio::time::timeout_at(deadline, begin_response(context)).await {
-        Ok(result) => result,
-        Err(_) => Err(context.timeout_response()),
+    let result = tokio::select! {
+        result = tokio::time::timeout_at(deadline, begin_response(context)) => {
+            result.unwrap_or_else(|_| Err(context.timeout_response()))
+        }
+        () = context.inner.state.wait_stage(EdgeStage::Exiting) => Err(match context.inner.runs.get() {
+            0 => stopping_response(),
+            _ => LocalResponse::new(ErrorKind::Interrupted, "the router is shutting down"),
+        }),
     };
     match result {
         Ok(TargetResponse::Complete(parts, body)) => {
