Wait as long as the routes allow before a stream's version is concluded

Cause: the time after which no caller comes back was the longest that this process had seen, at least 15 s. After a restart it has seen nothing, and the streams of before may last as long as their routes let callers wait.

Evidence: callers_of_long_routes_are_waited_for: with a route of 60 s, the version was concluded after 15 s. With the deadlines of the known sites, 15 s at most, this does not happen.

Change: the timeouts of the configuration's streams count as well, from the moment at which it is known; without one no request is served.

--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -223,6 +223,7 @@
         if config.version <= self.config_version() {
             return false;
         }
+        self.record_stream_timeouts(&config);
         self.table = Some(Rc::new(RouteTable::new(config)));
         true
     }
--- a/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -4,11 +4,22 @@
 
 use crate::direct::direct_router::DirectRouter;
 use crate::direct::fleet::watch_election::StoreStatus;
+use crate::direct::fleet_config::{FleetConfig, RequestKind};
 use crate::direct::streams::stream_lookup::StreamFinding;
 use crate::direct::streams::stream_table::{StreamBinding, StreamKey};
 use crate::direct::targets::software_version::VersionId;
 
 impl DirectRouter {
+    /// Records for how long callers of streams may wait: the streams that other processes began may be as
+    /// long as the routes allow, whatever this one has seen.
+    pub(super) fn record_stream_timeouts(&mut self, config: &FleetConfig) {
+        for route in &config.routes {
+            if matches!(route.kind, RequestKind::Stream { .. }) {
+                self.streams.record_timeout(route.timeout);
+            }
+        }
+    }
+
     /// Records which version began a stream; returns false if too many streams are known.
     pub fn bind_stream(&mut self, now: MonotonicTime, binding: &StreamBinding) -> bool {
         self.streams.record(now, binding)
--- a/crates/jackdaw-policy/src/direct/streams/stream_table.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_table.rs
@@ -103,6 +103,12 @@
         Some(stream.version)
     }
 
+    /// Records that callers of streams may wait for `timeout`, also those of streams that are not known.
+    pub fn record_timeout(&mut self, timeout: Duration) {
+        let lifetime = (timeout + LIFETIME_MARGIN).min(MAX_LIFETIME);
+        self.longest_lifetime = self.longest_lifetime.max(lifetime);
+    }
+
     /// Returns the streams whose callers may still come back, with the time left for that.
     pub fn bindings(&self, now: MonotonicTime) -> impl Iterator<Item = StreamBinding> {
         let current = self.streams.iter().filter(move |(_, stream)| now < stream.expires);
--- a/crates/jackdaw-policy/tests/direct/stream_lookups.rs
+++ b/crates/jackdaw-policy/tests/direct/stream_lookups.rs
@@ -8,14 +8,14 @@
 
 use jackdaw_base::CustomerId;
 use jackdaw_policy::direct::{
-    HolderPeer, LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, StreamTable,
-    VersionHistory, VersionId, stream_receivers, stream_sources,
+    HolderPeer, LookupResult, RouteConfig, StreamBinding, StreamFinding, StreamKey, StreamLookup,
+    StreamTable, TargetChange, VersionHistory, VersionId, stream_receivers, stream_sources,
 };
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::common::{SERVICE, at};
+use crate::common::{SERVICE, at, config, entry, route, router};
 
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -253,3 +253,28 @@
     history.expire(at(60_000), span);
     assert_eq!(history.sole_version(at(60_000), SERVICE, span), None);
 }
+
+/// After all routers had been killed, streams of the version before were continued at the present one as
+/// soon as it had served alone for 15 s, although the route lets callers wait for a minute.
+#[test]
+fn callers_of_long_routes_are_waited_for() {
+    let mut router = router(1, 0);
+    let timeout = Duration::from_secs(60);
+    let long = RouteConfig { timeout, ..route("long", "a.example", "/long/") };
+    assert!(router.install_config({
+        let mut config = config(router.config_version() + 1);
+        config.routes.push(long);
+        config
+    }));
+    let key = StreamKey::new(Some(CustomerId(1)), "begun-before-the-kill");
+    router.targets.apply(at(0), TargetChange::Present(entry("target", 1)));
+    for millis in (0..60_000).step_by(200) {
+        router.expire(at(millis));
+        let finding = router.find_stream(at(millis), Some(key), SERVICE);
+        assert_eq!(finding, unknown(None), "after {millis} ms");
+    }
+    for millis in (60_000..63_000).step_by(200) {
+        router.expire(at(millis));
+    }
+    assert_eq!(router.find_stream(at(63_000), Some(key), SERVICE), unknown(Some("v1")));
+}
