--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -49,6 +49,13 @@
 /// it would expire before it is read.
 const MIN_WINDOW: Duration = Duration::from_millis(100);
 
+/// Memory of a process if the settings do not state it, in megabytes: what a node may spend on control
+/// at the target size.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+
+/// Least memory with which a router can serve, in megabytes; less is raised to it.
+const MIN_MEMORY_MB: f64 = 48.0;
+
 /// Lowest processor share; a share of zero is raised to it.
 const MIN_CORES: f64 = 0.01;
 
@@ -75,6 +82,8 @@
     pub store_address: SocketAddr,
     /// The maximum number of open file descriptors of the process.
     pub descriptors: usize,
+    /// The memory that the process may use, in bytes, with what its sockets have received.
+    pub memory_bytes: usize,
     /// The number of cores that the process may use.
     pub processor_share: f64,
     /// The time from SIGTERM until the process is killed with SIGKILL.
@@ -162,6 +171,7 @@
         let seeds = reader.optional_or_empty("peers", "seeds", &SEEDS);
         let store_address = reader.required("store", "address", &ADDRESS);
         let descriptors = reader.optional_or_empty("limits", "descriptors", &AMOUNT);
+        let memory = reader.optional_or_empty("limits", "memory_mb", &AMOUNT);
         let processor_share = reader.optional_or_empty("limits", "processor_share", &CORES);
         let grace = reader.optional_or_empty("limits", "shutdown_grace_s", &SECONDS);
         let share_window = reader.optional_or_empty("limits", "share_window_s", &SECONDS);
@@ -188,6 +198,7 @@
             seeds: seeds?.unwrap_or_default(),
             store_address: store_address?,
             descriptors: descriptors?.unwrap_or(4096.0) as usize,
+            memory_bytes: memory_bytes(memory?.unwrap_or(DEFAULT_MEMORY_MB)),
             processor_share: processor_share?.unwrap_or(1.0).max(MIN_CORES),
             shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
             share_window: share_window?.unwrap_or(Duration::from_secs(4)).max(MIN_WINDOW),
@@ -203,6 +214,10 @@
     }
 }
 
+fn memory_bytes(megabytes: f64) -> usize {
+    (megabytes.max(MIN_MEMORY_MB) * 1024.0 * 1024.0) as usize
+}
+
 fn revert<T: Clone + PartialEq>(
     value: &mut T,
     running: &T,
