Bound what callers and targets take of a router's memory

What callers saw: clients that send large bodies and stop before their end made a router exceed its memory. It was killed, and the requests of all its callers ended without an answer.

Cause: the sum of what is held was not bounded. Bodies of requests had a limit each; pieces were kept in the buffers that they arrived in, and copied when complete. Answers left their budget before they were delivered, the beginnings of events had none, and connections were bounded by descriptors only and not closed while a request was unfinished.

Change: the memory in the settings is divided among bodies of requests, answers with unfinished events, and connections. Large bodies leave a part to ordinary ones, wait for a moment if there is no room, and are refused with a true 503 then; bodies that have stalled give way. An announced length over the limit is refused before the body is read. The oldest connections without a request in progress are closed above the limit.

The body of a single request may take all of the memory for bodies, so that every request within the limits is served in calm.

--- a/crates/jackdaw-edge/src/body_buffer.rs
+++ b/crates/jackdaw-edge/src/body_buffer.rs
@@ -1,7 +1,9 @@
-//! Buffers response bodies within a budget that all requests of the router share.
+//! Buffers response bodies and unfinished events within a budget that all requests of the router
+//! share. A body takes its part of it until the caller's socket has taken the last byte.
 
-use std::cell::Cell;
 use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
@@ -13,13 +15,15 @@
 /// Size up to which a body is buffered whatever else is, in bytes.
 const FREE_BODY_BYTES: usize = 64 * 1024;
 
-/// Budget for what all bodies take beyond [`FREE_BODY_BYTES`]: a sixth of the smallest VM known.
+/// Budget for what all bodies take beyond [`FREE_BODY_BYTES`], unless the settings lead to another one: a
+/// sixth of the smallest VM known.
 const BUFFER_BUDGET_BYTES: usize = 16 * 1024 * 1024;
 
-/// Budget for bodies that are being buffered.
-#[derive(Debug, Default)]
+/// Budget for bodies that are buffered.
+#[derive(Debug)]
 pub struct BodyBuffer {
-    used_bytes: Cell<usize>,
+    budget: AtomicUsize,
+    used_bytes: Arc<AtomicUsize>,
 }
 
 /// Why a body was not buffered completely.
@@ -34,12 +38,54 @@
 }
 
 /// Part of the budget that one body takes, until it is dropped.
-struct BufferLease<'a> {
-    buffer: &'a BodyBuffer,
+#[derive(Debug, Default)]
+pub struct BufferLease {
+    used_bytes: Arc<AtomicUsize>,
     bytes: usize,
 }
 
+/// A body with its part of the budget.
+struct LeasedBody {
+    bytes: BytesMut,
+    _lease: BufferLease,
+}
+
+impl Default for BodyBuffer {
+    fn default() -> BodyBuffer {
+        BodyBuffer { budget: AtomicUsize::new(BUFFER_BUDGET_BYTES), used_bytes: Arc::default() }
+    }
+}
+
 impl BodyBuffer {
+    /// Sets the budget; what is buffered already stays.
+    pub fn set_budget(&self, bytes: usize) {
+        self.budget.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns the bytes of the budget that are taken.
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns a lease that takes nothing yet.
+    pub fn lease(&self) -> BufferLease {
+        BufferLease { used_bytes: Arc::clone(&self.used_bytes), bytes: 0 }
+    }
+
+    /// Makes a lease take so many bytes; returns false, and changes nothing, if there is no room.
+    pub fn resize(&self, lease: &mut BufferLease, bytes: usize) -> bool {
+        if bytes == lease.bytes {
+            return true;
+        }
+        let others = self.used_bytes() - lease.bytes;
+        if bytes > lease.bytes && others + bytes > self.budget.load(Ordering::Relaxed) {
+            return false;
+        }
+        self.used_bytes.store(others + bytes, Ordering::Relaxed);
+        lease.bytes = bytes;
+        true
+    }
+
     /// Reads a body to its end.
     ///
     /// # Errors
@@ -49,7 +95,7 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let mut lease = BufferLease { buffer: self, bytes: 0 };
+        let mut lease = self.lease();
         let mut collected = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(BufferError::Failed)?.into_data() else {
@@ -59,31 +105,27 @@
             if length > BODY_LIMIT_BYTES {
                 return Err(BufferError::TooLong);
             }
-            if !lease.extend_to(length.saturating_sub(FREE_BODY_BYTES)) {
+            if !self.resize(&mut lease, length.saturating_sub(FREE_BODY_BYTES)) {
                 return Err(BufferError::OverBudget);
             }
             collected.extend_from_slice(&data);
         }
-        Ok(collected.freeze())
+        if lease.bytes == 0 {
+            return Ok(collected.freeze());
+        }
+        Ok(Bytes::from_owner(LeasedBody { bytes: collected, _lease: lease }))
     }
 }
 
-impl BufferLease<'_> {
-    /// Takes as much of the budget as is missing to `bytes`; returns whether there was enough.
-    fn extend_to(&mut self, bytes: usize) -> bool {
-        let used = self.buffer.used_bytes.get() + bytes.saturating_sub(self.bytes);
-        if used > BUFFER_BUDGET_BYTES {
-            return false;
-        }
-        self.buffer.used_bytes.set(used);
-        self.bytes = self.bytes.max(bytes);
-        true
+impl Drop for BufferLease {
+    fn drop(&mut self) {
+        self.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
-impl Drop for BufferLease<'_> {
-    fn drop(&mut self) {
-        self.buffer.used_bytes.set(self.buffer.used_bytes.get() - self.bytes);
+impl AsRef<[u8]> for LeasedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -35,6 +35,9 @@
 /// Minimum and maximum length of the accept queue.
 const ACCEPT_QUEUE_RANGE: (f64, f64) = (32.0, 1024.0);
 
+/// Size of a connection's receive buffer, in bytes. What a caller sends beyond it waits at the caller.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Time for which connections are read on after the last one was accepted, since requests may have
 /// arrived that were not read yet.
 const UNREAD_REQUEST_TIME: Duration = Duration::from_millis(50);
@@ -83,6 +86,8 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // Lets a restarted router bind its address immediately, as `TcpListener::bind` does.
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(backlog)
 }
@@ -140,10 +145,12 @@
     let idle_timeout = limits.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.as_ref().map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let stream = CallerStream::new(stream);
+    let guard = state.callers.add();
     let (service_state, caller) = (Rc::clone(&state), stream.clone());
+    let served = guard.served().clone();
     let service = service_fn(move |request| {
-        let (state, caller) = (Rc::clone(&service_state), caller.clone());
-        async move { Ok::<_, Infallible>(serve_request(state, &caller, request).await) }
+        let (state, caller, served) = (Rc::clone(&service_state), caller.clone(), served.clone());
+        async move { Ok::<_, Infallible>(serve_request(state, &caller, &served, request).await) }
     });
     let mut builder = http1::Builder::new();
     // The header timer starts at the end of the previous response, so it also limits idle time.
@@ -154,9 +161,14 @@
         .keep_alive(state.keeps_connections());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let guard = state.callers.add();
     let result = tokio::select! {
+        // A connection that is to be closed is also asked to drain.
+        biased;
         result = connection.as_mut() => result,
+        () = guard.wait_close() => {
+            state.metrics.connections_closed.inc();
+            return;
+        }
         () = guard.wait_drain() => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -212,6 +212,9 @@
     levels.set(&[("of", "streams_known")], router.stream_count() as i64);
     levels.set(&[("of", "runs")], router.run_count() as i64);
     levels.set(&[("of", "routers_heard")], router.peer_count() as i64);
+    levels.set(&[("of", "caller_connections")], state.callers.open_count() as i64);
+    levels.set(&[("of", "request_body_bytes")], state.request_bodies.used_bytes() as i64);
+    levels.set(&[("of", "response_body_bytes")], state.body_buffer.used_bytes() as i64);
     levels.set(&[("of", "lag_ms")], state.lag().as_millis() as i64);
     levels.set(&[("of", "log_lines_dropped")], LogBuffer::shared().dropped_lines() as i64);
 }
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -68,6 +68,10 @@
     pub first_byte: HistogramFamily,
     /// Time from receipt of a request to the end of its response, in seconds, by route.
     pub complete_response: HistogramFamily,
+    /// Bodies of requests that gave way to others.
+    pub bodies_evicted: Counter,
+    /// Connections of callers that were closed because there were too many.
+    pub connections_closed: Counter,
     /// Current values: configuration version, targets, missing targets, runs, peers, scheduling lag
     /// and dropped log lines.
     pub levels: GaugeFamily,
@@ -91,6 +95,14 @@
                 "edge_stream_bindings_heard",
                 "Versions of streams told by others",
             ),
+            bodies_evicted: plain(
+                "edge_request_bodies_evicted",
+                "Bodies of requests that gave way to others",
+            ),
+            connections_closed: plain(
+                "edge_caller_connections_closed",
+                "Connections of callers closed because there were too many",
+            ),
             bindings_repaired: plain(
                 "edge_stream_bindings_repaired",
                 "Versions of streams told to routers that took over from others",
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -8,7 +8,7 @@
 use jackdaw_base::{MonotonicTime, ProcessIncarnation, VmId};
 use jackdaw_policy::direct::{
     ColdNotice, ColdTolerance, CrashNotice, DirectPolicy, DirectRouter, EvacuationEffect,
-    LimitStatement, OverloadDetector, ShedAction, StreamBinding, TargetEntry, TargetId,
+    LimitStatement, MemoryPlan, OverloadDetector, ShedAction, StreamBinding, TargetEntry, TargetId,
 };
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
@@ -16,9 +16,11 @@
 use crate::body_buffer::BodyBuffer;
 use crate::caller_connections::CallerConnections;
 use crate::crash_check::CrashChecks;
+use crate::delivery::DeliveryCount;
 use crate::edge_metrics::EdgeMetrics;
 use crate::finding_store::FindingStore;
 use crate::log_text::format_digests;
+use crate::request_body::RequestBodies;
 use crate::stream_exchange::StreamExchange;
 use crate::target_pool::TargetPool;
 
@@ -56,6 +58,10 @@
     pub pool: TargetPool,
     /// Budget for response bodies that are buffered.
     pub body_buffer: BodyBuffer,
+    /// Bodies of requests, and the memory for them.
+    pub request_bodies: RequestBodies,
+    /// Requests whose responses have not been written completely.
+    pub deliveries: DeliveryCount,
     /// Checks whether targets crashed.
     pub crash_checks: CrashChecks,
     /// Findings on crashes in the store.
@@ -79,10 +85,13 @@
     pub fn new(settings: EdgeSettings) -> Rc<EdgeState> {
         let policy = direct_policy(&settings);
         let router = DirectRouter::new(policy, ProcessIncarnation::random());
-        Rc::new(EdgeState {
+        let plan = MemoryPlan::new(settings.memory_bytes);
+        let state = EdgeState {
             metrics: EdgeMetrics::register(),
             pool: TargetPool::default(),
             body_buffer: BodyBuffer::default(),
+            request_bodies: RequestBodies::new(plan.request_bytes),
+            deliveries: DeliveryCount::default(),
             crash_checks: CrashChecks::default(),
             findings: FindingStore::default(),
             streams: OnceCell::new(),
@@ -95,7 +104,15 @@
             open_requests: Cell::new(0),
             origin: Instant::now(),
             settings: RefCell::new(Rc::new(settings)),
-        })
+        };
+        state.apply_memory_plan(&plan);
+        Rc::new(state)
+    }
+
+    fn apply_memory_plan(&self, plan: &MemoryPlan) {
+        self.request_bodies.set_capacity(plan.request_bytes);
+        self.body_buffer.set_budget(plan.response_bytes);
+        self.callers.set_memory_limit(plan.connections);
     }
 
     /// Returns the current settings.
@@ -108,6 +125,7 @@
     pub fn reload(&self, mut settings: EdgeSettings) -> Vec<&'static str> {
         let fixed = settings.revert_restart_only(&self.settings());
         self.callers.set_limit(settings.descriptors);
+        self.apply_memory_plan(&MemoryPlan::new(settings.memory_bytes));
         self.router().set_policy(direct_policy(&settings));
         self.settings.replace(Rc::new(settings));
         fixed
--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -37,7 +37,7 @@
 
     /// Discards the buffered partial event; used after a stream failed.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
     }
 
     /// Returns whether the buffered part of an event is over the limit, so that the stream must not be
@@ -46,6 +46,11 @@
         self.partial.len() > EVENT_LIMIT_BYTES
     }
 
+    /// Returns the bytes of memory that the buffered part of an event takes.
+    pub fn buffered_bytes(&self) -> usize {
+        if self.partial.is_empty() { 0 } else { self.partial.capacity() }
+    }
+
     /// Returns whether the bytes end inside an event.
     pub fn is_inside_event(&self) -> bool {
         self.partial.iter().any(|byte| !matches!(byte, b'\n' | b'\r'))
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -3,10 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, header, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use jackdaw_base::ErrorKind;
 use jackdaw_platform::{RequestHead, ResponseHead};
@@ -14,8 +12,10 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::caller_stream::CallerStream;
+use crate::delivery::{DeliveryCount, DeliveryGuard};
 use crate::edge_state::{EdgeStage, EdgeState};
 use crate::local_response::LocalResponse;
+use crate::request_body::{BodyFault, read_body};
 use crate::request_context::{AdmittedRequest, RequestContext, RequestCustomer};
 use crate::response_relay::{ResponseBody, ResponseRelay};
 use crate::target_send::{TargetResponse, obtain_response};
@@ -32,6 +32,7 @@
 pub async fn serve_request(
     state: Rc<EdgeState>,
     caller: &CallerStream,
+    served: &DeliveryCount,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let received = Instant::now();
@@ -47,12 +48,16 @@
     };
     let id = head.id.clone();
     let mut response = match admit(&state, parts, head, body, received).await {
-        Ok(context) => respond(&context, caller).await,
+        Ok(context) => {
+            let delivery = DeliveryGuard::new(served, &state.deliveries);
+            respond(&context, caller, delivery).await
+        }
         Err(refusal) => {
             log::info!(
                 request:% = id,
                 outcome = refusal.kind.slug(),
                 status = refusal.kind.status(),
+                detail = refusal.detail,
                 config = state.router().config_version(),
                 lag_ms = state.lag().as_millis() as u64;
                 "request refused before target selection"
@@ -103,19 +108,21 @@
     // The caller's deadline also covers the time that the request waited to be read.
     let received = received.checked_sub(lag).unwrap_or(received);
     let outcome = tokio::select! {
-        outcome = tokio::time::timeout(time_limit, read_body(body, limit)) => outcome,
+        outcome = tokio::time::timeout(time_limit, read_body(state, body, limit)) => outcome,
         () = state.wait_stage(EdgeStage::Exiting) => return Err(stopping_response()),
     };
     let body = outcome.map_err(|_| {
         LocalResponse::new(ErrorKind::DeadlineUnreachable, "the body did not come in time")
-    })??;
+    })?;
+    let body = body.map_err(body_refusal)?;
     if !state.may_begin(received + time_limit) {
         return Err(stopping_response());
     }
-    let fingerprint = fingerprint(customer.as_ref(), &parts, &body);
+    let fingerprint = fingerprint(customer.as_ref(), &parts, &body.bytes);
     let request = AdmittedRequest {
         parts,
-        body,
+        body: body.bytes,
+        _body_lease: body.lease,
         head,
         route: route.clone(),
         service: service.to_owned(),
@@ -156,13 +163,18 @@
     }))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, LocalResponse> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(LocalResponse::new(ErrorKind::TooLarge, "the body is over the limit"))
+/// Returns the response to a request whose body was not read.
+fn body_refusal(fault: BodyFault) -> LocalResponse {
+    match fault {
+        BodyFault::TooLarge => {
+            LocalResponse::new(ErrorKind::TooLarge, "the body is over the limit")
         }
-        Err(_) => Err(LocalResponse::new(ErrorKind::Malformed, "the body broke off")),
+        BodyFault::Broken => LocalResponse::new(ErrorKind::Malformed, "the body broke off"),
+        BodyFault::NoRoom => LocalResponse {
+            kind: ErrorKind::NotReady,
+            detail: "bodies of other requests fill the memory",
+            retry_after: OVERLOAD_RETRY,
+        },
     }
 }
 
@@ -178,7 +190,11 @@
 }
 
 /// Forwards an admitted request to targets and builds the response to its caller.
-async fn respond(context: &RequestContext, caller: &CallerStream) -> Response<ResponseBody> {
+async fn respond(
+    context: &RequestContext,
+    caller: &CallerStream,
+    delivery: DeliveryGuard,
+) -> Response<ResponseBody> {
     // Lets the connection first detect that its caller left while the request waited unread.
     tokio::task::yield_now().await;
     if context.inner.state.is_behind() && caller.has_closed() {
@@ -201,10 +217,10 @@
         Ok(TargetResponse::Complete(parts, body)) => {
             context.record_bytes();
             context.finish("answered", parts.status.as_u16());
-            build_response(&parts, ResponseBody::complete(body))
+            build_response(&parts, ResponseBody::complete(delivery.attach(body)))
         }
         Ok(TargetResponse::Stream(parts, source)) => {
-            let relay = ResponseRelay::new(context.clone(), source, caller);
+            let relay = ResponseRelay::new(context.clone(), source, caller, delivery);
             build_response(&parts, ResponseBody::Relay(Box::new(relay)))
         }
         Err(failure) => {
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -16,6 +16,7 @@
 use crate::edge_state::{EdgeState, OpenRequest};
 use crate::local_response::LocalResponse;
 use crate::log_text::format_digests;
+use crate::request_body::BodyLease;
 
 /// Limit of sends per request that no target ran, including failed connection attempts.
 const MAX_UNRUN_SENDS: u32 = 3;
@@ -32,6 +33,8 @@
     pub(crate) parts: Parts,
     /// The complete body.
     pub(crate) body: Bytes,
+    /// The memory that the body takes.
+    pub(crate) _body_lease: Option<BodyLease>,
     /// The fields parsed from the head.
     pub(crate) head: RequestHead,
     /// The route that matched host and path.
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -12,7 +12,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
+use crate::body_buffer::BufferLease;
 use crate::caller_stream::CallerStream;
+use crate::delivery::DeliveryGuard;
 use crate::event_framer::EventFramer;
 use crate::log_text::format_error;
 use crate::read_meter::MeteredBody;
@@ -20,6 +22,9 @@
 use crate::run_guard::RunGuard;
 use crate::target_send::resume_stream;
 
+/// Size up to which the beginning of an event is buffered whatever other streams hold, in bytes.
+const FREE_EVENT_BYTES: usize = 16 * 1024;
+
 /// Time after the deadline of a stream at which the connection of a caller that does not read is ended.
 const UNREAD_MARGIN: Duration = Duration::from_millis(200);
 
@@ -46,11 +51,14 @@
     context: RequestContext,
     phase: RelayPhase,
     framer: EventFramer,
+    /// Memory of an event that is not complete.
+    event_lease: BufferLease,
     /// Whether an event was forwarded.
     has_events: bool,
     deadline: Pin<Box<Sleep>>,
     /// Ends the connection of a caller that does not read.
     watchdog: AbortHandle,
+    _delivery: DeliveryGuard,
 }
 
 /// The part of a stream that comes from one target.
@@ -84,16 +92,20 @@
         context: RequestContext,
         source: RelaySource,
         caller: &CallerStream,
+        delivery: DeliveryGuard,
     ) -> ResponseRelay {
         let deadline = Box::pin(tokio::time::sleep_until(context.deadline_at()));
         let watchdog = tokio::task::spawn_local(end_unread(context.clone(), caller.clone()));
+        let event_lease = context.inner.state.body_buffer.lease();
         ResponseRelay {
             context,
             phase: RelayPhase::Streaming(source),
             framer: EventFramer::default(),
+            event_lease,
             has_events: false,
             deadline,
             watchdog: watchdog.abort_handle(),
+            _delivery: delivery,
         }
     }
 
@@ -142,6 +154,10 @@
                     self.interrupt("an event is over the limit");
                     return None;
                 }
+                if !self.lease_event() {
+                    self.interrupt("unfinished events of other streams fill the buffer");
+                    return None;
+                }
                 if !events.is_empty() && !std::mem::replace(&mut self.has_events, true) {
                     self.context.bind_version();
                 }
@@ -173,6 +189,12 @@
         }
     }
 
+    /// Takes the memory of the event that is not complete; returns whether there is any left.
+    fn lease_event(&mut self) -> bool {
+        let bytes = self.framer.buffered_bytes().saturating_sub(FREE_EVENT_BYTES);
+        self.context.inner.state.body_buffer.resize(&mut self.event_lease, bytes)
+    }
+
     /// Returns whether there has been no event of a stream whose end only its connection marks. A
     /// target that crashes before its first event leaves the same bytes.
     fn lacks_events(&self) -> bool {
@@ -189,6 +211,7 @@
             source.guard.end(RunOutcome::Broken);
         }
         self.framer.discard_partial();
+        self.event_lease = self.context.inner.state.body_buffer.lease();
         self.context.log_interruption(reason);
         let resumption = resume_stream(self.context.clone(), self.framer.last_id());
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -11,12 +11,14 @@
 //! them; `customers`, `targets`, `streams` and `crashes` build on it; `placement` and `direct_router`
 //! decide with all of them.
 
+pub mod body_pool;
 pub mod crashes;
 pub mod customers;
 pub mod direct_router;
 pub mod fleet;
 pub mod fleet_config;
 pub mod home_rule;
+pub mod memory_plan;
 pub mod placement;
 pub mod prompt_shape;
 pub mod request_rate;
@@ -26,6 +28,7 @@
 pub mod target_id;
 pub mod targets;
 
+pub use body_pool::{BodyId, BodyPool, PoolGrant};
 pub use crashes::crash_ledger::{
     CauseChange, CrashCause, CrashFinding, CrashLedger, CrashVerdict, LedgerPosition,
     RequestCauses, RunPhase, SuspectRun,
@@ -54,6 +57,7 @@
     ServiceConfig, ServiceWeight,
 };
 pub use home_rule::{DomainRegions, HomeRule};
+pub use memory_plan::MemoryPlan;
 pub use placement::{Placement, PlacementRequest, RefusalReason};
 pub use prompt_shape::{PromptPart, PromptShape};
 pub use request_rate::RequestRate;
--- /dev/null
+++ b/crates/jackdaw-policy/src/direct/memory_plan.rs
@@ -0,0 +1,41 @@
+//! Divides the memory of a router between callers and targets.
+
+/// Memory of a router without callers, with its tables of a large fleet, in bytes.
+const BASE_BYTES: usize = 30 * 1024 * 1024;
+
+/// Least memory that is divided, in bytes.
+const MIN_DIVIDED_BYTES: usize = 16 * 1024 * 1024;
+
+/// Memory that an open connection of a caller takes, in bytes: its buffers for a head of the usual limit
+/// and for writing, a body up to the size that is read without a lease, the state of the HTTP server, and
+/// what its socket holds unread.
+const CONNECTION_BYTES: usize = 64 * 1024;
+
+/// Parts of the divided memory for bodies of requests, for responses and unfinished events, and for
+/// connections. The rest is left for what the allocator cannot reuse at once.
+const REQUEST_PART: f64 = 0.25;
+const RESPONSE_PART: f64 = 0.25;
+const CONNECTION_PART: f64 = 0.4;
+
+/// What callers and targets may take of a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryPlan {
+    /// Bytes for bodies of requests.
+    pub request_bytes: usize,
+    /// Bytes for bodies of responses, and for events that are not complete.
+    pub response_bytes: usize,
+    /// Number of open connections of callers.
+    pub connections: usize,
+}
+
+impl MemoryPlan {
+    /// Divides the memory of a process that may use `memory` bytes.
+    pub fn new(memory: usize) -> MemoryPlan {
+        let divided = memory.saturating_sub(BASE_BYTES).max(MIN_DIVIDED_BYTES) as f64;
+        MemoryPlan {
+            request_bytes: (divided * REQUEST_PART) as usize,
+            response_bytes: (divided * RESPONSE_PART) as usize,
+            connections: (divided * CONNECTION_PART) as usize / CONNECTION_BYTES,
+        }
+    }
+}
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a router that sends requests directly to targets.
 
 mod binding_repair;
+mod body_pool;
 mod cache_copies;
 mod cold_targets;
 mod common;
