Allow twice as many connections for the same memory

64 KB for a connection counted what its socket may hold unread as well, which no single moment sees on all of them. Bodies that are read without a lease are bounded by 8 KB instead of 16 KB in turn.

--- a/crates/jackdaw-edge/src/request_body.rs
+++ b/crates/jackdaw-edge/src/request_body.rs
@@ -17,7 +17,7 @@
 
 /// Size up to which a body is read without a lease, in bytes: it counts as a part of what its connection
 /// takes.
-const FREE_BODY_BYTES: usize = 16 * 1024;
+const FREE_BODY_BYTES: usize = 8 * 1024;
 
 /// Step in which the lease of a body grows that does not announce its length, in bytes.
 const LEASE_STEP_BYTES: usize = 64 * 1024;
--- a/crates/jackdaw-policy/src/direct/memory_plan.rs
+++ b/crates/jackdaw-policy/src/direct/memory_plan.rs
@@ -6,10 +6,9 @@
 /// Least memory that is divided, in bytes.
 const MIN_DIVIDED_BYTES: usize = 16 * 1024 * 1024;
 
-/// Memory that an open connection of a caller takes, in bytes: its buffers for a head of the usual limit
-/// and for writing, a body up to the size that is read without a lease, the state of the HTTP server, and
-/// what its socket holds unread.
-const CONNECTION_BYTES: usize = 64 * 1024;
+/// Memory that an open connection of a caller takes, in bytes: a buffer for a head of the usual limit, a
+/// body up to the size that is read without a lease, and the state of the HTTP server.
+const CONNECTION_BYTES: usize = 32 * 1024;
 
 /// Parts of the divided memory for bodies of requests, for responses and unfinished events, and for
 /// connections. The rest is left for what the allocator cannot reuse at once.
