Wait in a planned stop until callers have read their answers

Cause: requests in progress ended with their answer handed to the HTTP server, not with its delivery.

Evidence: stop_waits_for_answers_that_are_being_read fails without the change: the daemon had closed while the caller had 7 MB to read.

Change: answers are counted until the socket has taken their last byte, and a stop waits for them as for requests, up to the same limit.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -167,6 +167,7 @@
         result = connection.as_mut() => result,
         () = guard.wait_close() => {
             state.metrics.connections_closed.inc();
+            log::info!(open = state.callers.open_count(); "too many caller connections; closing an unused one");
             return;
         }
         () = guard.wait_drain() => {
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -135,10 +135,10 @@
         tokio::time::sleep(accepting).await;
         state.enter_stage(EdgeStage::Closing);
         self.callers.close().await;
-        while state.open_requests() > 0 && started.elapsed() < limit {
+        while state.unfinished_requests() > 0 && started.elapsed() < limit {
             tokio::time::sleep(DRAIN_POLL).await;
         }
-        let cut_requests = state.open_requests();
+        let cut_requests = state.unfinished_requests();
         if cut_requests > 0 {
             state.enter_stage(EdgeStage::Exiting);
             tokio::time::sleep(LAST_RESPONSE_TIME).await;
@@ -149,7 +149,7 @@
         tokio::time::sleep(DRAIN_POLL).await;
         log::info!(
             cut_requests,
-            cut_streams = state.open_requests(),
+            cut_responses = state.unfinished_requests(),
             seconds = started.elapsed().as_secs_f64();
             "edge router stopped"
         );
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -388,6 +388,14 @@
         self.open_requests.get()
     }
 
+    /// Returns the number of requests that are in progress, or whose responses have not been written
+    /// completely.
+    pub fn unfinished_requests(&self) -> usize {
+        // Requests that are being read count for the first, responses that are being written for the
+        // second, most for both.
+        self.open_requests().max(self.deliveries.get())
+    }
+
     /// Counts a request as in progress until the returned guard is dropped.
     pub fn track_request(self: &Rc<EdgeState>) -> OpenRequest {
         self.open_requests.set(self.open_requests.get() + 1);
