Limit unfinished requests by memory instead of all connections

A limit on hostile clients must not meet ordinary ones.

Cause: an idle connection takes little; what takes memory is the head and the body of a request that does not end.

Change: a connection counts from the first byte of a request until that is read or refused. Above the limit, the oldest unfinished one is closed. Descriptors limit all connections as before.

--- a/crates/jackdaw-edge/src/caller_connections.rs
+++ b/crates/jackdaw-edge/src/caller_connections.rs
@@ -1,8 +1,10 @@
 //! Limits caller connections by the process's file descriptors and memory.
 //!
 //! Callers may leave a connection idle for a long time and open a new one for each retry, or never
-//! finish a request. Above the limit, the oldest connection on which no request is served is closed; if
-//! there is none, the oldest one is drained: it closes after its current response.
+//! finish a request. Above the limit by descriptors, the oldest connection on which no request is served is
+//! closed; if there is none, the oldest one is drained: it closes after its current response. Memory limits
+//! the connections on which a request has begun and is not complete: above that, the oldest of them is
+//! closed.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -24,8 +26,10 @@
 pub struct CallerConnections {
     /// Limit by descriptors.
     limit: Cell<usize>,
-    /// Limit by memory.
-    memory_limit: Cell<usize>,
+    /// Limit of connections with an unfinished request, by memory.
+    unfinished_limit: Cell<usize>,
+    /// Connections with an unfinished request.
+    unfinished: Rc<Cell<usize>>,
     open: Rc<Cell<usize>>,
     /// Signals of the connections, oldest first.
     by_age: RefCell<VecDeque<Weak<ConnectionSignals>>>,
@@ -40,6 +44,8 @@
     close: Notify,
     /// Requests of the connection that are served.
     served: DeliveryCount,
+    /// Whether a request has begun that is not complete.
+    is_unfinished: Cell<bool>,
 }
 
 /// Guard that counts one connection as open until it is dropped.
@@ -47,6 +53,7 @@
 pub struct CallerGuard {
     signals: Rc<ConnectionSignals>,
     open: Rc<Cell<usize>>,
+    unfinished: Rc<Cell<usize>>,
 }
 
 impl CallerConnections {
@@ -54,7 +61,8 @@
     pub fn new(descriptors: usize) -> CallerConnections {
         let connections = CallerConnections {
             limit: Cell::new(0),
-            memory_limit: Cell::new(usize::MAX),
+            unfinished_limit: Cell::new(usize::MAX),
+            unfinished: Rc::default(),
             open: Rc::default(),
             by_age: RefCell::default(),
         };
@@ -67,31 +75,44 @@
         self.limit.set((descriptors as f64 * CALLER_FRACTION) as usize);
     }
 
-    /// Sets the number of connections that the memory of the process allows.
-    pub fn set_memory_limit(&self, connections: usize) {
-        self.memory_limit.set(connections);
+    /// Sets the number of connections with unfinished requests that the memory of the process allows.
+    pub fn set_unfinished_limit(&self, connections: usize) {
+        self.unfinished_limit.set(connections);
     }
 
     /// Adds a connection. Above the limit, an older connection is closed or drained.
     pub fn add(&self) -> CallerGuard {
         let signals = Rc::new(ConnectionSignals::default());
-        if self.open.get() >= self.limit.get().min(self.memory_limit.get()) && !self.close_unused()
-        {
+        let is_unused = |signals: &ConnectionSignals| signals.served.get() == 0;
+        if self.open.get() >= self.limit.get() && !self.close_oldest(is_unused) {
             self.drain(1);
         }
         self.by_age.borrow_mut().push_back(Rc::downgrade(&signals));
         self.open.set(self.open.get() + 1);
         self.prune_closed();
-        CallerGuard { signals, open: Rc::clone(&self.open) }
+        let (open, unfinished) = (Rc::clone(&self.open), Rc::clone(&self.unfinished));
+        CallerGuard { signals, open, unfinished }
     }
 
-    /// Closes the oldest connection on which no request is served; returns whether there was one.
-    fn close_unused(&self) -> bool {
+    /// Records that a request may have begun on a connection. Above the limit, the oldest connection with
+    /// an unfinished request is closed.
+    pub fn begin_request(&self, guard: &CallerGuard) {
+        if guard.signals.served.get() > 0 || guard.signals.is_unfinished.replace(true) {
+            return;
+        }
+        self.unfinished.set(self.unfinished.get() + 1);
+        if self.unfinished.get() > self.unfinished_limit.get() {
+            self.close_oldest(|signals| signals.is_unfinished.get());
+        }
+    }
+
+    /// Closes the oldest connection that meets a condition; returns whether there was one.
+    fn close_oldest(&self, condition: impl Fn(&ConnectionSignals) -> bool) -> bool {
         let mut by_age = self.by_age.borrow_mut();
-        let is_unused = |connection: &Weak<ConnectionSignals>| {
-            connection.upgrade().is_some_and(|signals| signals.served.get() == 0)
+        let meets = |connection: &Weak<ConnectionSignals>| {
+            connection.upgrade().is_some_and(|signals| condition(&signals))
         };
-        let position = by_age.iter().position(is_unused);
+        let position = by_age.iter().position(meets);
         let signals = position.and_then(|position| by_age.remove(position)?.upgrade());
         let Some(signals) = signals else {
             return false;
@@ -150,6 +171,13 @@
         self.signals.close.notified().await;
     }
 
+    /// Records that the request that had begun is complete, or was refused.
+    pub fn end_request(&self) {
+        if self.signals.is_unfinished.replace(false) {
+            self.unfinished.set(self.unfinished.get() - 1);
+        }
+    }
+
     /// Returns the count of the connection's requests that are served.
     pub fn served(&self) -> &DeliveryCount {
         &self.signals.served
@@ -158,6 +186,7 @@
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
+        self.end_request();
         self.open.set(self.open.get() - 1);
     }
 }
--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -144,13 +144,12 @@
     let limits = state.router().table().map(|table| table.config().limits.clone());
     let idle_timeout = limits.as_ref().map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let header_bytes = limits.as_ref().map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
-    let stream = CallerStream::new(stream);
-    let guard = state.callers.add();
+    let stream = CallerStream::new(&state, stream);
+    let guard = Rc::clone(stream.guard());
     let (service_state, caller) = (Rc::clone(&state), stream.clone());
-    let served = guard.served().clone();
     let service = service_fn(move |request| {
-        let (state, caller, served) = (Rc::clone(&service_state), caller.clone(), served.clone());
-        async move { Ok::<_, Infallible>(serve_request(state, &caller, &served, request).await) }
+        let (state, caller) = (Rc::clone(&service_state), caller.clone());
+        async move { Ok::<_, Infallible>(serve_request(state, &caller, request).await) }
     });
     let mut builder = http1::Builder::new();
     // The header timer starts at the end of the previous response, so it also limits idle time.
--- a/crates/jackdaw-edge/src/caller_stream.rs
+++ b/crates/jackdaw-edge/src/caller_stream.rs
@@ -11,16 +11,27 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_connections::CallerGuard;
+use crate::edge_state::EdgeState;
+
 /// A caller's TCP connection; clones share the socket.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct CallerStream {
     stream: Rc<TcpStream>,
+    state: Rc<EdgeState>,
+    guard: Rc<CallerGuard>,
 }
 
 impl CallerStream {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> CallerStream {
-        CallerStream { stream: Rc::new(stream) }
+    /// Wraps an accepted connection, and counts it among those of `state`.
+    pub fn new(state: &Rc<EdgeState>, stream: TcpStream) -> CallerStream {
+        let guard = Rc::new(state.callers.add());
+        CallerStream { stream: Rc::new(stream), state: Rc::clone(state), guard }
+    }
+
+    /// Returns the guard that counts the connection.
+    pub fn guard(&self) -> &Rc<CallerGuard> {
+        &self.guard
     }
 
     /// Ends the connection in both directions, also while a write waits for the caller to read.
@@ -52,7 +63,12 @@
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                outcome => return Poll::Ready(outcome.map(|_| ())),
+                outcome => {
+                    if matches!(outcome, Ok(1..)) {
+                        self.state.callers.begin_request(&self.guard);
+                    }
+                    return Poll::Ready(outcome.map(|_| ()));
+                }
             }
         }
     }
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -112,7 +112,7 @@
     fn apply_memory_plan(&self, plan: &MemoryPlan) {
         self.request_bodies.set_capacity(plan.request_bytes);
         self.body_buffer.set_budget(plan.response_bytes);
-        self.callers.set_memory_limit(plan.connections);
+        self.callers.set_unfinished_limit(plan.unfinished_requests);
     }
 
     /// Returns the current settings.
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::caller_stream::CallerStream;
-use crate::delivery::{DeliveryCount, DeliveryGuard};
+use crate::delivery::DeliveryGuard;
 use crate::edge_state::{EdgeStage, EdgeState};
 use crate::local_response::LocalResponse;
 use crate::request_body::{BodyFault, read_body};
@@ -32,7 +32,6 @@
 pub async fn serve_request(
     state: Rc<EdgeState>,
     caller: &CallerStream,
-    served: &DeliveryCount,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let received = Instant::now();
@@ -47,9 +46,11 @@
         }
     };
     let id = head.id.clone();
-    let mut response = match admit(&state, parts, head, body, received).await {
+    let admitted = admit(&state, parts, head, body, received).await;
+    caller.guard().end_request();
+    let mut response = match admitted {
         Ok(context) => {
-            let delivery = DeliveryGuard::new(served, &state.deliveries);
+            let delivery = DeliveryGuard::new(caller.guard().served(), &state.deliveries);
             respond(&context, caller, delivery).await
         }
         Err(refusal) => {
--- a/crates/jackdaw-edge/tests/edge/connection_limit.rs
+++ b/crates/jackdaw-edge/tests/edge/connection_limit.rs
@@ -49,3 +49,34 @@
         assert!((1..100).contains(&count), "{count}");
     });
 }
+
+/// Callers that are idle between requests do not count, and those that finish their requests stay.
+#[test]
+fn oldest_unfinished_request_gives_way() {
+    block_on(async {
+        let connections = CallerConnections::new(1000);
+        connections.set_unfinished_limit(3);
+        let guards: Vec<_> = (0..10).map(|_| connections.add()).collect();
+        for guard in &guards {
+            connections.begin_request(guard);
+            guard.end_request();
+        }
+        assert!(closed(&guards).await.is_empty(), "all requests are complete");
+        for guard in &guards[2..7] {
+            connections.begin_request(guard);
+            connections.begin_request(guard);
+        }
+        assert_eq!(closed(&guards).await, [2, 3]);
+    });
+}
+
+/// Returns the positions of the connections that were told to close at once.
+async fn closed(guards: &[CallerGuard]) -> Vec<usize> {
+    let mut found = Vec::new();
+    for (position, guard) in guards.iter().enumerate() {
+        if tokio::time::timeout(Duration::ZERO, guard.wait_close()).await.is_ok() {
+            found.push(position);
+        }
+    }
+    found
+}
