--- a/review/standins-2/src/cut_watches.rs
+++ b/review/standins-2/src/cut_watches.rs
@@ -62,7 +62,14 @@
         cut();
     }
     let calm = gone + SECOND_CUT + STABLE_WINDOW;
-    thread::sleep(Duration::from_secs(9));
+    // With `CUTS=regular`, no watch may wait for longer than a second from now on.
+    let is_regular = has_trouble && std::env::var("CUTS").as_deref() == Ok("regular");
+    for _ in 0..9 {
+        thread::sleep(Duration::from_secs(1));
+        if is_regular {
+            cut();
+        }
+    }
     let answers = crowd.stop();
     fleet.kill();
     write_traffic(record, &answers, &engines);
