--- a/review/standins-2/src/caller.rs
+++ b/review/standins-2/src/caller.rs
@@ -103,11 +103,27 @@
 
 /// Returns a version of that config with a route to the service named.
 pub fn plain_config_of(version: u64, service: &str) -> String {
+    large_config_of(version, service, 0)
+}
+
+/// As [`plain_config_of`], with a number of routes more.
+pub fn large_config_of(version: u64, service: &str, routes: usize) -> String {
+    // Routes as long as the longest that `fleetbench wire` shows.
+    let route = |number: usize| {
+        format!(
+            ",{{\"name\":\"r-{number:07}\",\"host\":\"{HOST}\",\"path_prefix\":\"/m{number:06}/\",\
+            \"kind\":\"streaming\",\"timeout_ms\":15000,\"target_latency_ms\":500,\"priority\":1,\
+            \"split\":[{{\"service\":\"wuno96b\",\"weight\":90}},\
+            {{\"service\":\"nimo40c\",\"weight\":10}}],\"max_attempts\":1,\"public\":false,\
+            \"sticky\":true,\"resumable\":false,\"gap_aim_ms\":300}}"
+        )
+    };
+    let more: String = (0..routes).map(route).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-3j6q5rm\",\"host\":\"{HOST}\",\
         \"path_prefix\":\"/puxa403/\",\"kind\":\"unsafe\",\"timeout_ms\":1000,\
         \"target_latency_ms\":100,\"priority\":1,\"service\":\"{service}\",\"max_attempts\":1,\
-        \"public\":false,\"sticky\":false,\"resumable\":false}}],\
+        \"public\":false,\"sticky\":false,\"resumable\":false}}{more}],\
         \"services\":[{{\"name\":\"wuno96b\",\"health_path\":\"/health\",\"max_conns\":220,\
         \"protocol\":\"h1\",\"tls\":false}},{{\"name\":\"nimo40c\",\"health_path\":\"/health\",\
         \"max_conns\":220,\"protocol\":\"h1\",\"tls\":false}}],\
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod cut_watches;
 mod engine;
 mod http;
+mod large_configs;
 mod late_crash;
 mod record;
 mod resumed_twice;
@@ -46,6 +47,7 @@
         "streams-after-kill" => streams_after_kill::play(&record, has_trouble),
         "stale-seeds" => stale_seeds::play(&record, has_trouble),
         "silent-store" => silent_store::play(&record, has_trouble),
+        "large-configs" => large_configs::play(&record, has_trouble),
         _ => Err(format!("there is no case {name}").into()),
     };
     match verdict {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -12,8 +12,12 @@
 
 use crate::http::{read_head, read_request_body, write_response};
 
-/// Entries of one page of a list.
+/// How long the store keeps its history: `history_s` of the site.
+const HISTORY: Duration = Duration::from_secs(20);
+
+/// Entries and bytes of one page of a list.
 const PAGE: usize = 500;
+const PAGE_BYTES: usize = 1024 * 1024;
 
 #[derive(Clone)]
 struct Object {
@@ -28,6 +32,10 @@
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, object and whether it was deleted.
     events: Vec<(u64, String, Vec<u8>, bool)>,
+    /// When these events were made.
+    event_times: Vec<Instant>,
+    /// Revision up to which there are no events any more.
+    history_start: u64,
     /// How often the waiting watches of a kind were cut off.
     cuts: BTreeMap<String, u64>,
     /// How often the open connections went silent.
@@ -81,6 +89,7 @@
             object.rev = state.rev;
             let event = (state.rev, kind.to_owned(), render(name, &object), true);
             state.events.push(event);
+            state.event_times.push(Instant::now());
             self.shared.changed.notify_all();
         }
         Instant::now()
@@ -105,6 +114,16 @@
 }
 
 impl State {
+    /// Drops the history that is too old.
+    fn forget(&mut self) {
+        let old = self.event_times.iter().take_while(|time| time.elapsed() > HISTORY).count();
+        if old > 0 {
+            self.history_start = self.events[old - 1].0;
+            self.events.drain(..old);
+            self.event_times.drain(..old);
+        }
+    }
+
     fn write(&mut self, kind: &str, name: &str, spec: &[u8]) -> Vec<u8> {
         let key = (kind.to_owned(), name.to_owned());
         let known = self.objects.get(&key).cloned();
@@ -116,6 +135,7 @@
         let object = Object { rev: self.rev, created, spec: spec.to_vec() };
         let bytes = render(name, &object);
         self.events.push((self.rev, kind.to_owned(), bytes.clone(), false));
+        self.event_times.push(Instant::now());
         self.objects.insert(key, object);
         bytes
     }
@@ -148,11 +168,13 @@
             pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
         };
         let (status, answer) = match head.word(0) {
+            _ if kind.is_empty() => ("404 Not Found", b"{}".to_vec()),
             "GET" => match parameter("watch").and_then(|text| text.parse().ok()) {
                 Some(after) => {
                     let wait = parameter("wait_ms").and_then(|text| text.parse().ok());
                     let wait = Duration::from_millis(wait.unwrap_or(0));
                     match watch(shared, kind, after, wait) {
+                        Some(answer) if answer.is_empty() => ("410 Gone", b"{}".to_vec()),
                         Some(answer) => ("200 OK", answer),
                         // Cut off: the connection ends without a response.
                         None => return Ok(()),
@@ -180,18 +202,29 @@
             && after.is_none_or(|after| its_name.as_str() > after)
     });
     let items: Vec<Vec<u8>> = objects.map(|((_, name), object)| render(name, object)).collect();
-    let has_more = items.len() > PAGE;
+    let mut sum = 0;
+    let fitting = items.iter().take(PAGE).take_while(|item| {
+        sum += item.len();
+        sum <= PAGE_BYTES
+    });
+    // A page has one entry at least.
+    let count = fitting.count().max(1).min(items.len());
+    let has_more = items.len() > count;
     let mut bytes = b"{\"items\":[".to_vec();
-    bytes.extend(items[..items.len().min(PAGE)].join(&b','));
+    bytes.extend(items[..count].join(&b','));
     bytes.extend(format!("],\"has_more\":{has_more},\"current_rev\":{}}}", state.rev).bytes());
     bytes
 }
 
-/// Waits for changes; `None` if the watch was cut off.
+/// Waits for changes; `None` if the watch was cut off, nothing if the history is gone.
 fn watch(shared: &Shared, kind: &str, after: u64, wait: Duration) -> Option<Vec<u8>> {
     let ends = Instant::now() + wait;
     let mut state = shared.state.lock().unwrap();
     let cuts = state.cuts.get(kind).copied();
+    state.forget();
+    if after < state.history_start {
+        return Some(Vec::new());
+    }
     let events = loop {
         let newer =
             state.events.iter().filter(|(rev, its_kind, ..)| *rev > after && its_kind == kind);
--- a/review/standins-2/src/unreadable_entry.rs
+++ b/review/standins-2/src/unreadable_entry.rs
@@ -63,10 +63,17 @@
     thread::sleep(Duration::from_secs(3));
     if has_trouble {
         let variant = std::env::var("ENTRY").unwrap_or_else(|_| UNREADABLE[0].0.to_owned());
-        let entry = UNREADABLE.iter().find(|(name, _)| *name == variant);
-        let (_, entry) = entry.ok_or("there is no such variant of the entry")?;
-        store.put("servers", "i-odd", entry);
-        record.line("another writer has written the entry i-odd, which can't be read");
+        if variant == "name" {
+            // An entry that fills a page of a list by itself, and whose name has to be escaped there.
+            let entry = format!("{{\"note\":\"{}\"}}", "x".repeat(1_048_300));
+            store.put("servers", "a writer", entry.as_bytes());
+            record.line("another writer has written an entry of 1 MB whose name holds a space");
+        } else {
+            let entry = UNREADABLE.iter().find(|(name, _)| *name == variant);
+            let (_, entry) = entry.ok_or("there is no such variant of the entry")?;
+            store.put("servers", "i-odd", entry);
+            record.line("another writer has written the entry i-odd, which can't be read");
+        }
     }
     thread::sleep(STABLE_WINDOW);
     record.line("engine i-00 is cut off from the store");
