Resume a stream at its last event after a target failed it

Cause: the retry of an error response sent the request without the event after which to go on. The event was a parameter that each call site had to pass on.

Evidence: stream_goes_on_after_a_failed_resumption failed before the change, since the third target got no Last-Event-Id.

Change: the event belongs to the request. The relay sets it when a stream breaks off, and every send reads it, so no path can leave it out.

--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -234,7 +234,7 @@
 /// Finds out what the request goes on with, if anything, and sends it to targets.
 async fn begin_response(context: &RequestContext) -> Result<TargetResponse, LocalResponse> {
     context.resolve_origin().await?;
-    obtain_response(context, None).await
+    obtain_response(context).await
 }
 
 fn build_response(parts: &response::Parts, body: ResponseBody) -> Response<ResponseBody> {
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -91,6 +91,9 @@
     pub(crate) last_version_id: Cell<Option<VersionId>>,
     /// Software versions whose targets may serve the request.
     pub(crate) version_rule: Cell<VersionRule>,
+    /// Number of the last event that the caller got in this response, after which each further target
+    /// has to go on; `None` before the first event.
+    pub(crate) resume_after: Cell<Option<u64>>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     /// Why the last selection of a target failed.
@@ -122,6 +125,7 @@
             last_version: RefCell::default(),
             last_version_id: Cell::new(None),
             version_rule: Cell::default(),
+            resume_after: Cell::new(None),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
             refusal: Cell::new(None),
@@ -200,15 +204,15 @@
         self.inner.tried.borrow_mut().push(target);
     }
 
-    /// Logs that a stream goes on at another target, after the event `after`.
-    pub(crate) fn log_resumption(&self, after: Option<u64>) {
+    /// Logs that a stream goes on at another target.
+    pub(crate) fn log_resumption(&self) {
         self.inner.state.metrics.resumptions.inc();
         log::info!(
             request:% = self.inner.request.head.id,
             target_name = self.inner.target_name(),
             target_id = self.inner.last_target.get(),
             version = self.inner.version_name(),
-            after = after.unwrap_or(0);
+            after = self.inner.resume_after.get().unwrap_or(0);
             "stream resumed at another target"
         );
     }
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -213,7 +213,8 @@
         self.framer.discard_partial();
         self.event_lease = self.context.inner.state.body_buffer.lease();
         self.context.log_interruption(reason);
-        let resumption = resume_stream(self.context.clone(), self.framer.last_id());
+        self.context.inner.resume_after.set(self.framer.last_id());
+        let resumption = resume_stream(self.context.clone());
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
     }
 
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -53,19 +53,16 @@
     NotSent(Box<Request<Full<Bytes>>>),
 }
 
-/// Resumes a stream at another target after the event `after`. Returns `None` if a retry is not
-/// allowed or fails.
-pub(crate) async fn resume_stream(
-    context: RequestContext,
-    after: Option<u64>,
-) -> Option<RelaySource> {
+/// Resumes a stream at another target after the last event that the caller got. Returns `None` if a
+/// retry is not allowed or fails.
+pub(crate) async fn resume_stream(context: RequestContext) -> Option<RelaySource> {
     context.check_crash().await;
     if !context.may_retry() {
         return None;
     }
-    match obtain_response(&context, after).await {
+    match obtain_response(&context).await {
         Ok(TargetResponse::Stream(_, source)) => {
-            context.log_resumption(after);
+            context.log_resumption();
             Some(source)
         }
         Ok(TargetResponse::Complete(parts, _)) => {
@@ -86,7 +83,6 @@
 /// The router's own response to the caller if no target responded.
 pub(crate) async fn obtain_response(
     context: &RequestContext,
-    resume_after: Option<u64>,
 ) -> Result<TargetResponse, LocalResponse> {
     loop {
         match context.place() {
@@ -99,7 +95,7 @@
             }
             Placement::Send { target, expected, prefill_tokens, cache_source } => {
                 context.record_placement(target, expected);
-                match context.send(target, prefill_tokens, cache_source, resume_after).await {
+                match context.send(target, prefill_tokens, cache_source).await {
                     SendOutcome::Answered(response) => return Ok(response),
                     SendOutcome::NotRun => context.check_unrun_sends()?,
                     SendOutcome::MayHaveRun => {
@@ -128,7 +124,6 @@
         target: TargetId,
         prefill_tokens: u64,
         cache_source: Option<TargetId>,
-        resume_after: Option<u64>,
     ) -> SendOutcome {
         let inner = &self.inner;
         let entry = inner.state.router().targets.find(target).cloned();
@@ -157,7 +152,7 @@
             cache_source: source,
             customer: inner.request.customer.as_ref().map(|customer| customer.name.as_str()),
             time_left: self.time_left(),
-            resume_after,
+            resume_after: inner.resume_after.get(),
         };
         let request =
             build_target_request(&inner.request.parts, inner.request.body.clone(), &headers);
@@ -423,7 +418,7 @@
             }
             Placement::Send { target, expected, prefill_tokens, cache_source } => {
                 self.record_placement(target, expected);
-                match Box::pin(self.send(target, prefill_tokens, cache_source, None)).await {
+                match Box::pin(self.send(target, prefill_tokens, cache_source)).await {
                     SendOutcome::Answered(response) => SendOutcome::Answered(response),
                     _ => SendOutcome::Answered(TargetResponse::Complete(parts, body)),
                 }
