Resume a stream only where the numbers of its events allow it

What callers saw: a stream whose events had no numbers broke off and was begun anew at the next target, within one answer. A target that ignored where to go on had its first events appended to those that the caller had. Both ended as complete.

Change: a stream with events but no number is not resumed. The first numbered event of a resumed run has to follow the last one, otherwise the run counts as broken and another target may go on.

--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -10,14 +10,16 @@
 pub struct EventFramer {
     partial: BytesMut,
     last_id: Option<u64>,
+    /// Whether the next event is the first of another target, which has to follow the last one.
+    is_resumed: bool,
+    is_out_of_order: bool,
 }
 
 impl EventFramer {
     /// Adds bytes and returns the buffered ones up to the end of the last complete event.
     pub fn push(&mut self, bytes: Bytes) -> Bytes {
         if self.partial.is_empty() && bytes.ends_with(b"\n\n") {
-            self.record_id(&bytes);
-            return bytes;
+            return self.accept(bytes);
         }
         // What was buffered before has no boundary, but may end with the first half of one.
         let searched = self.partial.len().saturating_sub(1);
@@ -26,8 +28,18 @@
             return Bytes::new();
         };
         let events = self.partial.split_to(searched + end).freeze();
-        self.record_id(&events);
-        events
+        self.accept(events)
+    }
+
+    /// Prepares for the events of another target, which goes on after the last event.
+    pub fn begin_resumption(&mut self) {
+        self.is_resumed = true;
+        self.is_out_of_order = false;
+    }
+
+    /// Returns whether a target that was to go on sent events that came before. They are discarded.
+    pub fn is_out_of_order(&self) -> bool {
+        self.is_out_of_order
     }
 
     /// Takes the buffered partial event; used at the regular end of a stream.
@@ -61,14 +73,30 @@
         self.last_id
     }
 
-    fn record_id(&mut self, events: &[u8]) {
-        let lines = events.rsplit(|byte| *byte == b'\n');
-        let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-        let last = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).next();
-        self.last_id = last.or(self.last_id);
+    /// Records the numbers of complete events and returns the events, or nothing if they do not follow
+    /// the last one.
+    fn accept(&mut self, events: Bytes) -> Bytes {
+        if self.is_resumed
+            && let Some(first) = event_ids(&events).next()
+        {
+            if Some(first) <= self.last_id {
+                self.is_out_of_order = true;
+                return Bytes::new();
+            }
+            self.is_resumed = false;
+        }
+        self.last_id = event_ids(&events).next_back().or(self.last_id);
+        events
     }
 }
 
+/// Returns the numbers of events, for those that have one.
+fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+}
+
 fn find_last_boundary(bytes: &[u8]) -> Option<usize> {
     bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|start| start + 2)
 }
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -125,6 +125,7 @@
                         self.context.finish("broken-midway", 200);
                         return Poll::Ready(Some(Err(RelayError::Broken)));
                     };
+                    self.framer.begin_resumption();
                     self.phase = RelayPhase::Streaming(source);
                 }
                 RelayPhase::Streaming(source) => {
@@ -154,6 +155,10 @@
                     self.interrupt("an event is over the limit");
                     return None;
                 }
+                if self.framer.is_out_of_order() {
+                    self.interrupt("the target did not go on after the last event");
+                    return None;
+                }
                 if !self.lease_event() {
                     self.interrupt("unfinished events of other streams fill the buffer");
                     return None;
@@ -213,6 +218,11 @@
         self.framer.discard_partial();
         self.event_lease = self.context.inner.state.body_buffer.lease();
         self.context.log_interruption(reason);
+        if self.has_events && self.framer.last_id().is_none() {
+            self.context.log_failed_resumption("its events have no numbers");
+            self.phase = RelayPhase::Resuming(Box::pin(std::future::ready(None)));
+            return;
+        }
         self.context.inner.resume_after.set(self.framer.last_id());
         let resumption = resume_stream(self.context.clone());
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
