Hold back requests that crash targets after some events

Cause: the second event of a response was taken for the proof that its request is sound. Broken runs with two events were no evidence, and the second event cleared what earlier crashes had shown.

Change: runs are evidence however far they got, at half the weight after eight events. Requests are cleared by complete responses only; parts also by a response that outlasts eight events, wherever it ran, so that popular parts are not held back until a stream has ended.

--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -30,7 +30,7 @@
 
 pub use body_pool::{BodyId, BodyPool, PoolGrant};
 pub use crashes::crash_ledger::{
-    CauseChange, CrashCause, CrashFinding, CrashLedger, CrashVerdict, LedgerPosition,
+    CauseChange, CrashCause, CrashFinding, CrashLedger, CrashVerdict, EARLY_EVENTS, LedgerPosition,
     RequestCauses, RunPhase, SuspectRun,
 };
 pub use customers::customer_ledger::{CustomerLedger, ShareStatus, ShareTier};
--- a/crates/jackdaw-policy/src/direct/crashes/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crashes/crash_ledger.rs
@@ -3,7 +3,9 @@
 //! A crash breaks all runs of a target, but a single request caused it, by its content or by one of
 //! its shared prompt parts. Each possible cause of each broken run gets a finding. Two rules tell
 //! the causes apart. A request that was sent although a finding was known, and that breaks at the
-//! crash of another target, makes the finding more severe; one whose response proceeds clears it.
+//! crash of another target, makes the finding more severe; one whose response is complete clears it.
+//! Parts of prompts are also cleared by a response that outlasts [`EARLY_EVENTS`], since a part acts
+//! on the beginning of the answers that follow it. A request may crash its target at any moment.
 //! Targets that fail at the same time for another reason therefore count as one crash, and a part
 //! that other requests use without a crash is cleared by them.
 //!
@@ -16,7 +18,7 @@
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,12 +27,17 @@
 /// Severity from which requests with a cause are refused.
 const REFUSAL_SEVERITY: u8 = 4;
 
-/// Severity that a crash adds for a run whose response had begun, but had no event yet: the state in
-/// which the request that causes a crash leaves its run.
-const BEGUN_SEVERITY: u8 = 2;
+/// Severity that a crash adds for the most suspicious runs. For a request, these are runs without a
+/// response or with its beginning only; for a part, which many requests share, those whose response had
+/// begun, but had no event yet.
+const HIGH_SEVERITY: u8 = 2;
 
-/// Severity that a crash adds for a run in any other state.
-const WAITING_SEVERITY: u8 = 1;
+/// Severity that a crash adds for other runs.
+const LOW_SEVERITY: u8 = 1;
+
+/// Number of times that events of a response arrive while it counts as beginning. With the 79 ms between
+/// tokens of the fleet's target that takes 0.6 s, as long as a first token may take.
+pub const EARLY_EVENTS: u32 = 8;
 
 /// Time after the last crash before a refused cause is probed with a single request. It doubles with
 /// each step of severity above [`REFUSAL_SEVERITY`].
@@ -98,6 +105,13 @@
     }
 }
 
+impl CrashCause {
+    /// Returns whether the cause is a part of prompts, not a whole request.
+    pub fn is_part(self) -> bool {
+        matches!(self, CrashCause::Part(_))
+    }
+}
+
 impl fmt::Display for CrashCause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -117,9 +131,9 @@
     Waiting,
     /// The response has begun, but its first event is not complete.
     Begun,
-    /// One event is complete.
+    /// Events arrived up to [`EARLY_EVENTS`] times.
     Answering,
-    /// The response went on after its first event.
+    /// The response went on after its beginning.
     Proceeding,
 }
 
@@ -215,8 +229,15 @@
         target: TargetId,
         runs: &[SuspectRun],
     ) -> Vec<(CrashCause, CauseChange)> {
+        // A part that a response outlasted on this target did not end it.
+        let proceeding = runs.iter().filter(|run| run.phase == RunPhase::Proceeding);
+        let outlasted: FxHashSet<CrashCause> = proceeding
+            .flat_map(|run| &run.causes)
+            .filter(|cause| cause.is_part())
+            .copied()
+            .collect();
         let findings = runs.iter().flat_map(|run| {
-            let causes = run.causes.iter();
+            let causes = run.causes.iter().filter(|cause| !outlasted.contains(cause));
             causes.map(|cause| CrashFinding {
                 cause: *cause,
                 target,
@@ -245,8 +266,8 @@
         record.change_since(was_refused).map(|change| (finding.cause, change))
     }
 
-    /// Clears the findings that were known when a run was sent whose response proceeded; returns the
-    /// causes whose standing changed.
+    /// Clears the findings on causes that a response refutes and that were known when its run was sent;
+    /// returns the causes whose standing changed.
     pub fn clear(
         &mut self,
         now: MonotonicTime,
@@ -372,7 +393,7 @@
         let findings = self.causes.get(&cause).map_or(&[][..], |record| &record.findings);
         let known = findings.iter().filter(|known| !known.is_cleared && known.position <= position);
         // The bound leaves room for what one more crash adds.
-        known.map(|known| known.severity).max().unwrap_or(0).min(u8::MAX - BEGUN_SEVERITY)
+        known.map(|known| known.severity).max().unwrap_or(0).min(u8::MAX - HIGH_SEVERITY)
     }
 
     fn make_room(&mut self) {
@@ -474,8 +495,10 @@
 /// Returns the severity that a crash adds for one cause of a run that it broke.
 fn added_severity(cause: CrashCause, run: &SuspectRun) -> u8 {
     match (cause, run.phase) {
-        // Unlike a part, the same request is hardly ever in progress at two crashes by chance.
-        (CrashCause::Request(_), _) | (CrashCause::Part(_), RunPhase::Begun) => BEGUN_SEVERITY,
-        (CrashCause::Part(_), _) => WAITING_SEVERITY,
+        // A long stream may be in progress at several crashes by chance.
+        (CrashCause::Request(_), RunPhase::Proceeding) => LOW_SEVERITY,
+        // Unlike a part, the same request hardly ever begins at two crashes by chance.
+        (CrashCause::Request(_), _) | (CrashCause::Part(_), RunPhase::Begun) => HIGH_SEVERITY,
+        (CrashCause::Part(_), _) => LOW_SEVERITY,
     }
 }
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -114,6 +114,8 @@
     /// Position of the crash ledger when the run was sent.
     position: LedgerPosition,
     phase: RunPhase,
+    /// Number of times that complete events arrived, while that determines the phase.
+    events: u32,
     prefill_tokens: u64,
     memory_tokens: u64,
     /// Tokens queued for prefill at the target when the run was sent, including its own.
@@ -334,6 +336,7 @@
             causes,
             position: self.crashes.position(),
             phase: RunPhase::Waiting,
+            events: 0,
             prefill_tokens,
             memory_tokens,
             tokens_ahead,
@@ -434,7 +437,7 @@
                 true
             }
             RunOutcome::Broken => {
-                self.broken.extend(BrokenRun::new(now, record));
+                self.broken.push(BrokenRun::new(now, record));
                 self.health.record_failure(now, target, SendFailure::Broken)
             }
         }
--- a/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/crash_tracking.rs
@@ -5,7 +5,8 @@
 use jackdaw_base::{MonotonicTime, VmId};
 
 use crate::direct::crashes::crash_ledger::{
-    CauseChange, CrashCause, CrashFinding, CrashVerdict, LedgerPosition, RunPhase, SuspectRun,
+    CauseChange, CrashCause, CrashFinding, CrashVerdict, EARLY_EVENTS, LedgerPosition,
+    RequestCauses, RunPhase, SuspectRun,
 };
 use crate::direct::direct_router::{DirectRouter, RunId, RunRecord};
 use crate::direct::target_id::TargetId;
@@ -48,7 +49,7 @@
 pub enum FindingSource {
     /// Own runs broke at a crash.
     OwnCrash,
-    /// The response to an own run proceeded.
+    /// The response to an own run was complete, or outlasted the beginning on which parts act.
     OwnAnswer,
     /// The report of another router.
     Report,
@@ -65,16 +66,11 @@
 }
 
 impl BrokenRun {
-    /// Returns the run as possible evidence; `None` if its response had proceeded, which shows that
-    /// the request does not crash targets.
-    pub(super) fn new(time: MonotonicTime, record: RunRecord) -> Option<BrokenRun> {
+    /// Returns the run as possible evidence. Nobody knows how far a response gets before its request
+    /// crashes the target, so runs count however far they got.
+    pub(super) fn new(time: MonotonicTime, record: RunRecord) -> BrokenRun {
         let RunRecord { target, causes, position, phase, .. } = record;
-        let is_suspect = phase < RunPhase::Proceeding;
-        is_suspect.then_some(BrokenRun {
-            target,
-            time,
-            run: SuspectRun { causes, position, phase },
-        })
+        BrokenRun { target, time, run: SuspectRun { causes, position, phase } }
     }
 }
 
@@ -91,15 +87,19 @@
         let Some(record) = self.runs.get_mut(&run) else {
             return;
         };
-        record.phase = match record.phase {
-            RunPhase::Waiting | RunPhase::Begun => RunPhase::Answering,
-            RunPhase::Answering => RunPhase::Proceeding,
-            RunPhase::Proceeding => return,
-        };
         if record.phase == RunPhase::Proceeding {
-            let (causes, position) = (record.causes.clone(), record.position);
-            self.clear_causes(now, &causes, position);
+            return;
+        }
+        record.events += 1;
+        if record.events <= EARLY_EVENTS {
+            record.phase = RunPhase::Answering;
+            return;
         }
+        record.phase = RunPhase::Proceeding;
+        // The rest of the response may still crash the target, which its parts have not.
+        let parts = record.causes.iter().filter(|cause| cause.is_part());
+        let (parts, position) = (parts.copied().collect::<RequestCauses>(), record.position);
+        self.clear_causes(now, &parts, position);
     }
 
     /// Records that a target cannot be reached, which excludes it for a while. If own runs broke there
@@ -181,7 +181,7 @@
         }
     }
 
-    /// Clears what was held against the causes of a run whose response proceeded.
+    /// Clears what was held against causes that the response to a run refutes.
     pub(super) fn clear_causes(
         &mut self,
         now: MonotonicTime,
