Let routers find each other through the store if their seeds are gone

Cause: routers learned of each other from the seeds, and from the reports of those that they already heard. Nothing else led to a first report.

Evidence: stream_goes_on_at_a_router_with_other_seeds and stranger_joins_a_fleet fail without the new task (no other router heard within 10 s).

Change: an object in the store names up to eight routers. Routers that watch the store read it at the price of a stale read, report to contacts that they do not hear, and add themselves while they hear fewer than three of them. The decision is in contact_list, tested with up to 100 isolated routers, with parts of a fleet and stale reads. The write of objects is shared with the findings on crashes.

--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -60,6 +60,8 @@
     pub target_changes: CounterFamily,
     /// Requests to the platform's store.
     pub store_calls: Counter,
+    /// Reports to routers that are only known from the store.
+    pub contacts_greeted: Counter,
     /// Datagrams with reports sent to other routers.
     pub reports_sent: Counter,
     /// Datagrams with reports received from other routers.
@@ -130,6 +132,10 @@
             target_changes: registry
                 .counter("edge_target_changes", "Changes of targets by their effect"),
             store_calls: plain("edge_store_calls", "Calls to the platform's store"),
+            contacts_greeted: plain(
+                "edge_contacts_greeted",
+                "Reports to routers known from the store only",
+            ),
             reports_sent: plain("edge_reports_sent", "Reports sent to other routers"),
             reports_received: plain("edge_reports_heard", "Reports taken in from other routers"),
             first_byte: registry.histogram(
--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -3,9 +3,12 @@
 //! In each period, a router sends its complete state to the receivers chosen by
 //! [`jackdaw_policy::direct::plan_reports`]. In a large fleet, relays bundle the reports of their
 //! failure domain and send them to relays of the other domains, which forward them. Routers
-//! discover each other from the seeds in their settings and from the peers listed in reports. Lost
+//! discover each other from the seeds in their settings, from the peers listed in reports and, if the
+//! seeds are gone, from the store. Lost
 //! datagrams are not resent, because the next report replaces them.
 
+mod contact_exchange;
+
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -19,6 +22,7 @@
 
 use crate::edge_state::{EdgeState, vm_of};
 use crate::log_text::format_names;
+use crate::peer_reports::contact_exchange::exchange_contacts;
 use crate::peer_snapshot::{FleetSnapshot, fetch_snapshot};
 use crate::peer_table::PeerTable;
 use crate::report_datagram::{
@@ -81,7 +85,8 @@
         let tasks = vec![
             tokio::task::spawn_local(send_reports(Rc::clone(&exchange))),
             tokio::task::spawn_local(receive_reports(Rc::clone(&exchange))),
-            tokio::task::spawn_local(fetch_snapshots(exchange)),
+            tokio::task::spawn_local(fetch_snapshots(Rc::clone(&exchange))),
+            tokio::task::spawn_local(exchange_contacts(exchange)),
         ];
         Ok(PeerReports { tasks })
     }
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -39,6 +39,7 @@
     ColdNotice, ColdTolerance, CrashNotice, DirectPolicy, DirectRequest, DirectRouter,
     FindingSource, RunId, RunOutcome,
 };
+pub use fleet::contact_list::{MAX_CONTACTS, plan_contacts, unheard_contacts};
 pub use fleet::fleet_retry_budget::FleetRetryBudget;
 pub use fleet::fleet_roster::FleetRoster;
 pub use fleet::fleet_size::FleetSize;
--- a/crates/jackdaw-policy/src/direct/fleet.rs
+++ b/crates/jackdaw-policy/src/direct/fleet.rs
@@ -4,6 +4,7 @@
 //! Fed by other routers' reports and by the process itself. Never reads the state of targets,
 //! customers or streams beyond the rows of a report.
 
+pub mod contact_list;
 pub mod fleet_retry_budget;
 pub mod fleet_roster;
 pub mod fleet_size;
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod cache_copies;
 mod cold_targets;
 mod common;
+mod contact_list;
 mod crash_ledger;
 mod crash_quarantine;
 mod customer_shares;
