Pass on no answer whose status is none

What callers saw: the answer 101 of a target in trouble was passed on, with its headers and seal (MIXED); statuses from 600 on as well. 000 and 099 were refused already, as bytes that are no response.

Cause: every status that the HTTP library reads was taken for an answer to the request.

Evidence: status_that_is_none_is_no_answer failed before, with 101.

Change: a status outside of 200 to 599 counts as no answer to this request, like one that belongs to another request: the connection is closed, and the target may have run the request.

--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -320,13 +320,14 @@
                 self.record_unrun_send(guard, outcome)
             }
             ResponseSource::OtherTarget => self.record_unrun_send(guard, RunOutcome::Replaced),
-            ResponseSource::OtherRequest => {
+            ResponseSource::OtherRequest | ResponseSource::InvalidStatus => {
                 log::warn!(
                     request:% = inner.request.head.id,
                     target_name = inner.target_name(),
                     target_id = inner.last_target.get(),
+                    reason:? = head.source,
                     status = head.status.as_u16();
-                    "response belongs to another request; closing the connection"
+                    "response is no answer to this request; closing the connection"
                 );
                 inner.state.pool.disable_reuse(TargetId(inner.last_target.get()));
                 guard.end(RunOutcome::Broken);
