Check that a target runs after an answer that only its connection ends

Cause: a process that is killed closes its connections without a reset, which is also how such an answer ends.

Evidence: unframed_stream_that_a_crash_cuts_off_is_broken_off and unframed_body_that_a_crash_cuts_off_is_no_success failed before.

Change: before the end of such an answer is passed on, the router connects to the target. Events are forwarded as before; only the end waits.

--- a/crates/jackdaw-edge/src/crash_check.rs
+++ b/crates/jackdaw-edge/src/crash_check.rs
@@ -28,9 +28,12 @@
 
 struct CrashCheck {
     started: Instant,
-    done: Shared<LocalBoxFuture<'static, ()>>,
+    done: CheckFuture,
 }
 
+/// A check, which returns whether the target refused the connection.
+pub(crate) type CheckFuture = Shared<LocalBoxFuture<'static, bool>>;
+
 impl CrashChecks {
     /// Drops checks that are no longer valid.
     pub fn expire(&self) {
@@ -40,16 +43,28 @@
 
 /// Checks a target after a connection to it broke, and records a crash if it refuses connections.
 /// The check goes on if the returned future is dropped.
-pub(crate) fn check_crash(
+pub(crate) fn check_crash(state: &Rc<EdgeState>, target: TargetId) -> CheckFuture {
+    find_check(state, target, |check| {
+        let is_running = check.done.peek().is_none();
+        is_running || check.started.elapsed() < CHECK_VALIDITY
+    })
+}
+
+/// As [`check_crash`], for a target whose connection ended at `ended`. The result of an earlier check does
+/// not count.
+pub(crate) fn check_end(state: &Rc<EdgeState>, target: TargetId, ended: Instant) -> CheckFuture {
+    find_check(state, target, |check| check.started >= ended)
+}
+
+/// Returns the last check of a target if it is usable, otherwise a new one.
+fn find_check(
     state: &Rc<EdgeState>,
     target: TargetId,
-) -> Shared<LocalBoxFuture<'static, ()>> {
+    is_usable: impl Fn(&CrashCheck) -> bool,
+) -> CheckFuture {
     let mut checks = state.crash_checks.checks.borrow_mut();
-    if let Some(check) = checks.get(&target) {
-        let is_running = check.done.peek().is_none();
-        if is_running || check.started.elapsed() < CHECK_VALIDITY {
-            return check.done.clone();
-        }
+    if let Some(check) = checks.get(&target).filter(|check| is_usable(check)) {
+        return check.done.clone();
     }
     let done = run_check(Rc::clone(state), target).boxed_local().shared();
     tokio::task::spawn_local(done.clone());
@@ -57,10 +72,10 @@
     done
 }
 
-async fn run_check(state: Rc<EdgeState>, target: TargetId) {
+async fn run_check(state: Rc<EdgeState>, target: TargetId) -> bool {
     let entry = state.router().targets.find(target).map(|entry| entry.address);
     let Some(address) = entry else {
-        return;
+        return false;
     };
     state.metrics.connections.inc();
     match timeout(CHECK_TIMEOUT, state.pool.connect(target, address)).await {
@@ -69,6 +84,7 @@
             let now = state.now();
             state.router().record_unreachable(now, target);
             state.log_crash_notices();
+            return true;
         }
         Ok(Err(error)) => {
             log::info!(target_id = target.0, error:% = error; "crash check without a result");
@@ -77,4 +93,5 @@
             log::info!(target_id = target.0, error = "timeout"; "crash check without a result");
         }
     }
+    false
 }
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -163,6 +163,21 @@
         inner.state.metrics.first_byte.observe(&labels, elapsed.as_secs_f64());
     }
 
+    /// Records that a crash cut off an answer that only the end of its connection marks as complete. The
+    /// run, which must have ended as broken, may be the cause.
+    pub(crate) fn record_unmarked_crash(&self) {
+        let state = &self.inner.state;
+        let target = TargetId(self.inner.last_target.get());
+        state.router().record_unreachable(state.now(), target);
+        state.log_crash_notices();
+        log::info!(
+            request:% = self.inner.request.head.id,
+            target_name = self.inner.target_name(),
+            target_id = self.inner.last_target.get();
+            "target crashed at the end of an answer without a length"
+        );
+    }
+
     /// Logs that a stream broke off.
     pub fn log_interruption(&self, error: &str) {
         log::info!(
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body::{Body, Frame, SizeHint};
 use jackdaw_policy::direct::RunOutcome;
 use tokio::task::AbortHandle;
@@ -14,6 +15,7 @@
 
 use crate::body_buffer::BufferLease;
 use crate::caller_stream::CallerStream;
+use crate::crash_check::CheckFuture;
 use crate::delivery::DeliveryGuard;
 use crate::event_framer::EventFramer;
 use crate::log_text::format_error;
@@ -75,6 +77,8 @@
 enum RelayPhase {
     Streaming(RelaySource),
     Resuming(Pin<Box<dyn Future<Output = Option<RelaySource>>>>),
+    /// The stream has ended with its connection; the check tells whether the target crashed.
+    Confirming(RelaySource, CheckFuture),
     Ended,
 }
 
@@ -128,6 +132,17 @@
                     self.framer.begin_resumption();
                     self.phase = RelayPhase::Streaming(source);
                 }
+                RelayPhase::Confirming(_, check) => {
+                    if ready!(check.poll_unpin(cx)) {
+                        self.end_run(RunOutcome::Broken);
+                        self.context.record_unmarked_crash();
+                        self.interrupt(
+                            "the target crashed at the end of an answer without a length",
+                        );
+                    } else if let Some(bytes) = self.complete() {
+                        return Poll::Ready(Some(Ok(bytes)));
+                    }
+                }
                 RelayPhase::Streaming(source) => {
                     let frame = ready!(Pin::new(&mut source.body).poll_frame(cx));
                     if let Some(outcome) = self.process_frame(frame) {
@@ -183,17 +198,27 @@
                 self.interrupt("the connection ended before the first event");
                 None
             }
-            None => {
-                if let RelayPhase::Streaming(source) = self.end_phase() {
-                    source.guard.end(RunOutcome::Whole);
+            None => match self.end_phase() {
+                RelayPhase::Streaming(source) if !source.is_framed => {
+                    self.phase = RelayPhase::Confirming(source, self.context.check_end());
+                    None
                 }
-                self.context.finish("whole", 200);
-                let partial = self.framer.take_partial();
-                Some((!partial.is_empty()).then_some(Ok(partial)))
-            }
+                phase => {
+                    self.phase = phase;
+                    Some(self.complete().map(Ok))
+                }
+            },
         }
     }
 
+    /// Ends a stream that is complete; returns its last bytes, if there are any.
+    fn complete(&mut self) -> Option<Bytes> {
+        self.end_run(RunOutcome::Whole);
+        self.context.finish("whole", 200);
+        let partial = self.framer.take_partial();
+        (!partial.is_empty()).then_some(partial)
+    }
+
     /// Takes the memory of the event that is not complete; returns whether there is any left.
     fn lease_event(&mut self) -> bool {
         let bytes = self.framer.buffered_bytes().saturating_sub(FREE_EVENT_BYTES);
@@ -205,16 +230,14 @@
     fn lacks_events(&self) -> bool {
         let is_framed = match &self.phase {
             RelayPhase::Streaming(source) => source.is_framed,
-            RelayPhase::Resuming(_) | RelayPhase::Ended => true,
+            RelayPhase::Resuming(_) | RelayPhase::Confirming(..) | RelayPhase::Ended => true,
         };
         !is_framed && !self.has_events
     }
 
     /// Ends the run of a stream that broke off and starts resuming it at another target.
     fn interrupt(&mut self, reason: &str) {
-        if let RelayPhase::Streaming(source) = self.end_phase() {
-            source.guard.end(RunOutcome::Broken);
-        }
+        self.end_run(RunOutcome::Broken);
         self.framer.discard_partial();
         self.event_lease = self.context.inner.state.body_buffer.lease();
         self.context.log_interruption(reason);
@@ -228,6 +251,14 @@
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
     }
 
+    /// Ends the run that the stream comes from, if it has not ended.
+    fn end_run(&mut self, outcome: RunOutcome) {
+        if let RelayPhase::Streaming(source) | RelayPhase::Confirming(source, _) = self.end_phase()
+        {
+            source.guard.end(outcome);
+        }
+    }
+
     fn end_phase(&mut self) -> RelayPhase {
         std::mem::replace(&mut self.phase, RelayPhase::Ended)
     }
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -1,14 +1,16 @@
 //! Sends requests to targets, classifies the responses and retries at other targets.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, response};
+use http_body::Body;
 use http_body_util::Full;
 use jackdaw_platform::{FleetHeaders, ResponseHead, ResponseSource, build_target_request};
 use jackdaw_policy::direct::{Placement, RequestKind, RunOutcome, TargetEntry, TargetId};
 
-use crate::crash_check::check_crash;
+use crate::crash_check::{CheckFuture, check_crash, check_end};
 use crate::local_response::LocalResponse;
 use crate::log_text::format_error;
 use crate::read_meter::MeteredBody;
@@ -118,6 +120,13 @@
         check_crash(&self.inner.state, target).await;
     }
 
+    /// Returns a check of the last target after its answer ended with its connection, as it also does
+    /// if the target crashed midway.
+    pub(crate) fn check_end(&self) -> CheckFuture {
+        let target = TargetId(self.inner.last_target.get());
+        check_end(&self.inner.state, target, Instant::now())
+    }
+
     /// Sends the request to one target and classifies the result.
     async fn send(
         &self,
@@ -371,6 +380,8 @@
             ));
         }
         guard.mark_started();
+        // A body that is known to be empty needs no mark of its end.
+        let ends_with_connection = !head.is_framed && body.size_hint().exact().is_none();
         let body = match inner.state.body_buffer.collect(body).await {
             Ok(body) => body,
             Err(error) => {
@@ -385,6 +396,11 @@
                 return SendOutcome::MayHaveRun;
             }
         };
+        if ends_with_connection && self.check_end().await {
+            guard.end(RunOutcome::Broken);
+            self.record_unmarked_crash();
+            return SendOutcome::MayHaveRun;
+        }
         if head.status.is_success() && !head.is_signed {
             log::warn!(
                 request:% = inner.request.head.id,
