State the memory of a router on its command line

Without both the memory is that of the smallest VM of the known deployments, 88 MB, in place of 256 MB, since a process that takes more than its VM has is killed.

--- a/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
+++ b/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
@@ -1,6 +1,5 @@
 //! Command-line entry point of the edge router.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use error_stack::Report;
@@ -11,45 +10,71 @@
 use jackdaw_edge::edge_daemon::{EdgeDaemon, EdgeSignals};
 use jackdaw_edge::settings_file::SettingsFile;
 use jackdaw_platform::settings_path;
-use jackdaw_settings::EdgeSettings;
 use jackdaw_telemetry::open_log;
 use tokio::task::LocalSet;
 
 const PROGRAM: &str = "jackdaw-edge";
 
+/// Option with the memory of the process, which goes before that in the settings file.
+const MEMORY_OPTION: &str = "--memory-mb=";
+
+/// What the command line asks for.
+struct EdgeCommand {
+    daemon: DaemonCommand,
+    /// Memory of the process in megabytes; empty if the command line does not state it.
+    memory: String,
+}
+
 fn main() -> ExitCode {
-    match parse_command() {
-        Ok(DaemonCommand::Help) => {
-            print!("{}", daemon_help(PROGRAM));
+    let EdgeCommand { daemon, memory } = match parse_command() {
+        Ok(command) => command,
+        Err(report) => {
+            eprintln!("{}\n\n{}", describe_report(&report), edge_help());
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match daemon {
+        DaemonCommand::Help => {
+            print!("{}", edge_help());
             ExitCode::SUCCESS
         }
-        Ok(DaemonCommand::Version) => {
+        DaemonCommand::Version => {
             println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Ok(DaemonCommand::Check(path)) => match EdgeSettings::open(&path) {
+        DaemonCommand::Check(path) => match SettingsFile::open(&path).with_memory(&memory).read() {
             Ok(_) => ExitCode::SUCCESS,
             Err(report) => fail(&report, EXIT_SETTINGS),
         },
-        Ok(DaemonCommand::Run(path)) => run(&path),
-        Err(report) => {
-            eprintln!("{}\n\n{}", describe_report(&report), daemon_help(PROGRAM));
-            ExitCode::from(EXIT_USAGE)
-        }
+        DaemonCommand::Run(path) => run(SettingsFile::open(&path).with_memory(&memory)),
     }
 }
 
+fn edge_help() -> String {
+    daemon_help(PROGRAM)
+        + "\nFurther option:\n  --memory-mb=N    memory of the process in megabytes, before that in the file\n"
+}
+
 /// Parses the command line; without arguments, the platform provides the settings path.
-fn parse_command() -> Result<DaemonCommand, Report<ErrorKind>> {
-    let args: Vec<_> = std::env::args_os().skip(1).collect();
-    match (args.is_empty(), settings_path()) {
-        (true, Some(path)) => Ok(DaemonCommand::Run(path)),
-        _ => parse_daemon_args(args),
-    }
+fn parse_command() -> Result<EdgeCommand, Report<ErrorKind>> {
+    let mut memory = String::new();
+    let mut args: Vec<_> = std::env::args_os().skip(1).collect();
+    args.retain(|arg| match arg.to_str().and_then(|arg| arg.strip_prefix(MEMORY_OPTION)) {
+        Some(megabytes) => {
+            megabytes.clone_into(&mut memory);
+            false
+        }
+        None => true,
+    });
+    let daemon = match (args.is_empty(), settings_path()) {
+        (true, Some(path)) => DaemonCommand::Run(path),
+        _ => parse_daemon_args(args)?,
+    };
+    Ok(EdgeCommand { daemon, memory })
 }
 
-fn run(path: &Path) -> ExitCode {
-    let settings = match EdgeSettings::open(path) {
+fn run(file: SettingsFile) -> ExitCode {
+    let settings = match file.read() {
         Ok(settings) => settings,
         Err(report) => return fail(&report, EXIT_SETTINGS),
     };
@@ -67,7 +92,6 @@
     let tasks = LocalSet::new();
     let result = tasks.block_on(&runtime, async {
         let signals = EdgeSignals::register()?;
-        let file = SettingsFile::open(path);
         EdgeDaemon::bind(settings).await?.run(signals, file).await;
         Ok::<_, Report<ErrorKind>>(())
     });
--- a/crates/jackdaw-edge/src/settings_file.rs
+++ b/crates/jackdaw-edge/src/settings_file.rs
@@ -3,7 +3,8 @@
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
 
-use jackdaw_base::describe_report;
+use error_stack::Report;
+use jackdaw_base::{ErrorKind, describe_report};
 use jackdaw_settings::EdgeSettings;
 
 use crate::edge_state::EdgeState;
@@ -12,6 +13,8 @@
 #[derive(Debug)]
 pub struct SettingsFile {
     path: PathBuf,
+    /// Memory that the command line states, in megabytes; empty if it states none.
+    memory: String,
     stamp: Option<FileStamp>,
 }
 
@@ -21,7 +24,23 @@
 impl SettingsFile {
     /// Creates a handle that treats the current content of the file as already loaded.
     pub fn open(path: &Path) -> SettingsFile {
-        SettingsFile { path: path.to_owned(), stamp: read_stamp(path) }
+        SettingsFile { path: path.to_owned(), memory: String::new(), stamp: read_stamp(path) }
+    }
+
+    /// Makes the memory on the command line, in megabytes, go before that in the file.
+    pub fn with_memory(self, memory: &str) -> SettingsFile {
+        SettingsFile { memory: memory.to_owned(), ..self }
+    }
+
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`EdgeSettings::open`], and `SettingsInvalid` if the command line states no valid memory.
+    pub fn read(&self) -> Result<EdgeSettings, Report<ErrorKind>> {
+        let mut settings = EdgeSettings::open(&self.path)?;
+        settings.override_memory(&self.memory)?;
+        Ok(settings)
     }
 
     /// Reloads the file if it changed since the last read.
@@ -35,7 +54,7 @@
     /// Reads and applies the file. If it is invalid, the current settings stay in effect.
     pub fn reload(&mut self, state: &EdgeState) {
         self.stamp = read_stamp(&self.path);
-        match EdgeSettings::open(&self.path) {
+        match self.read() {
             Ok(settings) => {
                 let fixed = state.reload(settings).join(", ");
                 log::info!(until_restart:% = fixed; "settings reloaded");
--- a/crates/jackdaw-edge/tests/edge/command_line.rs
+++ b/crates/jackdaw-edge/tests/edge/command_line.rs
@@ -28,6 +28,16 @@
     assert!(!invalid.stderr.is_empty());
 }
 
+#[test]
+fn memory_is_checked_with_the_settings() {
+    let settings = example_path("edge.ini");
+    for (memory, status) in [("96", 0), ("", 0), ("many", 3)] {
+        let option = format!("--memory-mb={memory}");
+        let output = run_edge(&["--settings", &settings, "--check", &option]);
+        assert_eq!(output.status.code(), Some(status), "{memory:?}");
+    }
+}
+
 #[test]
 fn unknown_options_are_rejected() {
     assert_eq!(run_edge(&["--sideways"]).status.code(), Some(2));
--- a/crates/jackdaw-edge/tests/edge/settings_reload.rs
+++ b/crates/jackdaw-edge/tests/edge/settings_reload.rs
@@ -109,3 +109,13 @@
     assert!((settings.cold_factor - 2.0).abs() < 1e-9);
     assert_eq!(case.state.router().is_ready(), before);
 }
+
+/// The platform states the memory on the command line, which a changed file must not undo.
+#[test]
+fn memory_of_the_command_line_outlasts_a_reload() {
+    let mut case = ReloadCase::open();
+    case.file = SettingsFile::open(&case.path).with_memory("96");
+    case.write(&TEXT.replace("shutdown_grace_s = 4", "shutdown_grace_s = 4\nmemory_mb = 400"));
+    case.file.reload_if_changed(&case.state);
+    assert_eq!(case.state.settings().memory_bytes, 96 * 1024 * 1024);
+}
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -49,9 +49,9 @@
 /// it would expire before it is read.
 const MIN_WINDOW: Duration = Duration::from_millis(100);
 
-/// Memory of a process if the settings do not state it, in megabytes: what a node may spend on control
-/// at the target size.
-const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Memory of a process if neither command line nor settings state it, in megabytes: that of the smallest VM
+/// of the known deployments, since a process that takes more than it has is killed.
+const DEFAULT_MEMORY_MB: f64 = 88.0;
 
 /// Least memory with which a router can serve, in megabytes; less is raised to it.
 const MIN_MEMORY_MB: f64 = 48.0;
@@ -134,6 +134,25 @@
         reader.finish(settings)
     }
 
+    /// Replaces the memory that the process may use by a number of megabytes, as stated on the command
+    /// line. An empty text changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsInvalid` if the text is no such number.
+    pub fn override_memory(&mut self, megabytes: &str) -> Result<(), Report<ErrorKind>> {
+        if megabytes.is_empty() {
+            return Ok(());
+        }
+        let ValueRule { allowed, parse } = AMOUNT;
+        let parsed = parse(megabytes).ok_or_else(|| {
+            let problem = format!("memory_mb is {megabytes:?}, allowed: {allowed}");
+            Report::new(ErrorKind::SettingsInvalid).attach(problem)
+        })?;
+        self.memory_bytes = memory_bytes(parsed);
+        Ok(())
+    }
+
     /// Returns the IP address by which other routers reach this router.
     pub fn ip(&self) -> Ipv4Addr {
         *self.peer_address.ip()
