Conclude nothing about versions from the time of a standstill

Cause: the history of versions took the time between two records for time in which nothing changed, and a router without seeds that heard nobody for 6 s took its own view for that of the fleet.

Evidence: observation_starts_again_after_a_standstill failed before.

--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -165,7 +165,8 @@
             let peers = self.peers.borrow();
             // Any routers can tell whether the service has had a single version.
             let placing_key = key.unwrap_or(StreamKey(number));
-            (peers.len() > 0).then(|| stream_sources(placing_key, &peers.holder_peers()))
+            let knows_others = peers.len() > 0 || state.router().has_members();
+            knows_others.then(|| stream_sources(placing_key, &peers.holder_peers()))
         };
         let question = StreamQuestion { number, key, service: service.to_owned() };
         let asked = sources.as_ref().map_or(0, SmallVec::len);
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -246,6 +246,11 @@
         self.loads.peer_count()
     }
 
+    /// Returns whether there are other routers, even if none of them is heard now.
+    pub fn has_members(&self) -> bool {
+        !self.roster.is_empty()
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.runs.len()
--- a/crates/jackdaw-policy/src/direct/targets/version_history.rs
+++ b/crates/jackdaw-policy/src/direct/targets/version_history.rs
@@ -10,18 +10,29 @@
 
 use crate::direct::targets::software_version::VersionId;
 
+/// Longest time between two records of a router that runs: twice that at which it records them at the
+/// latest. After a longer one it has missed what was registered meanwhile.
+const LONGEST_GAP: Duration = Duration::from_secs(2);
+
 /// When each version of each service was last registered, as far as this router saw.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     services: HashMap<String, HashMap<Option<VersionId>, MonotonicTime>>,
-    /// Since when targets are known.
+    /// Since when targets are known without a gap.
     observed_since: Option<MonotonicTime>,
+    /// When versions were last recorded.
+    recorded_at: MonotonicTime,
 }
 
 impl VersionHistory {
     /// Records that a target of this service and version is registered; `None` if its version is not
     /// known. Must be called at least once a second for each registered target.
     pub fn record(&mut self, now: MonotonicTime, service: &str, version: Option<VersionId>) {
+        let has_gap = now.since(self.recorded_at) > LONGEST_GAP;
+        self.recorded_at = now;
+        if has_gap {
+            self.observed_since = None;
+        }
         self.observed_since.get_or_insert(now);
         match self.services.get_mut(service) {
             Some(versions) => {
