Close connections on which an answer named no request

Cause: refusals need no identifier, so a second copy of one counted for the next request. The connection went back to the pool after the first.

Evidence: repeated_refusal_without_an_identifier_answers_nothing failed before (id-1 ran twice), for 503, 429, 421 and a target's own 500. With identifiers the test held before and after.

Change: a connection is not used further after an answer that does not name its request.

--- a/crates/jackdaw-edge/src/run_guard.rs
+++ b/crates/jackdaw-edge/src/run_guard.rs
@@ -12,12 +12,14 @@
     state: Rc<EdgeState>,
     run: Option<RunId>,
     connection: Option<TargetConnection>,
+    /// Whether further requests may use the connection.
+    is_reusable: bool,
 }
 
 impl RunGuard {
     /// Creates the guard of a run that has no connection yet.
     pub fn new(state: &Rc<EdgeState>, run: RunId) -> RunGuard {
-        RunGuard { state: Rc::clone(state), run: Some(run), connection: None }
+        RunGuard { state: Rc::clone(state), run: Some(run), connection: None, is_reusable: true }
     }
 
     /// Attaches the connection that the run uses until it ends.
@@ -35,6 +37,12 @@
         self.connection = None;
     }
 
+    /// Closes the connection when the run ends, because what still arrives on it may be taken for the
+    /// answer to the next request.
+    pub fn disable_reuse(&mut self) {
+        self.is_reusable = false;
+    }
+
     /// Records that the response has begun.
     pub fn mark_begun(&self) {
         if let Some(run) = self.run {
@@ -67,11 +75,11 @@
     /// Ends the run. The connection is reused only if the response was read completely.
     pub fn end(mut self, outcome: RunOutcome) {
         self.finish(outcome);
-        let is_reusable = matches!(
+        let is_read = matches!(
             outcome,
             RunOutcome::Whole | RunOutcome::Failed | RunOutcome::Rejected | RunOutcome::Paused(_)
         );
-        if let (true, Some(connection)) = (is_reusable, self.connection.take()) {
+        if let (true, Some(connection)) = (is_read && self.is_reusable, self.connection.take()) {
             self.state.pool.return_idle(connection);
         }
     }
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -306,12 +306,15 @@
     /// Determines from the response's head whether the target ran the request.
     async fn classify_response(
         &self,
-        guard: RunGuard,
+        mut guard: RunGuard,
         response: Response<MeteredBody>,
     ) -> SendOutcome {
         let inner = &self.inner;
         let (parts, body) = response.into_parts();
         let head = ResponseHead::parse(&parts, &inner.request.head.id);
+        if !head.is_identified {
+            guard.disable_reuse();
+        }
         let target = TargetId(inner.last_target.get());
         let is_from_target = matches!(head.source, ResponseSource::Ran | ResponseSource::NotRun);
         if head.is_leaving && is_from_target {
