--- a/crates/jackdaw-edge/src/peer_reports.rs
+++ b/crates/jackdaw-edge/src/peer_reports.rs
@@ -4,8 +4,7 @@
 //! [`jackdaw_policy::direct::plan_reports`]. In a large fleet, relays bundle the reports of their
 //! failure domain and send them to relays of the other domains, which forward them. Routers
 //! discover each other from the seeds in their settings, from the peers listed in reports and, if the
-//! seeds are gone, from the store. Lost
-//! datagrams are not resent, because the next report replaces them.
+//! seeds are gone, from the store. Lost datagrams are not resent, because the next report replaces them.
 
 mod contact_exchange;
 
