Forward no answer whose status is none through agents either

What callers saw: an agent forwarded the status 101 of its target, and statuses from 600 on, as answers.

Cause: the same as at the edge router; the HTTP client's statuses were all taken for answers.

Evidence: invalid_status failed before, with 101. reset_during_an_upload, 20 uploads of 4 MB that the target answers at once without a length and resets, held before and after: the client reports an error.

Change: a status outside of 200 to 599 counts as a lost answer, after which the target may have run the request.

--- a/crates/jackdaw-agent/src/target_client.rs
+++ b/crates/jackdaw-agent/src/target_client.rs
@@ -96,6 +96,13 @@
             request = request.insert_header((name.as_str(), value.as_str()));
         }
         match request.send_body(build_body(run)).await {
+            Ok(response) if !(200..600).contains(&response.status().as_u16()) => {
+                let status = response.status().as_u16();
+                let report = Report::new(ErrorKind::Interrupted).attach(format!(
+                    "the target answered with status {status}, which is no answer"
+                ));
+                Err(TargetFailure::Lost(report))
+            }
             Ok(response) => {
                 let mut target_response = parse_head(response);
                 if run.method == "HEAD" {
