Let the check after an unmarked end outlast the closing of sockets

Cause: a process that is killed closes its sockets one after the other, in any order. The router saw the end of the answer and connected before the listening socket was closed.

Evidence: with a target that closes its other sockets 10 ms after the answer's, both tests of crashes in unframed_answers fail on the code before.

Change: after such an end the new connection has to last for 30 ms. One that is closed sooner is tried again, since a target with too many connections also closes them; a refusal then tells the crash.

--- a/crates/jackdaw-edge/src/crash_check.rs
+++ b/crates/jackdaw-edge/src/crash_check.rs
@@ -20,6 +20,13 @@
 /// Time for which a check also answers for other connections to the same target.
 const CHECK_VALIDITY: Duration = Duration::from_millis(100);
 
+/// Time for which a process that ends may still accept connections after it has closed others: its sockets
+/// are closed one after the other, in any order.
+const SETTLE_TIME: Duration = Duration::from_millis(30);
+
+/// Maximum number of connections that a check opens.
+const CHECK_ATTEMPTS: usize = 2;
+
 /// Checks in progress and recent ones, by target.
 #[derive(Default)]
 pub struct CrashChecks {
@@ -44,7 +51,7 @@
 /// Checks a target after a connection to it broke, and records a crash if it refuses connections.
 /// The check goes on if the returned future is dropped.
 pub(crate) fn check_crash(state: &Rc<EdgeState>, target: TargetId) -> CheckFuture {
-    find_check(state, target, |check| {
+    find_check(state, target, Duration::ZERO, |check| {
         let is_running = check.done.peek().is_none();
         is_running || check.started.elapsed() < CHECK_VALIDITY
     })
@@ -53,45 +60,62 @@
 /// As [`check_crash`], for a target whose connection ended at `ended`. The result of an earlier check does
 /// not count.
 pub(crate) fn check_end(state: &Rc<EdgeState>, target: TargetId, ended: Instant) -> CheckFuture {
-    find_check(state, target, |check| check.started >= ended)
+    find_check(state, target, SETTLE_TIME, |check| check.started >= ended)
 }
 
 /// Returns the last check of a target if it is usable, otherwise a new one.
 fn find_check(
     state: &Rc<EdgeState>,
     target: TargetId,
+    settle_time: Duration,
     is_usable: impl Fn(&CrashCheck) -> bool,
 ) -> CheckFuture {
     let mut checks = state.crash_checks.checks.borrow_mut();
     if let Some(check) = checks.get(&target).filter(|check| is_usable(check)) {
         return check.done.clone();
     }
-    let done = run_check(Rc::clone(state), target).boxed_local().shared();
+    let done = run_check(Rc::clone(state), target, settle_time).boxed_local().shared();
     tokio::task::spawn_local(done.clone());
     checks.insert(target, CrashCheck { started: Instant::now(), done: done.clone() });
     done
 }
 
-async fn run_check(state: Rc<EdgeState>, target: TargetId) -> bool {
+/// Connects to a target; returns whether it refuses connections. `settle_time` is that for which a new
+/// connection has to last.
+async fn run_check(state: Rc<EdgeState>, target: TargetId, settle_time: Duration) -> bool {
     let entry = state.router().targets.find(target).map(|entry| entry.address);
     let Some(address) = entry else {
         return false;
     };
-    state.metrics.connections.inc();
-    match timeout(CHECK_TIMEOUT, state.pool.connect(target, address)).await {
-        Ok(Ok(connection)) => state.pool.return_idle(connection),
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            let now = state.now();
-            state.router().record_unreachable(now, target);
-            state.log_crash_notices();
-            return true;
-        }
-        Ok(Err(error)) => {
-            log::info!(target_id = target.0, error:% = error; "crash check without a result");
-        }
-        Err(_) => {
-            log::info!(target_id = target.0, error = "timeout"; "crash check without a result");
+    for _ in 0..CHECK_ATTEMPTS {
+        state.metrics.connections.inc();
+        match timeout(CHECK_TIMEOUT, state.pool.connect(target, address)).await {
+            Ok(Ok(connection)) => {
+                if !settle_time.is_zero() {
+                    tokio::time::sleep(settle_time).await;
+                }
+                if !connection.is_closed() {
+                    state.pool.return_idle(connection);
+                    return false;
+                }
+                // Either the target ends, or it has too many connections. The next one tells.
+            }
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                let now = state.now();
+                state.router().record_unreachable(now, target);
+                state.log_crash_notices();
+                return true;
+            }
+            Ok(Err(error)) => {
+                log::info!(target_id = target.0, error:% = error; "crash check without a result");
+                return false;
+            }
+            Err(_) => {
+                log::info!(target_id = target.0, error = "timeout"; "crash check without a result");
+                return false;
+            }
         }
     }
+    log::info!(target_id = target.0, error = "closed at once"; "crash check without a result");
     false
 }
--- a/crates/jackdaw-edge/src/target_pool.rs
+++ b/crates/jackdaw-edge/src/target_pool.rs
@@ -222,6 +222,11 @@
         timeout(REPORT_TIMEOUT, exchange).await.unwrap_or(Err(ReportError::TimedOut))
     }
 
+    /// Returns whether the target has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns whether the connection was idle before, so that the target may have closed it.
     pub fn is_reused(&self) -> bool {
         self.is_reused
