Read the contacts of a starting fleet only after the others had time to be heard

Cause: whether a router was alone was asked before the wait, when none had been heard yet.

Change: it is asked after the wait.

--- a/crates/jackdaw-edge/src/peer_reports/contact_exchange.rs
+++ b/crates/jackdaw-edge/src/peer_reports/contact_exchange.rs
@@ -12,6 +12,7 @@
 use jackdaw_base::{ErrorKind, describe_report};
 use jackdaw_platform::{ListingAge, StoreClient};
 use jackdaw_policy::direct::{plan_contacts, unheard_contacts};
+use tokio::time::Instant;
 
 use crate::log_text::format_names;
 use crate::peer_reports::ReportExchange;
@@ -29,12 +30,15 @@
     let state = &exchange.state;
     let mut client = StoreClient::new(state.settings().store_address);
     let mut failures = 0_u32;
+    let mut next_read = Instant::now() + spread(READ_PERIOD);
     loop {
-        let is_isolated = exchange.heard().is_empty();
-        let period = if is_isolated { ISOLATED_READ_PERIOD } else { READ_PERIOD };
-        // Routers that start together must not all read and write at once.
-        tokio::time::sleep(period.mul_f64(rand::random_range(0.5..=1.0))).await;
+        tokio::time::sleep(spread(ISOLATED_READ_PERIOD)).await;
         state.wait_store_watch().await;
+        // A router that has just started hears the others by now, if its seeds are there.
+        if !exchange.heard().is_empty() && Instant::now() < next_read {
+            continue;
+        }
+        next_read = Instant::now() + spread(READ_PERIOD);
         if client.address() != state.settings().store_address {
             client = StoreClient::new(state.settings().store_address);
         }
@@ -54,6 +58,11 @@
     }
 }
 
+/// Returns 50 to 100 % of a period, so that routers that start together do not all read and write at once.
+fn spread(period: Duration) -> Duration {
+    period.mul_f64(rand::random_range(0.5..=1.0))
+}
+
 impl ReportExchange {
     /// Reads the list, reports to contacts that are not heard and changes the list if it has to.
     async fn review_contacts(&self, client: &mut StoreClient) -> Result<(), Report<ErrorKind>> {
