--- a/crates/jackdaw-policy/src/direct/crashes/crash_ledger.rs
+++ b/crates/jackdaw-policy/src/direct/crashes/crash_ledger.rs
@@ -12,9 +12,9 @@
 //! Findings are only added, made more severe or cleared, so routers can merge them in any order and
 //! any number of times, whatever their clocks say.
 
+mod crash_cause;
 mod stored_findings;
 
-use std::fmt;
 use std::time::Duration;
 
 use jackdaw_base::{MonotonicTime, plain_data};
@@ -22,6 +22,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use crate::direct::crashes::crash_ledger::crash_cause::CrashCause;
 use crate::direct::target_id::TargetId;
 
 /// Severity from which requests with a cause are refused.
@@ -67,17 +68,6 @@
 /// Maximum number of findings in a report.
 const REPORT_LIMIT: usize = 64;
 
-plain_data! {
-    copy
-    /// Property of a request that may crash targets.
-    pub enum CrashCause {
-        /// The whole request, identified by its digest.
-        Request(u64),
-        /// A shared part of its prompt, identified as the caller declares it.
-        Part(u64),
-    }
-}
-
 plain_data! {
     copy
     /// Suspicion that a cause crashed a target.
@@ -105,22 +95,6 @@
     }
 }
 
-impl CrashCause {
-    /// Returns whether the cause is a part of prompts, not a whole request.
-    pub fn is_part(self) -> bool {
-        matches!(self, CrashCause::Part(_))
-    }
-}
-
-impl fmt::Display for CrashCause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            CrashCause::Request(digest) => write!(f, "request {digest:x}"),
-            CrashCause::Part(id) => write!(f, "part {id:x}"),
-        }
-    }
-}
-
 /// Causes that a request may have.
 pub type RequestCauses = SmallVec<[CrashCause; 4]>;
 
