--- a/crates/jackdaw-edge/tests/crowd/main.rs
+++ b/crates/jackdaw-edge/tests/crowd/main.rs
@@ -6,6 +6,7 @@
 
 mod client_crowd;
 mod large_answers;
+mod large_entries;
 mod many_connections;
 mod oversized_bodies;
 mod single_requests;
