--- a/crates/jackdaw-soak/src/router_process.rs
+++ b/crates/jackdaw-soak/src/router_process.rs
@@ -136,6 +136,13 @@
         text.get(self.log_offset.get()..).is_some_and(|text| text.contains(STARTED_TEXT))
     }
 
+    /// Returns the lines with a text that the current or last process has logged.
+    pub fn lines_with(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines = log.get(self.log_offset.get()..).unwrap_or_default().lines();
+        lines.filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
     /// Returns the lines of the log that report a panic.
     pub fn panic_lines(&self) -> Vec<String> {
         let text = std::fs::read_to_string(&self.log).unwrap_or_default();
--- a/crates/jackdaw-soak/tests/odd_entries.rs
+++ b/crates/jackdaw-soak/tests/odd_entries.rs
@@ -5,8 +5,8 @@
 
 use futures_util::future::join_all;
 use jackdaw_platform_standins::{
-    RawAnswer, RawEnd, RawTarget, RouterEndpoints, StoreStandin, TargetBehavior, TargetStandin,
-    TargetState, build_request, odd_entries, sample_config, send_request,
+    RawAnswer, RawEnd, RawTarget, RouterEndpoints, StoreMode, StoreStandin, TargetBehavior,
+    TargetStandin, TargetState, build_request, odd_entries, sample_config, send_request,
 };
 use jackdaw_soak::router_process::RouterProcess;
 use tokio::task::LocalSet;
@@ -21,6 +21,13 @@
 /// Time after which routers that were restarted have to serve; the platform's own bound.
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
+/// Further listings of the targets while the entries stand, and the time for one.
+const LISTINGS: usize = 4;
+const LISTING_TIME: Duration = Duration::from_millis(300);
+
+/// Length of a line on odd entries, of which there may be thousands.
+const LINE_BYTES: usize = 2000;
+
 /// Time that a target takes for a request, so that requests are spread over the targets.
 const PROCESSING_TIME: Duration = Duration::from_millis(30);
 
@@ -85,6 +92,18 @@
         }
         assert_eq!(wait_served(&routers, "after").await, ROUTERS * REQUESTS, "after");
         assert!(!targets[1].received_requests().is_empty(), "the target after the odd entries");
+        for _ in 0..LISTINGS {
+            store.set_mode(StoreMode::HistoryLost);
+            sleep(LISTING_TIME).await;
+        }
+        for router in &routers {
+            let lines = router.lines_with("entr");
+            assert!(lines.len() <= 2, "{} lines for entries: {lines:#?}", lines.len());
+            let lines = router.lines_with("\"kind\":\"servers\"");
+            assert_eq!(lines.len(), 1, "lines of listings: {lines:#?}");
+            let length = lines.iter().map(String::len).sum::<usize>();
+            assert!(length <= LINE_BYTES, "{length} bytes: {lines:#?}");
+        }
         assert_eq!(stranger.request_count(), 0, "requests by odd entries");
         let panics: Vec<_> = routers.iter().flat_map(|router| router.panic_lines()).collect();
         assert!(panics.is_empty(), "{panics:#?}");
