Read no objects as shards that are none

Operators: found by reading. One object of another writer under catalog/ stopped the feed of the configuration, and the acceptance of tickets, for good. Cause: all objects under that prefix but the head were decoded as shards, and one that failed failed the whole refresh. Evidence: foreign_objects failed before. Change: only keys of shards are read. An unreadable shard is still an error. After: the test passes with five such objects.

--- a/crates/jackdaw-objects/src/cache.rs
+++ b/crates/jackdaw-objects/src/cache.rs
@@ -7,7 +7,7 @@
 use jackdaw_base::{ErrorKind, VersionedDocument};
 
 use crate::catalog::ConfigCatalog;
-use crate::layout::{CATALOG_PREFIX, CatalogShard, HEAD_KEY, TicketHead, decode};
+use crate::layout::{CATALOG_PREFIX, CatalogShard, HEAD_KEY, TicketHead, decode, is_shard_key};
 use crate::store::{ObjectStore, ObjectVersion, StoredObject, WriteCondition};
 
 /// Maximum number of concurrent reads.
@@ -43,6 +43,7 @@
             let stale = listing
                 .changes
                 .into_iter()
+                .filter(|change| change.key == HEAD_KEY || is_shard_key(&change.key))
                 .filter(|change| self.versions.get(&change.key) != Some(&change.version))
                 .map(|change| change.key);
             let objects: Vec<(String, Option<StoredObject>)> = stream::iter(stale)
--- a/crates/jackdaw-objects/src/layout.rs
+++ b/crates/jackdaw-objects/src/layout.rs
@@ -15,6 +15,10 @@
 pub const CATALOG_PREFIX: &str = "catalog/";
 /// Key of the ticket head, the object whose conditional update accepts a ticket.
 pub const HEAD_KEY: &str = "catalog/head";
+/// Key of the shard that holds the services.
+const SERVICE_SHARD_KEY: &str = "catalog/services";
+/// Beginning of the keys of the shards that hold customers, before the number of the shard.
+const CUSTOMER_SHARD_PREFIX: &str = "catalog/customers/";
 /// Number of shards over which customers are distributed.
 pub const CUSTOMER_SHARDS: u64 = 64;
 
@@ -57,11 +61,23 @@
 /// VMs are not stored in shards, since they come from the platform's own list.
 pub fn shard_key(key: DocumentKey) -> String {
     match key {
-        DocumentKey::Customer(id) => format!("catalog/customers/{:02}", id.0 % CUSTOMER_SHARDS),
-        DocumentKey::Service(_) | DocumentKey::Vm(_) => "catalog/services".to_owned(),
+        DocumentKey::Customer(id) => customer_shard_key(id.0 % CUSTOMER_SHARDS),
+        DocumentKey::Service(_) | DocumentKey::Vm(_) => SERVICE_SHARD_KEY.to_owned(),
     }
 }
 
+fn customer_shard_key(number: u64) -> String {
+    format!("{CUSTOMER_SHARD_PREFIX}{number:02}")
+}
+
+/// Returns whether a key is that of a shard. Other writers may leave objects beside the shards.
+pub fn is_shard_key(key: &str) -> bool {
+    let number = key.strip_prefix(CUSTOMER_SHARD_PREFIX).and_then(|number| number.parse().ok());
+    let is_customer_shard =
+        number.is_some_and(|number| number < CUSTOMER_SHARDS && customer_shard_key(number) == key);
+    is_customer_shard || key == SERVICE_SHARD_KEY
+}
+
 /// Returns the key of the object that stores an applied ticket for good.
 pub fn ticket_key(number: TicketNumber) -> String {
     format!("tickets/{:020}", number.0)
--- a/crates/jackdaw-objects/tests/config_feed.rs
+++ b/crates/jackdaw-objects/tests/config_feed.rs
@@ -6,8 +6,8 @@
     CustomerId, CustomerRecord, CustomerShare, DomainId, TicketNumber, VmRecord, VmState,
 };
 use jackdaw_objects::{
-    CatalogFeed, CatalogUpdate, ChangeTicket, ConfigCatalog, FeedSettings, PlatformClient,
-    PlatformSettings, TicketAcceptor, TicketStatus, digest_key,
+    CatalogFeed, CatalogUpdate, ChangeTicket, ConfigCatalog, FeedSettings, ObjectStore,
+    PlatformClient, PlatformSettings, TicketAcceptor, TicketStatus, WriteCondition, digest_key,
 };
 use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
 
@@ -102,6 +102,30 @@
     standin.close().await;
 }
 
+/// An object beside the shards was read as a shard, and one that is none stopped the feed for good.
+#[actix_rt::test]
+async fn foreign_objects() {
+    let standin = PlatformStandin::bind(StandinSettings::default()).unwrap();
+    let writer = open_client(&standin);
+    let objects = [
+        ("catalog/a", "{\"documents\":"),
+        ("catalog/customers/64", "\u{1}"),
+        ("catalog/customers/007", "[]"),
+        ("catalog/customers/", "7"),
+        ("catalog/servicesx", "{\"documents\":7}"),
+    ];
+    for (key, value) in objects {
+        writer.write(key, WriteCondition::Absent, value.into()).await.unwrap();
+    }
+    let acceptor = TicketAcceptor::open(open_client(&standin));
+    acceptor.accept(&ticket(1, 3)).await.unwrap();
+    let mut feed = spawn_feed(&standin);
+    let mut catalog = ConfigCatalog::new();
+    wait_for_share(&mut feed, &mut catalog, 3).await;
+    feed.close().await;
+    standin.close().await;
+}
+
 #[actix_rt::test]
 async fn vm_changes() {
     let lag = Duration::from_millis(50);
