Read the VM list entry by entry

One entry of the platform's VM list that could not be read hid all other VMs for good. Cause: the list was parsed as a whole. Evidence: odd_vms failed before. Change: entries are read one by one, and the number of unreadable ones is logged. After: the test passes with six odd entries.

--- a/crates/jackdaw-objects/src/store.rs
+++ b/crates/jackdaw-objects/src/store.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use error_stack::Report;
 use jackdaw_base::{ErrorKind, VmRecord, plain_data};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 
 /// Maximum size in bytes of an object that the platform stores.
 pub const OBJECT_LIMIT_BYTES: usize = 1_000_000;
@@ -74,11 +76,24 @@
     pub struct VmListing {
         /// The version of the list; increases with every change.
         pub version: u64,
-        /// All VMs that the platform lists.
+        /// All VMs that the platform lists, but for entries that cannot be read.
+        #[serde(deserialize_with = "read_vms")]
         pub vms: Vec<VmRecord>,
     }
 }
 
+/// Reads VMs one by one, so that an entry that cannot be read hides no others.
+fn read_vms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<VmRecord>, D::Error> {
+    let entries: Vec<Box<RawValue>> = Vec::deserialize(deserializer)?;
+    let vms: Vec<VmRecord> =
+        entries.iter().filter_map(|entry| serde_json::from_str(entry.get()).ok()).collect();
+    let odd = entries.len() - vms.len();
+    if odd > 0 {
+        log::warn!(count = odd; "entries of the VM list cannot be read");
+    }
+    Ok(vms)
+}
+
 plain_data! {
     copy
     /// Numbers of calls that a process has made to the platform, by kind, including failed ones.
--- a/crates/jackdaw-objects/tests/config_feed.rs
+++ b/crates/jackdaw-objects/tests/config_feed.rs
@@ -7,7 +7,8 @@
 };
 use jackdaw_objects::{
     CatalogFeed, CatalogUpdate, ChangeTicket, ConfigCatalog, FeedSettings, ObjectStore,
-    PlatformClient, PlatformSettings, TicketAcceptor, TicketStatus, WriteCondition, digest_key,
+    PlatformClient, PlatformSettings, TicketAcceptor, TicketStatus, VmListing, WriteCondition,
+    digest_key,
 };
 use jackdaw_standin::{AnswerFault, PlatformFaults, PlatformStandin, StandinSettings};
 
@@ -126,6 +127,27 @@
     standin.close().await;
 }
 
+/// One entry that cannot be read hid all other VMs.
+#[test]
+fn odd_vms() {
+    let vm = VmRecord {
+        name: "vm-1".to_owned(),
+        domain: DomainId::from_name("ba-a"),
+        link_address: ([127, 0, 0, 1], 1).into(),
+        service: None,
+        state: VmState::Live,
+    };
+    let text = serde_json::to_string(&vm).unwrap();
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    for odd in
+        ["7", "{}", "1e400", "\"\\ud800\"", &nested, &text.replace("vm-1\"", "vm-1\",\"name\":7")]
+    {
+        let listing = format!("{{\"version\":3,\"vms\":[{odd},{text},{odd}]}}");
+        let listing: VmListing = serde_json::from_str(&listing).unwrap();
+        assert_eq!((listing.version, listing.vms), (3, vec![vm.clone()]), "{odd:.20}");
+    }
+}
+
 #[actix_rt::test]
 async fn vm_changes() {
     let lag = Duration::from_millis(50);
