Go on with a stream only from an answer like its first

Cause: any signed success was taken for the continuation of the stream. Evidence: other_types_are_not_joined_to_streams (an error of type application/json in the stream) and other_successes_are_not_joined_to_streams (a 201) failed before, in each framing. Change: status, content type and encoding have to be those with which the stream began; another answer is discarded. After: both pass. Answers with error statuses were not joined before either; their test stays.

--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -18,6 +18,7 @@
 use crate::request_body::{BodyFault, read_body};
 use crate::request_context::{AdmittedRequest, RequestContext, RequestCustomer};
 use crate::response_relay::{ResponseBody, ResponseRelay};
+use crate::stream_head::StreamHead;
 use crate::target_send::{TargetResponse, obtain_response};
 
 /// Delay after which a caller may retry when this router is short of processor time; the retry
@@ -221,6 +222,7 @@
             build_response(&parts, ResponseBody::complete(delivery.attach(body)))
         }
         Ok(TargetResponse::Stream(parts, source)) => {
+            let _ = context.inner.stream_head.set(StreamHead::new(&parts));
             let relay = ResponseRelay::new(context.clone(), source, caller, delivery);
             build_response(&parts, ResponseBody::Relay(Box::new(relay)))
         }
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod settings_file;
 pub mod store_watch;
 mod stream_exchange;
+mod stream_head;
 mod stream_origin;
 mod target_identity;
 pub mod target_pool;
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -1,6 +1,6 @@
 //! Per-request state, and the log and metrics entries written when the request ends.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
 use crate::local_response::LocalResponse;
 use crate::log_text::format_digests;
 use crate::request_body::BodyLease;
+use crate::stream_head::StreamHead;
 
 /// Limit of sends per request that no target ran, including failed connection attempts.
 const MAX_UNRUN_SENDS: u32 = 3;
@@ -94,6 +95,9 @@
     /// Number of the last event that the caller got in this response, after which each further target
     /// has to go on; `None` before the first event.
     pub(crate) resume_after: Cell<Option<u64>>,
+    /// The head that the caller got, once its stream has begun. Only a target whose answer has the same
+    /// goes on with the stream.
+    pub(crate) stream_head: OnceCell<StreamHead>,
     expected: Cell<Duration>,
     share_status: Cell<ShareStatus>,
     /// Why the last selection of a target failed.
@@ -126,6 +130,7 @@
             last_version_id: Cell::new(None),
             version_rule: Cell::default(),
             resume_after: Cell::new(None),
+            stream_head: OnceCell::new(),
             expected: Cell::new(Duration::ZERO),
             share_status: Cell::new(ShareStatus::UNCOUNTED),
             refusal: Cell::new(None),
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -17,6 +17,7 @@
 use crate::request_context::RequestContext;
 use crate::response_relay::RelaySource;
 use crate::run_guard::RunGuard;
+use crate::stream_head::StreamHead;
 use crate::target_pool::{ReportError, SendError, TargetConnection};
 
 /// A response received from a target.
@@ -377,6 +378,19 @@
         let inner = &self.inner;
         let is_stream = matches!(inner.request.route.kind, RequestKind::Stream { .. });
         if is_stream && head.is_signed_success() {
+            let found = StreamHead::new(&parts);
+            if let Some(begun) = inner.stream_head.get().filter(|begun| **begun != found) {
+                log::warn!(
+                    request:% = inner.request.head.id,
+                    target_name = inner.target_name(),
+                    target_id = inner.last_target.get(),
+                    begun:? = begun,
+                    found:? = found;
+                    "answer does not go on with the stream; discarded"
+                );
+                guard.end(RunOutcome::Broken);
+                return SendOutcome::MayHaveRun;
+            }
             return SendOutcome::Answered(TargetResponse::Stream(
                 parts,
                 RelaySource { guard, body, is_framed: head.is_framed },
