Join only events that follow to a stream that is resumed

Cause: only the first number in the first bytes was compared with the last event before. Change: each event of a target that goes on needs a number above the last one and lines that are fields. A stream that broke off before its first event begins anew, as before.

--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -10,7 +10,8 @@
 pub struct EventFramer {
     partial: BytesMut,
     last_id: Option<u64>,
-    /// Whether the next event is the first of another target, which has to follow the last one.
+    /// Whether the events come from another target than the first ones, so that each has to follow the last
+    /// one.
     is_resumed: bool,
     is_out_of_order: bool,
 }
@@ -31,13 +32,15 @@
         self.accept(events)
     }
 
-    /// Prepares for the events of another target, which goes on after the last event.
+    /// Prepares for the events of another target, which goes on after the last event, or begins anew if
+    /// there was none.
     pub fn begin_resumption(&mut self) {
-        self.is_resumed = true;
+        self.is_resumed = self.last_id.is_some();
         self.is_out_of_order = false;
     }
 
-    /// Returns whether a target that was to go on sent events that came before. They are discarded.
+    /// Returns whether a target that was to go on sent events that came before, or other bytes. They are
+    /// discarded.
     pub fn is_out_of_order(&self) -> bool {
         self.is_out_of_order
     }
@@ -76,20 +79,50 @@
     /// Records the numbers of complete events and returns the events, or nothing if they do not follow
     /// the last one.
     fn accept(&mut self, events: Bytes) -> Bytes {
-        if self.is_resumed
-            && let Some(first) = event_ids(&events).next()
-        {
-            if Some(first) <= self.last_id {
+        if !self.is_resumed {
+            self.last_id = event_ids(&events).next_back().or(self.last_id);
+            return events;
+        }
+        match follow_events(&events, self.last_id) {
+            // What has no event, such as a comment, is of no use to the caller.
+            Some(last_id) if last_id == self.last_id => Bytes::new(),
+            Some(last_id) => {
+                self.last_id = last_id;
+                events
+            }
+            None => {
                 self.is_out_of_order = true;
-                return Bytes::new();
+                Bytes::new()
             }
-            self.is_resumed = false;
         }
-        self.last_id = event_ids(&events).next_back().or(self.last_id);
-        events
     }
 }
 
+/// Returns the number of the last of the events, or `last_id` if there is none. Returns `None` if one of
+/// them does not follow the one before, or is no event with a number.
+fn follow_events(events: &[u8], mut last_id: Option<u64>) -> Option<Option<u64>> {
+    let mut rest = events;
+    while !rest.is_empty() {
+        let length =
+            rest.windows(2).position(|pair| pair == b"\n\n").map_or(rest.len(), |end| end + 2);
+        let (event, others) = rest.split_at(length);
+        rest = others;
+        let mut lines = event.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+        if lines.clone().all(|line| line.starts_with(b":")) {
+            continue;
+        }
+        if !lines.all(|line| line.contains(&b':')) {
+            return None;
+        }
+        let id = event_ids(event).next_back()?;
+        if last_id.is_some_and(|last_id| id <= last_id) {
+            return None;
+        }
+        last_id = Some(id);
+    }
+    Some(last_id)
+}
+
 /// Returns the numbers of events, for those that have one.
 fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
     let lines = events.split(|byte| *byte == b'\n');
--- a/crates/jackdaw-edge/tests/edge/event_bounds.rs
+++ b/crates/jackdaw-edge/tests/edge/event_bounds.rs
@@ -58,3 +58,55 @@
     }
     assert!(framer.is_inside_event());
 }
+
+/// What another target sends has to be events that follow those before.
+#[test]
+fn resumption_has_events_that_follow() {
+    for (text, is_joined) in [
+        ("id: 8\ndata: x\n\n", true),
+        ("id: 8\n\nid: 9\n\nid: 12\n\n", true),
+        ("weight-versions: 2\nid: 8\ndata: x\n\n", true),
+        (": note\n\nid: 8\n\n", true),
+        ("id: 7\n\n", false),
+        ("id: 9\n\nid: 8\n\n", false),
+        ("id: 8\n\nid: 8\n\n", false),
+        ("id: 8\n\ndata: x\n\n", false),
+        ("id: 8\n\nfailed\n\n", false),
+        ("failed\nid: 8\n\n", false),
+        ("HTTP/1.1 500 Status\r\ncontent-length: 9\r\n\r\nid: 8\n\n", false),
+        ("data: x\n\n", false),
+        ("{\"id\": 8}\n\n", false),
+    ] {
+        let mut framer = EventFramer::default();
+        push(&mut framer, "id: 7\n\n");
+        framer.begin_resumption();
+        assert_eq!(push(&mut framer, text), if is_joined { text } else { "" }, "{text:?}");
+        assert_eq!(framer.is_out_of_order(), !is_joined, "{text:?}");
+        if !is_joined {
+            assert_eq!(framer.last_id(), Some(7), "{text:?}");
+        }
+    }
+}
+
+/// Comments and empty lines are no part of a stream's events.
+#[test]
+fn resumption_without_events_adds_nothing() {
+    for text in ["\n\n", ": note\n\n", ": a\n: b\n\n\n\n"] {
+        let mut framer = EventFramer::default();
+        push(&mut framer, "id: 7\n\n");
+        framer.begin_resumption();
+        assert_eq!((push(&mut framer, text), framer.is_out_of_order()), (String::new(), false));
+    }
+}
+
+/// A stream that broke off before its first event begins anew, with or without numbers.
+#[test]
+fn stream_without_events_begins_anew() {
+    for text in ["data: x\n\n", "id: 1\n\n", ": note\n\n"] {
+        let mut framer = EventFramer::default();
+        push(&mut framer, "data: x");
+        framer.discard_partial();
+        framer.begin_resumption();
+        assert_eq!((push(&mut framer, text).as_str(), framer.is_out_of_order()), (text, false));
+    }
+}
