End no stream as complete because its continuation is empty

Callers: after a stream broke off, it ended as if it were complete when the next target sent a head and nothing else, an empty body or a comment (ORDER). Cause: whether a stream has events was asked of the whole stream, not of the part of each target. Evidence: empty_resumptions_do_not_end_streams (in each framing) and broken_resumptions_do_not_end_streams (15 bytes missing, Connection, Close) failed before. Change: a target that was to go on and sent no event counts as one that broke off. A caller that asks for the rest itself still gets a target's own empty answer. After: both pass.

--- a/crates/jackdaw-edge/src/event_framer.rs
+++ b/crates/jackdaw-edge/src/event_framer.rs
@@ -13,6 +13,8 @@
     /// Whether the events come from another target than the first ones, so that each has to follow the last
     /// one.
     is_resumed: bool,
+    /// Whether the target that was to go on has sent no event yet.
+    lacks_resumption: bool,
     is_out_of_order: bool,
 }
 
@@ -36,6 +38,7 @@
     /// there was none.
     pub fn begin_resumption(&mut self) {
         self.is_resumed = self.last_id.is_some();
+        self.lacks_resumption = self.is_resumed;
         self.is_out_of_order = false;
     }
 
@@ -45,6 +48,12 @@
         self.is_out_of_order
     }
 
+    /// Returns whether a target that was to go on with the stream has sent no event. One that fails before
+    /// its first event leaves the same bytes as one that has none to add.
+    pub fn lacks_resumption(&self) -> bool {
+        self.lacks_resumption
+    }
+
     /// Takes the buffered partial event; used at the regular end of a stream.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
@@ -88,6 +97,7 @@
             Some(last_id) if last_id == self.last_id => Bytes::new(),
             Some(last_id) => {
                 self.last_id = last_id;
+                self.lacks_resumption = false;
                 events
             }
             None => {
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -198,6 +198,10 @@
                 self.interrupt("the connection ended before the first event");
                 None
             }
+            None if self.framer.lacks_resumption() => {
+                self.interrupt("the target that was to go on sent no event");
+                None
+            }
             None => match self.end_phase() {
                 RelayPhase::Streaming(source) if !source.is_framed => {
                     self.phase = RelayPhase::Confirming(source, self.context.check_end());
