Take no answer without a length for an empty one at agents

Callers: a target that answers with neither a length nor chunks was passed on by its agent as a 200 with an empty body, framed as whole (MIXED); a stream of that kind ended at once. Cause: awc takes the body of such an answer for empty, without an error. Evidence: unframed_answers failed before (an empty body instead of none). Seen while a test of streams that break off was written. Change: such an answer counts as interrupted, unless its status or method has no body. After: the test passes. cut_heads shows that a head that breaks off at any place was no answer before either.

--- a/crates/jackdaw-agent/src/target_client.rs
+++ b/crates/jackdaw-agent/src/target_client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use actix_web::http::Method;
+use actix_web::http::{Method, StatusCode, header};
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::{Client, ClientResponse};
 use bytes::Bytes;
@@ -103,6 +103,11 @@
                 ));
                 Err(TargetFailure::Lost(report))
             }
+            Ok(response) if lacks_framing(&response, &run.method) => {
+                let report = Report::new(ErrorKind::Interrupted)
+                    .attach("the answer of the target has neither a length nor chunks");
+                Err(TargetFailure::Lost(report))
+            }
             Ok(response) => {
                 let mut target_response = parse_head(response);
                 if run.method == "HEAD" {
@@ -116,6 +121,16 @@
     }
 }
 
+/// Returns whether only the connection's end marks that of the body. `awc` takes such a body for empty.
+fn lacks_framing<S>(response: &ClientResponse<S>, method: &str) -> bool {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING);
+    let has_no_body = method == "HEAD"
+        || matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    !is_framed && !has_no_body
+}
+
 /// Returns the request body for the target; for a resumed stream, it includes the number of events
 /// to skip.
 fn build_body(run: &RunRequest) -> Bytes {
--- a/crates/jackdaw-agent/tests/spoiled_answers.rs
+++ b/crates/jackdaw-agent/tests/spoiled_answers.rs
@@ -79,3 +79,68 @@
         assert!(matches!(failure, Some(TargetFailure::Lost(_))), "{answer}");
     }
 }
+
+/// Starts a target that reads one request, sends `answer` and closes the connection.
+async fn spawn_closing_target(answer: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut received = Vec::new();
+        while !received.ends_with(b"12.50") {
+            assert_ne!(stream.read_buf(&mut received).await.unwrap(), 0);
+        }
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+    });
+    url
+}
+
+/// Returns the body of an answer, or `None` if there is none or it broke off.
+async fn read_body(answer: &str) -> Option<String> {
+    let url = spawn_closing_target(answer.to_owned()).await;
+    let client = TargetClient::new(&url, ServiceKind::Plain);
+    let request = run_request(Bytes::from_static(b"12.50"));
+    let mut response = client.send(&request).await.ok()?;
+    let mut body = Vec::new();
+    while let Some(chunk) = response.body.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+    }
+    Some(String::from_utf8(body).unwrap())
+}
+
+#[actix_rt::test]
+async fn whole_answers() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+    ] {
+        assert_eq!(read_body(answer).await.as_deref(), Some("done"), "{answer:?}");
+    }
+    for answer in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\n\r\n",
+    ] {
+        assert_eq!(read_body(answer).await.as_deref(), Some(""), "{answer:?}");
+    }
+}
+
+/// The library takes the body of an answer that ends with its connection for empty.
+#[actix_rt::test]
+async fn unframed_answers() {
+    for head in ["connection: close\r\n", "", "content-type: text/event-stream\r\n"] {
+        let answer = format!("HTTP/1.1 200 OK\r\n{head}\r\ndone");
+        assert_eq!(read_body(&answer).await, None, "{answer:?}");
+    }
+}
+
+/// An answer that a target breaks off within its head answers nothing, wherever that is.
+#[actix_rt::test]
+async fn cut_heads() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\n";
+    for cut in 0..head.len() {
+        assert_eq!(read_body(&head[..cut]).await, None, "cut at {cut}");
+    }
+}
