Send no answer of another kind as the rest of a stream

Cause: once a caller has a head, the head of a further run is left out, but the body of an answer that is no stream of events was sent. Evidence: error_after_a_break, with router and agents as processes, failed before: two events, the text of a 500, and a complete body. Change: a run that goes on with a stream has to answer 200 with events, else it counts as interrupted. After: the test passes with ten answers.

--- a/crates/jackdaw-router/src/run.rs
+++ b/crates/jackdaw-router/src/run.rs
@@ -11,6 +11,9 @@
 use crate::caller_server::ResponsePart;
 use crate::decision_actor::{DecisionActor, FinishRun};
 
+/// Status of an answer that goes on with a stream.
+const STREAM_STATUS: u16 = 200;
+
 /// Input of [`execute_run`].
 pub struct RunTask {
     /// Identifier of the request.
@@ -106,6 +109,10 @@
         match reply {
             RunReply::Head { status, headers } => {
                 self.is_streamed = is_event_stream(&headers);
+                if self.head_sent && !(self.is_streamed && status == STREAM_STATUS) {
+                    log::warn!("an answer with status {status} does not go on with a stream");
+                    return Some(RunEnd::Failed(RunFault::Interrupted));
+                }
                 if self.is_streamed {
                     self.send_head(status, headers).await
                 } else {
