--- a/crates/jackdaw-edge/tests/crowd/large_entries.rs
+++ b/crates/jackdaw-edge/tests/crowd/large_entries.rs
@@ -8,11 +8,10 @@
 const ENTRIES: usize = 90;
 const ENTRY_BYTES: usize = 600_000;
 
-/// Starts a router beside entries that repeat a text.
-fn start_beside(start: &str, repeated: &str, end: &str) {
+/// Starts a router beside entries with this text.
+fn start_beside(entry: &str) {
     run_alone(async {
         let store = StoreStandin::bind().await;
-        let entry = start.to_owned() + &repeated.repeat(ENTRY_BYTES / repeated.len()) + end;
         for number in 0..ENTRIES {
             store.put_raw_target(&format!("a-{number}"), entry.as_bytes());
         }
@@ -20,18 +19,28 @@
     });
 }
 
+/// Returns a text of [`ENTRY_BYTES`] that repeats another one.
+fn fill(repeated: &str) -> String {
+    repeated.repeat(ENTRY_BYTES / repeated.len())
+}
+
 #[test]
 fn long_texts_stay_within_memory() {
-    start_beside(r#"{"note":""#, "x", r#""}"#);
+    start_beside(&format!(r#"{{"note":"{}"}}"#, fill("x")));
 }
 
 /// Parsed, such values take many times the memory of their text.
 #[test]
 fn many_values_stay_within_memory() {
-    start_beside("[0", ",0", "]");
+    start_beside(&format!("[0{}]", fill(",0")));
 }
 
 #[test]
 fn many_fields_stay_within_memory() {
-    start_beside(r#"{"note":[{}"#, r#",{"a":0}"#, "]}");
+    start_beside(&format!(r#"{{"note":[0{}]}}"#, fill(r#",{"a":0}"#)));
+}
+
+#[test]
+fn deep_values_stay_within_memory() {
+    start_beside(&format!("{}{}", "[".repeat(ENTRY_BYTES / 2), "]".repeat(ENTRY_BYTES / 2)));
 }
