--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -1,6 +1,6 @@
 //! Engines: HTTP servers that run requests as the pages say.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -44,27 +44,42 @@
     pub address: SocketAddr,
     pub born: u64,
     connections: Rc<Cell<usize>>,
-    task: Rc<tokio::task::JoinHandle<()>>,
+    /// The tasks that accept connections and serve them.
+    tasks: Rc<RefCell<Vec<tokio::task::AbortHandle>>>,
 }
 
 impl Engine {
     /// Starts an engine. The handler returns whether the connection stays open.
     pub async fn start(id: &str, handler: Handler) -> io::Result<Engine> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        Engine::start_at((Ipv4Addr::LOCALHOST, 0).into(), id, 1_790_000_000_000, handler).await
+    }
+
+    /// Starts an engine at an address; `born` is the Unix millisecond of its start.
+    pub async fn start_at(
+        address: SocketAddr,
+        id: &str,
+        born: u64,
+        handler: Handler,
+    ) -> io::Result<Engine> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let connections = Rc::new(Cell::new(0));
-        let (name, count, born) = (id.to_owned(), Rc::clone(&connections), 1_790_000_000_000);
+        let (name, count) = (id.to_owned(), Rc::clone(&connections));
+        let tasks: Rc<RefCell<Vec<tokio::task::AbortHandle>>> = Rc::default();
+        let served = Rc::clone(&tasks);
         let task = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let _ = stream.set_nodelay(true);
                 count.set(count.get() + 1);
                 let (name, handler) = (name.clone(), Rc::clone(&handler));
-                tokio::task::spawn_local(async move {
+                let task = tokio::task::spawn_local(async move {
                     let _ = serve(name, born, stream, handler).await;
                 });
+                served.borrow_mut().push(task.abort_handle());
             }
         });
-        Ok(Engine { id: id.to_owned(), address, born, connections, task: Rc::new(task) })
+        tasks.borrow_mut().push(task.abort_handle());
+        Ok(Engine { id: id.to_owned(), address, born, connections, tasks })
     }
 
     /// Returns the number of connections so far.
@@ -72,9 +87,11 @@
         self.connections.get()
     }
 
-    /// Stops listening.
-    pub fn stop(&self) {
-        self.task.abort();
+    /// Ends the engine's process: its sockets are closed, whatever runs.
+    pub fn crash(&self) {
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
     }
 
     /// The entry that the engine writes into the store.
