--- a/review/standins-3/src/bin/engine_leaves.rs
+++ b/review/standins-3/src/bin/engine_leaves.rs
@@ -72,9 +72,8 @@
     store.put_config(&config);
     let deployment = Deployment::new(store.address);
     let seeds = [machine_ip(1), machine_ip(2)];
-    let mut routers: Vec<Router> = (1..=2)
-        .map(|number| Router::new(&deployment, number, "a", &seeds, &folder))
-        .collect();
+    let mut routers: Vec<Router> =
+        (1..=2).map(|number| Router::new(&deployment, number, "a", &seeds, &folder)).collect();
     for router in &mut routers {
         router.start()?;
     }
--- a/review/standins-3/src/bin/slow_crowd.rs
+++ b/review/standins-3/src/bin/slow_crowd.rs
@@ -103,9 +103,8 @@
     let deployment = Deployment::new(store.address);
     let limit = f64::from(deployment.memory_mb);
     let seeds = [machine_ip(1), machine_ip(2)];
-    let mut routers: Vec<Router> = (1..=2)
-        .map(|number| Router::new(&deployment, number, "a", &seeds, &folder))
-        .collect();
+    let mut routers: Vec<Router> =
+        (1..=2).map(|number| Router::new(&deployment, number, "a", &seeds, &folder)).collect();
     for router in &mut routers {
         router.start()?;
     }
@@ -192,7 +191,10 @@
         counts.quick_sent.get()
     ));
     let ends = *ends.borrow();
-    record.add(&format!("Fault: the processes of the two machines ended {} and {} times by themselves", ends[0], ends[1]));
+    record.add(&format!(
+        "Fault: the processes of the two machines ended {} and {} times by themselves",
+        ends[0], ends[1]
+    ));
     Ok(if ends.iter().all(|count| *count >= ENDS) { BROKEN } else { HELD })
 }
 
--- a/review/standins-3/src/bin/streams_after_kill.rs
+++ b/review/standins-3/src/bin/streams_after_kill.rs
@@ -54,7 +54,8 @@
     connection.send(&text).await.ok()?;
     let mut got = Vec::new();
     loop {
-        let read = tokio::time::timeout_at(until.into(), connection.stream.read_buf(&mut got)).await;
+        let read =
+            tokio::time::timeout_at(until.into(), connection.stream.read_buf(&mut got)).await;
         if !matches!(read, Ok(Ok(1..))) {
             break;
         }
@@ -90,7 +91,9 @@
     let seeds = [machine_ip(1), machine_ip(2), machine_ip(3)];
     let zones = ["a", "b", "a"];
     let mut routers: Vec<Router> = (1..=3)
-        .map(|number| Router::new(&deployment, number, zones[usize::from(number) - 1], &seeds, &folder))
+        .map(|number| {
+            Router::new(&deployment, number, zones[usize::from(number) - 1], &seeds, &folder)
+        })
         .collect();
     for router in &mut routers {
         router.start()?;
@@ -137,7 +140,9 @@
     record.add("all machines are ready");
     tokio::time::sleep_until((back + RETURN_AFTER).into()).await;
     let left = BUDGET.saturating_sub(begun.elapsed());
-    record.add(&format!("the clients take their streams up again with {left:?} left; as many begin new ones"));
+    record.add(&format!(
+        "the clients take their streams up again with {left:?} left; as many begin new ones"
+    ));
     let results = Rc::new(Cell::new((0, 0)));
     let mut tasks = Vec::new();
     for (number, holder) in holders.into_iter().enumerate() {
@@ -145,18 +150,29 @@
             record.add(&format!("s-{number} had no event"));
             return Ok(COULD_NOT_RUN);
         };
-        let (front, record, counts) = (fronts[(number + 1) % 3], record.clone(), Rc::clone(&results));
+        let (front, record, counts) =
+            (fronts[(number + 1) % 3], record.clone(), Rc::clone(&results));
         tasks.push(tokio::task::spawn_local(async move {
             let extra = format!("Resumes: s-{number}\r\nLast-Event-Id: {last}\r\n");
             let id = format!("r-{number}");
-            let text = request("POST", "/resumed/1", &id, left.as_millis() as u64, &extra, &format!("s-{number}"));
+            let text = request(
+                "POST",
+                "/resumed/1",
+                &id,
+                left.as_millis() as u64,
+                &extra,
+                &format!("s-{number}"),
+            );
             let answer = ask(front, &text, left).await;
             let goes_on = first_event(&answer) == Some(last + 1);
             let (old, new) = counts.get();
             counts.set((old + usize::from(goes_on), new));
             let body = String::from_utf8_lossy(&answer.body).chars().take(160).collect::<String>();
             let reason = if goes_on { String::new() } else { body };
-            record.add(&format!("{id} takes up s-{number} after event {last}: {} {reason}", answer.status));
+            record.add(&format!(
+                "{id} takes up s-{number} after event {last}: {} {reason}",
+                answer.status
+            ));
         }));
         let (front, counts) = (fronts[number % 3], Rc::clone(&results));
         tasks.push(tokio::task::spawn_local(async move {
--- a/review/standins-3/src/bin/term_slow_reader.rs
+++ b/review/standins-3/src/bin/term_slow_reader.rs
@@ -71,7 +71,8 @@
             Ok(true)
         })
     });
-    let engines = [Engine::start("i-1", Rc::clone(&handler)).await?, Engine::start("i-2", handler).await?];
+    let engines =
+        [Engine::start("i-1", Rc::clone(&handler)).await?, Engine::start("i-2", handler).await?];
     let mut config = sample_config(1, &["k1"]);
     for route in config["routes"].as_array_mut().into_iter().flatten() {
         route["timeout_ms"] = json!(12_000);
@@ -82,9 +83,8 @@
     }
     let deployment = Deployment::new(store.address);
     let seeds = [machine_ip(1), machine_ip(2)];
-    let mut routers: Vec<Router> = (1..=2)
-        .map(|number| Router::new(&deployment, number, "a", &seeds, &folder))
-        .collect();
+    let mut routers: Vec<Router> =
+        (1..=2).map(|number| Router::new(&deployment, number, "a", &seeds, &folder)).collect();
     for router in &mut routers {
         router.start()?;
     }
@@ -142,7 +142,10 @@
         while start.elapsed() < Duration::from_secs(8) {
             if let Some(status) = routers[0].ended() {
                 let after = start.elapsed().as_secs_f64();
-                record.add(&format!("{} has ended by itself {after:.2} s after SIGTERM: {status}", routers[0].name));
+                record.add(&format!(
+                    "{} has ended by itself {after:.2} s after SIGTERM: {status}",
+                    routers[0].name
+                ));
                 break;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -166,12 +169,18 @@
     let _ = others.await;
     let (served, sent) = counts.get();
     record.add(&format!("quick requests: {served} of {sent} served"));
-    let late = ended_runs.borrow().iter().filter(|(_, end)| *end > signalled + Duration::from_millis(6600)).count();
+    let late = ended_runs
+        .borrow()
+        .iter()
+        .filter(|(_, end)| *end > signalled + Duration::from_millis(6600))
+        .count();
     record.add(&format!("engines still at work in the last sixth of grace_s: {late}"));
     if ended_runs.borrow().len() < SLOW_CLIENTS {
         return Ok(COULD_NOT_RUN);
     }
-    record.add(&format!("LOST: {cut} of {SLOW_CLIENTS} answers that engines had made are incomplete"));
+    record.add(&format!(
+        "LOST: {cut} of {SLOW_CLIENTS} answers that engines had made are incomplete"
+    ));
     Ok(if cut > 0 { BROKEN } else { HELD })
 }
 
--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -37,7 +37,14 @@
 }
 
 /// The text of a request.
-pub fn request(method: &str, path: &str, id: &str, budget_ms: u64, extra: &str, body: &str) -> String {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    budget_ms: u64,
+    extra: &str,
+    body: &str,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {budget_ms}\r\n\
          Authorization: Token k1\r\n{extra}Content-Length: {}\r\n\r\n{body}",
@@ -53,7 +60,8 @@
 
 impl Connection {
     pub async fn open(address: SocketAddr) -> io::Result<Connection> {
-        let stream = tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(address)).await??;
+        let stream =
+            tokio::time::timeout(Duration::from_secs(1), TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         Ok(Connection { stream, buffer: Vec::new() })
     }
@@ -110,7 +118,8 @@
         };
         answer.head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
         self.buffer.drain(..end + 4);
-        answer.status = answer.head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+        answer.status =
+            answer.head.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
         if answer.header("transfer-encoding").is_some() {
             loop {
                 let line = loop {
@@ -158,7 +167,9 @@
     match Connection::open(address).await {
         Ok(mut connection) => match connection.send(text).await {
             Ok(()) => connection.answer(None, most).await,
-            Err(error) => Answer { end: error.to_string(), took: start.elapsed(), ..Answer::default() },
+            Err(error) => {
+                Answer { end: error.to_string(), took: start.elapsed(), ..Answer::default() }
+            }
         },
         Err(error) => Answer { end: error.to_string(), took: start.elapsed(), ..Answer::default() },
     }
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -134,7 +134,10 @@
     }
 }
 
-async fn read_request(stream: &EngineStream, buffer: &mut Vec<u8>) -> io::Result<Option<EngineRequest>> {
+async fn read_request(
+    stream: &EngineStream,
+    buffer: &mut Vec<u8>,
+) -> io::Result<Option<EngineRequest>> {
     let mut stream = stream.lock().await;
     let head_end = loop {
         if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
@@ -171,7 +174,9 @@
         Some(length) => format!("Content-Length: {length}"),
         None => "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked".to_owned(),
     };
-    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\n{framing}\r\n\r\n")
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: 3e1b.07.{id}\r\n{framing}\r\n\r\n"
+    )
 }
 
 /// One chunk of a body.
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -138,7 +138,8 @@
     /// Sends a signal, such as `TERM`, `KILL`, `STOP` or `CONT`.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let _ =
+                Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
         }
     }
 
