--- a/review/standins-3/src/bin/freeze_crash.rs
+++ b/review/standins-3/src/bin/freeze_crash.rs
@@ -65,7 +65,7 @@
     let store = Rc::new(StoreStandin::bind().await);
     let written = Written::default();
     let mut engines = Vec::new();
-    for name in ["i-1", "i-2"] {
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
         let engine = Engine::start(name, handler(name, &written)).await?;
         store.put_target(name, &engine.entry("s", "a", "ready"));
         engines.push(engine);
