--- a/review/standins-3/src/bin/term_slow_reader.rs
+++ b/review/standins-3/src/bin/term_slow_reader.rs
@@ -15,7 +15,7 @@
 use tokio::task::LocalSet;
 
 /// Bytes of an event, and the time in which an engine makes the events of any stream.
-const EVENT_BYTES: usize = 360;
+const EVENT_BYTES: usize = 420;
 const STREAM_TIME: Duration = Duration::from_secs(3);
 
 /// Clients that read slowly, and how they do: 8 KB/s.
@@ -24,7 +24,7 @@
 
 /// Events of the stream of a client.
 fn events_of(client: usize) -> usize {
-    128 + client
+    81 + client
 }
 
 fn client_of(id: &str) -> usize {
