--- a/review/standins-3/src/bin/slow_crowd.rs
+++ b/review/standins-3/src/bin/slow_crowd.rs
@@ -144,12 +144,13 @@
             while start.elapsed() < MOST && round < ROUNDS && ends.borrow()[machine] < ENDS {
                 round += 1;
                 record.add(&format!("{CLIENTS} clients come to {} within {ARRIVAL_TIME:?}", router.name));
+                let mut crowd = Vec::new();
                 for number in 0..CLIENTS {
                     let (front, counts) = (router.front(), Rc::clone(&counts));
-                    tokio::task::spawn_local(async move {
+                    crowd.push(tokio::task::spawn_local(async move {
                         tokio::time::sleep(ARRIVAL_TIME.mul_f64(number as f64 / CLIENTS as f64)).await;
                         read_slowly(front, format!("slow-{machine}-{round}-{number}"), calm, counts).await;
-                    });
+                    }));
                 }
                 let begun = Instant::now();
                 while begun.elapsed() < ARRIVAL_TIME + BUDGET {
@@ -170,6 +171,10 @@
                         break;
                     }
                 }
+                // Those who have not come yet do not come to the next process.
+                for client in crowd {
+                    client.abort();
+                }
             }
             record.add(&format!("most memory of {}: {peak:.1} MB", router.name));
             router
