Count a response until the socket has taken its end

Streams that broke off, or reached their deadline while the caller was reading, lost the last events before that. A process short of descriptors closed such connections as unused.

Cause: a stream counted as open until the HTTP server had asked for its last bytes. The server holds up to 16 pieces or 16 KB for a socket that takes no more, and drops them when a body ends with an error.

Change: every response counts from its request to the flush that follows its end, which the HTTP server makes once the socket has taken all. A stream that fails waits for that flush before it ends with an error, and its run ends at once. After the deadline, the connection is ended when its socket has taken nothing for 5 s, not after 200 ms whatever it does.

--- a/crates/jackdaw-edge/src/caller_server.rs
+++ b/crates/jackdaw-edge/src/caller_server.rs
@@ -19,6 +19,7 @@
 use crate::caller_stream::CallerStream;
 use crate::edge_state::{EdgeStage, EdgeState};
 use crate::http_exchange::serve_request;
+use crate::socket_progress::ProgressGuard;
 
 /// Idle timeout until a configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -146,6 +147,7 @@
     let header_bytes = limits.as_ref().map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
     let stream = CallerStream::new(&state, stream);
     let guard = Rc::clone(stream.guard());
+    let _progress = ProgressGuard::new(stream.progress());
     let (service_state, caller) = (Rc::clone(&state), stream.clone());
     let service = service_fn(move |request| {
         let (state, caller) = (Rc::clone(&service_state), caller.clone());
--- a/crates/jackdaw-edge/src/caller_stream.rs
+++ b/crates/jackdaw-edge/src/caller_stream.rs
@@ -13,6 +13,7 @@
 
 use crate::caller_connections::CallerGuard;
 use crate::edge_state::EdgeState;
+use crate::socket_progress::SocketProgress;
 
 /// A caller's TCP connection; clones share the socket.
 #[derive(Clone)]
@@ -20,13 +21,15 @@
     stream: Rc<TcpStream>,
     state: Rc<EdgeState>,
     guard: Rc<CallerGuard>,
+    progress: Rc<SocketProgress>,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection, and counts it among those of `state`.
     pub fn new(state: &Rc<EdgeState>, stream: TcpStream) -> CallerStream {
         let guard = Rc::new(state.callers.add());
-        CallerStream { stream: Rc::new(stream), state: Rc::clone(state), guard }
+        let (stream, progress) = (Rc::new(stream), Rc::default());
+        CallerStream { stream, state: Rc::clone(state), guard, progress }
     }
 
     /// Returns the guard that counts the connection.
@@ -34,6 +37,11 @@
         &self.guard
     }
 
+    /// Returns the progress of the writes to the connection.
+    pub fn progress(&self) -> &Rc<SocketProgress> {
+        &self.progress
+    }
+
     /// Ends the connection in both directions, also while a write waits for the caller to read.
     pub fn abort(&self) {
         if let Err(error) = SockRef::from(&*self.stream).shutdown(Shutdown::Both) {
@@ -92,7 +100,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write_vectored(bufs) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                outcome => return Poll::Ready(outcome),
+                outcome => {
+                    self.progress.record_write(*outcome.as_ref().unwrap_or(&0));
+                    return Poll::Ready(outcome);
+                }
             }
         }
     }
@@ -101,7 +112,9 @@
         true
     }
 
+    /// The HTTP server flushes a connection once it has written all that it holds.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.progress.record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/jackdaw-edge/src/delivery.rs
+++ b/crates/jackdaw-edge/src/delivery.rs
@@ -3,10 +3,17 @@
 //! A response is on its way until the socket has taken it, which for a caller that reads slowly may be
 //! long after it is complete.
 
+use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::response_relay::{RelayError, ResponseBody};
+use crate::socket_progress::{HeldDelivery, SocketProgress};
 
 /// Number of requests that were read and whose responses have not been written completely. Clones count
 /// the same ones.
@@ -21,10 +28,12 @@
     counts: [DeliveryCount; 2],
 }
 
-/// A body that counts until the last of its bytes is dropped.
-struct DeliveredBody {
-    bytes: Bytes,
-    _guard: DeliveryGuard,
+/// A response body that counts until the socket has taken the end of the response, however it ends.
+pub struct DeliveredBody {
+    content: ResponseBody,
+    /// Handed to `progress` with the end of the body.
+    guard: Option<DeliveryGuard>,
+    progress: Rc<SocketProgress>,
 }
 
 impl DeliveryCount {
@@ -43,11 +52,6 @@
         }
         DeliveryGuard { counts }
     }
-
-    /// Returns the same bytes, which count until they have been written.
-    pub fn attach(self, bytes: Bytes) -> Bytes {
-        Bytes::from_owner(DeliveredBody { bytes, _guard: self })
-    }
 }
 
 impl Drop for DeliveryGuard {
@@ -58,8 +62,42 @@
     }
 }
 
-impl AsRef<[u8]> for DeliveredBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+impl DeliveredBody {
+    /// Wraps the body of a response on a connection with this progress.
+    pub fn new(
+        content: ResponseBody,
+        guard: DeliveryGuard,
+        progress: &Rc<SocketProgress>,
+    ) -> DeliveredBody {
+        DeliveredBody { content, guard: Some(guard), progress: Rc::clone(progress) }
+    }
+}
+
+impl Drop for DeliveredBody {
+    /// The HTTP server drops a body once it has taken its last bytes, and may hold these for long.
+    fn drop(&mut self) {
+        if let Some(guard) = self.guard.take() {
+            self.progress.hold(HeldDelivery::new(guard, self.content.take_watchdog()));
+        }
+    }
+}
+
+impl Body for DeliveredBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        Pin::new(&mut self.content).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
     }
 }
--- a/crates/jackdaw-edge/src/http_exchange.rs
+++ b/crates/jackdaw-edge/src/http_exchange.rs
@@ -12,12 +12,12 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::caller_stream::CallerStream;
-use crate::delivery::DeliveryGuard;
+use crate::delivery::{DeliveredBody, DeliveryGuard};
 use crate::edge_state::{EdgeStage, EdgeState};
 use crate::local_response::LocalResponse;
 use crate::request_body::{BodyFault, read_body};
 use crate::request_context::{AdmittedRequest, RequestContext, RequestCustomer};
-use crate::response_relay::{ResponseBody, ResponseRelay};
+use crate::response_relay::{ResponseBody, WatchedRelay};
 use crate::stream_head::StreamHead;
 use crate::target_send::{TargetResponse, obtain_response};
 
@@ -34,26 +34,27 @@
     state: Rc<EdgeState>,
     caller: &CallerStream,
     request: Request<Incoming>,
-) -> Response<ResponseBody> {
+) -> Response<DeliveredBody> {
     let received = Instant::now();
     let closes = !state.keeps_connections();
     let (parts, body) = request.into_parts();
+    let deliver = || DeliveryGuard::new(caller.guard().served(), &state.deliveries);
     let head = match RequestHead::parse(&parts) {
         Ok(head) => head,
         Err(fault) => {
             log::info!(outcome = "malformed", reason = fault.describe(); "request malformed");
             let refusal = LocalResponse::new(ErrorKind::Malformed, fault.describe());
-            return refusal.into_response(None, closes);
+            let response = refusal.into_response(None, closes);
+            let delivery = deliver();
+            return response.map(|body| DeliveredBody::new(body, delivery, caller.progress()));
         }
     };
     let id = head.id.clone();
     let admitted = admit(&state, parts, head, body, received).await;
     caller.guard().end_request();
+    let delivery = deliver();
     let mut response = match admitted {
-        Ok(context) => {
-            let delivery = DeliveryGuard::new(caller.guard().served(), &state.deliveries);
-            respond(&context, caller, delivery).await
-        }
+        Ok(context) => respond(&context, caller).await,
         Err(refusal) => {
             log::info!(
                 request:% = id,
@@ -71,7 +72,7 @@
     if closes || !state.keeps_connections() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|body| DeliveredBody::new(body, delivery, caller.progress()))
 }
 
 /// Resolves the request's route, customer and service, and reads its body.
@@ -192,11 +193,7 @@
 }
 
 /// Forwards an admitted request to targets and builds the response to its caller.
-async fn respond(
-    context: &RequestContext,
-    caller: &CallerStream,
-    delivery: DeliveryGuard,
-) -> Response<ResponseBody> {
+async fn respond(context: &RequestContext, caller: &CallerStream) -> Response<ResponseBody> {
     // Lets the connection first detect that its caller left while the request waited unread.
     tokio::task::yield_now().await;
     if context.inner.state.is_behind() && caller.has_closed() {
@@ -219,12 +216,12 @@
         Ok(TargetResponse::Complete(parts, body)) => {
             context.record_bytes();
             context.finish("answered", parts.status.as_u16());
-            build_response(&parts, ResponseBody::complete(delivery.attach(body)))
+            build_response(&parts, ResponseBody::complete(body))
         }
         Ok(TargetResponse::Stream(parts, source)) => {
             let _ = context.inner.stream_head.set(StreamHead::new(&parts));
-            let relay = ResponseRelay::new(context.clone(), source, caller, delivery);
-            build_response(&parts, ResponseBody::Relay(Box::new(relay)))
+            let relay = WatchedRelay::spawn(context.clone(), source, caller);
+            build_response(&parts, ResponseBody::Relay(relay))
         }
         Err(failure) => {
             context.finish(failure.kind.slug(), failure.kind.status());
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod response_relay;
 pub mod run_guard;
 pub mod settings_file;
+pub mod socket_progress;
 pub mod store_watch;
 mod stream_exchange;
 mod stream_head;
--- a/crates/jackdaw-edge/src/response_relay.rs
+++ b/crates/jackdaw-edge/src/response_relay.rs
@@ -1,8 +1,10 @@
 //! Response bodies that are sent to callers, including relayed event streams.
 
+use std::cell::RefCell;
 use std::error::Error;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -16,26 +18,36 @@
 use crate::body_buffer::BufferLease;
 use crate::caller_stream::CallerStream;
 use crate::crash_check::CheckFuture;
-use crate::delivery::DeliveryGuard;
 use crate::event_framer::EventFramer;
 use crate::log_text::format_error;
 use crate::read_meter::MeteredBody;
 use crate::request_context::RequestContext;
 use crate::run_guard::RunGuard;
+use crate::socket_progress::SocketProgress;
 use crate::target_send::resume_stream;
 
 /// Size up to which the beginning of an event is buffered whatever other streams hold, in bytes.
 const FREE_EVENT_BYTES: usize = 16 * 1024;
 
-/// Time after the deadline of a stream at which the connection of a caller that does not read is ended.
+/// Time after the deadline of a stream at which its run is ended if the caller does not read.
 const UNREAD_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time without progress after which the connection of a caller that does not read what is left of its stream
+/// is ended. A socket of a caller that reads 8 KB a second takes bytes every four seconds.
+const STALL_LIMIT: Duration = Duration::from_secs(5);
+
 /// Body of a response to a caller.
 pub enum ResponseBody {
     /// A complete body; `None` once it has been sent.
     Complete(Option<Bytes>),
     /// An event stream relayed from a target.
-    Relay(Box<ResponseRelay>),
+    Relay(WatchedRelay),
+}
+
+/// An event stream, with a task that ends the connection of a caller that does not read it.
+pub struct WatchedRelay {
+    relay: Rc<RefCell<ResponseRelay>>,
+    watchdog: Option<AbortHandle>,
 }
 
 /// Error that ends a body early and closes the caller's connection.
@@ -58,9 +70,7 @@
     /// Whether an event was forwarded.
     has_events: bool,
     deadline: Pin<Box<Sleep>>,
-    /// Ends the connection of a caller that does not read.
-    watchdog: AbortHandle,
-    _delivery: DeliveryGuard,
+    progress: Rc<SocketProgress>,
 }
 
 /// The part of a stream that comes from one target.
@@ -79,6 +89,13 @@
     Resuming(Pin<Box<dyn Future<Output = Option<RelaySource>>>>),
     /// The stream has ended with its connection; the check tells whether the target crashed.
     Confirming(RelaySource, CheckFuture),
+    /// The stream ends early, once the socket has taken what came before; an error makes the HTTP server
+    /// drop what it holds.
+    Failing {
+        error: RelayError,
+        /// Number of flushes of the socket when the stream ended.
+        flushes: u64,
+    },
     Ended,
 }
 
@@ -87,19 +104,47 @@
     pub fn complete(bytes: Bytes) -> ResponseBody {
         ResponseBody::Complete(Some(bytes))
     }
+
+    /// Takes the task that ends the connection of a caller that does not read; `None` if there is none.
+    pub fn take_watchdog(&mut self) -> Option<AbortHandle> {
+        match self {
+            ResponseBody::Complete(_) => None,
+            ResponseBody::Relay(relay) => relay.watchdog.take(),
+        }
+    }
 }
 
-impl ResponseRelay {
-    /// Creates a relay that ends with [`RelayError::TimedOut`] at the deadline of `context`. If the
-    /// caller does not read by then, its connection is ended.
-    pub fn new(
+impl WatchedRelay {
+    /// Starts a relay that ends with [`RelayError::TimedOut`] at the deadline of `context`. If the
+    /// caller does not read after that, its connection is ended.
+    pub fn spawn(
         context: RequestContext,
         source: RelaySource,
         caller: &CallerStream,
-        delivery: DeliveryGuard,
+    ) -> WatchedRelay {
+        let relay = ResponseRelay::new(context.clone(), source, caller.progress());
+        let relay = Rc::new(RefCell::new(relay));
+        let watchdog = end_unread(Rc::downgrade(&relay), context, caller.clone());
+        let watchdog = tokio::task::spawn_local(watchdog);
+        WatchedRelay { relay, watchdog: Some(watchdog.abort_handle()) }
+    }
+}
+
+impl Drop for WatchedRelay {
+    fn drop(&mut self) {
+        if let Some(watchdog) = &self.watchdog {
+            watchdog.abort();
+        }
+    }
+}
+
+impl ResponseRelay {
+    fn new(
+        context: RequestContext,
+        source: RelaySource,
+        progress: &Rc<SocketProgress>,
     ) -> ResponseRelay {
         let deadline = Box::pin(tokio::time::sleep_until(context.deadline_at()));
-        let watchdog = tokio::task::spawn_local(end_unread(context.clone(), caller.clone()));
         let event_lease = context.inner.state.body_buffer.lease();
         ResponseRelay {
             context,
@@ -108,26 +153,28 @@
             event_lease,
             has_events: false,
             deadline,
-            watchdog: watchdog.abort_handle(),
-            _delivery: delivery,
+            progress: Rc::clone(progress),
         }
     }
 
     fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, RelayError>>> {
         loop {
-            if self.deadline.as_mut().poll(cx).is_ready() {
-                self.phase = RelayPhase::Ended;
-                self.context.finish("timed-out-midway", 200);
-                return Poll::Ready(Some(Err(RelayError::TimedOut)));
+            if self.is_running() && self.deadline.as_mut().poll(cx).is_ready() {
+                self.fail(RelayError::TimedOut);
             }
             match &mut self.phase {
                 RelayPhase::Ended => return Poll::Ready(None),
+                RelayPhase::Failing { error, flushes } => {
+                    let error = *error;
+                    ready!(self.progress.poll_flushed(*flushes, cx));
+                    self.phase = RelayPhase::Ended;
+                    return Poll::Ready(Some(Err(error)));
+                }
                 RelayPhase::Resuming(resumption) => {
                     let source = ready!(resumption.as_mut().poll(cx));
                     let Some(source) = source else {
-                        self.phase = RelayPhase::Ended;
-                        self.context.finish("broken-midway", 200);
-                        return Poll::Ready(Some(Err(RelayError::Broken)));
+                        self.fail(RelayError::Broken);
+                        continue;
                     };
                     self.framer.begin_resumption();
                     self.phase = RelayPhase::Streaming(source);
@@ -234,7 +281,10 @@
     fn lacks_events(&self) -> bool {
         let is_framed = match &self.phase {
             RelayPhase::Streaming(source) => source.is_framed,
-            RelayPhase::Resuming(_) | RelayPhase::Confirming(..) | RelayPhase::Ended => true,
+            RelayPhase::Resuming(_)
+            | RelayPhase::Confirming(..)
+            | RelayPhase::Failing { .. }
+            | RelayPhase::Ended => true,
         };
         !is_framed && !self.has_events
     }
@@ -255,6 +305,21 @@
         self.phase = RelayPhase::Resuming(Box::pin(resumption));
     }
 
+    /// Returns whether the stream has not ended.
+    fn is_running(&self) -> bool {
+        !matches!(self.phase, RelayPhase::Failing { .. } | RelayPhase::Ended)
+    }
+
+    /// Ends the stream early, and abandons the run that it comes from.
+    fn fail(&mut self, error: RelayError) {
+        self.phase = RelayPhase::Failing { error, flushes: self.progress.flushes() };
+        let outcome = match error {
+            RelayError::Broken => "broken-midway",
+            RelayError::TimedOut => "timed-out-midway",
+        };
+        self.context.finish(outcome, 200);
+    }
+
     /// Ends the run that the stream comes from, if it has not ended.
     fn end_run(&mut self, outcome: RunOutcome) {
         if let RelayPhase::Streaming(source) | RelayPhase::Confirming(source, _) = self.end_phase()
@@ -270,19 +335,36 @@
 
 impl Drop for ResponseRelay {
     fn drop(&mut self) {
-        self.watchdog.abort();
         self.context.finish("caller-left", 200);
     }
 }
 
-/// Ends the connection of a caller shortly after the deadline. The HTTP server asks a stream for bytes,
-/// and so checks its deadline, only while the caller reads.
-async fn end_unread(context: RequestContext, caller: CallerStream) {
+/// Ends a stream shortly after its deadline, and the connection once its caller does not read what came
+/// before. The HTTP server asks a stream for bytes, and so checks its deadline, only while the caller reads.
+async fn end_unread(
+    relay: Weak<RefCell<ResponseRelay>>,
+    context: RequestContext,
+    caller: CallerStream,
+) {
     tokio::time::sleep_until(context.deadline_at() + UNREAD_MARGIN).await;
-    log::info!(
-        request:% = context.inner.request.head.id;
-        "caller does not read its stream; ending the connection"
-    );
+    // The context counts the request as in progress, which the rest of this task is not.
+    let id = context.inner.request.head.id.clone();
+    drop(context);
+    if let Some(relay) = relay.upgrade() {
+        let mut relay = relay.borrow_mut();
+        if relay.is_running() {
+            relay.fail(RelayError::TimedOut);
+        }
+    }
+    let progress = caller.progress();
+    loop {
+        let taken = progress.taken();
+        tokio::time::sleep(STALL_LIMIT).await;
+        if progress.taken() == taken {
+            break;
+        }
+    }
+    log::info!(request:% = id; "caller does not read its stream; ending the connection");
     caller.abort();
 }
 
@@ -299,7 +381,7 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             ResponseBody::Relay(relay) => {
-                let bytes = ready!(relay.poll_bytes(cx));
+                let bytes = ready!(relay.relay.borrow_mut().poll_bytes(cx));
                 Poll::Ready(bytes.map(|bytes| bytes.map(Frame::data)))
             }
         }
