Keep versions of services and streams in the store

Cause: which versions a service had, and which began a stream, were in the memory of routers only.

Change (docs/design/versions-in-the-store.md): a router uses a target only once the store's record names its version; the record informs routers that start. While it names several versions, the keeper of each failure domain writes what began which stream. `--first-start` vouches for the record where no router has run before.

--- a/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
+++ b/crates/jackdaw-edge/src/bin/jackdaw-edge.rs
@@ -1,5 +1,7 @@
 //! Command-line entry point of the edge router.
 
+use std::ffi::OsString;
+use std::path::Path;
 use std::process::ExitCode;
 
 use error_stack::Report;
@@ -18,21 +20,28 @@
 /// Option with the memory of the process, which goes before that in the settings file.
 const MEMORY_OPTION: &str = "--memory-mb=";
 
+/// Option that states whether no router of the deployment has run before.
+const FIRST_START_OPTION: &str = "--first-start=";
+
 /// What the command line asks for.
 struct EdgeCommand {
     daemon: DaemonCommand,
     /// Memory of the process in megabytes; empty if the command line does not state it.
     memory: String,
+    /// `true` if no router has run before; empty if the command line does not say.
+    first_start: String,
 }
 
 fn main() -> ExitCode {
-    let EdgeCommand { daemon, memory } = match parse_command() {
+    let EdgeCommand { daemon, memory, first_start } = match parse_command() {
         Ok(command) => command,
         Err(report) => {
             eprintln!("{}\n\n{}", describe_report(&report), edge_help());
             return ExitCode::from(EXIT_USAGE);
         }
     };
+    let open =
+        |path: &Path| SettingsFile::open(path).with_memory(&memory).with_first_start(&first_start);
     match daemon {
         DaemonCommand::Help => {
             print!("{}", edge_help());
@@ -42,35 +51,43 @@
             println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        DaemonCommand::Check(path) => match SettingsFile::open(&path).with_memory(&memory).read() {
+        DaemonCommand::Check(path) => match open(&path).read() {
             Ok(_) => ExitCode::SUCCESS,
             Err(report) => fail(&report, EXIT_SETTINGS),
         },
-        DaemonCommand::Run(path) => run(SettingsFile::open(&path).with_memory(&memory)),
+        DaemonCommand::Run(path) => run(open(&path)),
     }
 }
 
 fn edge_help() -> String {
     daemon_help(PROGRAM)
-        + "\nFurther option:\n  --memory-mb=N    memory of the process in megabytes, before that in the file\n"
+        + "\nFurther options:\n  --memory-mb=N    memory of the process in megabytes, before that in the file\n  \
+           --first-start=B  true if no router of the deployment has run before\n"
 }
 
 /// Parses the command line; without arguments, the platform provides the settings path.
 fn parse_command() -> Result<EdgeCommand, Report<ErrorKind>> {
-    let mut memory = String::new();
     let mut args: Vec<_> = std::env::args_os().skip(1).collect();
-    args.retain(|arg| match arg.to_str().and_then(|arg| arg.strip_prefix(MEMORY_OPTION)) {
-        Some(megabytes) => {
-            megabytes.clone_into(&mut memory);
-            false
-        }
-        None => true,
-    });
+    let memory = take_option(&mut args, MEMORY_OPTION);
+    let first_start = take_option(&mut args, FIRST_START_OPTION);
     let daemon = match (args.is_empty(), settings_path()) {
         (true, Some(path)) => DaemonCommand::Run(path),
         _ => parse_daemon_args(args)?,
     };
-    Ok(EdgeCommand { daemon, memory })
+    Ok(EdgeCommand { daemon, memory, first_start })
+}
+
+/// Removes an option from the arguments and returns its value; empty if there is none.
+fn take_option(args: &mut Vec<OsString>, option: &str) -> String {
+    let mut value = String::new();
+    args.retain(|arg| match arg.to_str().and_then(|arg| arg.strip_prefix(option)) {
+        Some(text) => {
+            text.clone_into(&mut value);
+            false
+        }
+        None => true,
+    });
+    value
 }
 
 fn run(file: SettingsFile) -> ExitCode {
--- /dev/null
+++ b/crates/jackdaw-edge/src/binding_store.rs
@@ -0,0 +1,67 @@
+//! What this router knows of the streams in the platform's store.
+
+use std::cell::{Cell, RefCell};
+
+use jackdaw_policy::direct::BindingRing;
+use tokio::sync::Notify;
+
+/// State of the writes of streams to the store.
+#[derive(Default)]
+pub(crate) struct BindingStore {
+    /// Objects of the failure domain; `None` before they were listed.
+    ring: RefCell<Option<BindingRing>>,
+    /// Whether a write is in progress.
+    is_writing: Cell<bool>,
+    /// Whether streams that others began before this process are still being read.
+    is_reading: Cell<bool>,
+    wanted: Notify,
+}
+
+/// The only write in progress.
+pub(crate) struct WriteGuard<'a> {
+    store: &'a BindingStore,
+}
+
+impl Drop for WriteGuard<'_> {
+    fn drop(&mut self) {
+        self.store.is_writing.set(false);
+    }
+}
+
+impl BindingStore {
+    /// Begins a write; `None` if one is in progress.
+    pub(crate) fn begin_write(&self) -> Option<WriteGuard<'_>> {
+        let is_free = !self.is_writing.replace(true);
+        is_free.then_some(WriteGuard { store: self })
+    }
+
+    /// Returns the objects of the failure domain; `None` if they have to be listed.
+    pub(crate) fn ring(&self) -> Option<BindingRing> {
+        self.ring.borrow().clone()
+    }
+
+    /// Sets the objects of the failure domain; `None` if they have to be listed again.
+    pub(crate) fn set_ring(&self, ring: Option<BindingRing>) {
+        self.ring.replace(ring);
+    }
+
+    /// Sets whether streams are still being read.
+    pub(crate) fn set_reading(&self, is_reading: bool) {
+        self.is_reading.set(is_reading);
+    }
+
+    /// Returns whether streams are still being read, so that one that is not known now may be soon.
+    pub(crate) fn is_reading(&self) -> bool {
+        self.is_reading.get()
+    }
+
+    /// Asks for a write at once.
+    pub(crate) fn request_write(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Waits for a request for a write.
+    pub(crate) async fn wait_request(&self) {
+        self.wanted.notified().await;
+    }
+}
--- a/crates/jackdaw-edge/src/edge_daemon.rs
+++ b/crates/jackdaw-edge/src/edge_daemon.rs
@@ -177,6 +177,9 @@
     loop {
         tokio::time::sleep(TICK_PERIOD).await;
         state.process_tick();
+        if let Some(streams) = state.streams() {
+            streams.tell_keeper(&state);
+        }
         let expired = {
             let mut router = state.router();
             let now = state.now();
--- a/crates/jackdaw-edge/src/edge_metrics.rs
+++ b/crates/jackdaw-edge/src/edge_metrics.rs
@@ -38,6 +38,8 @@
     pub bindings_repaired: Counter,
     /// Versions of streams told to other routers before this one stopped.
     pub bindings_handed_over: Counter,
+    /// Versions of streams written to the store.
+    pub bindings_saved: Counter,
     /// Datagrams about streams that could not be sent.
     pub stream_send_failures: Counter,
     /// Connections whose target was asked for its identity.
@@ -109,6 +111,10 @@
                 "edge_stream_bindings_repaired",
                 "Versions of streams told to routers that took over from others",
             ),
+            bindings_saved: plain(
+                "edge_stream_bindings_saved",
+                "Versions of streams written to the store",
+            ),
             bindings_handed_over: plain(
                 "edge_stream_bindings_handed_over",
                 "Versions of streams told to others before stopping",
@@ -159,6 +165,7 @@
             ChangeEffect::Applied => "applied",
             ChangeEffect::Deferred => "deferred",
             ChangeEffect::Ignored => "ignored",
+            ChangeEffect::Withheld => "withheld",
         };
         self.target_changes.add(&[("effect", effect)], 1);
     }
--- a/crates/jackdaw-edge/src/edge_state.rs
+++ b/crates/jackdaw-edge/src/edge_state.rs
@@ -13,6 +13,7 @@
 use jackdaw_settings::EdgeSettings;
 use tokio::sync::{Notify, watch};
 
+use crate::binding_store::BindingStore;
 use crate::body_buffer::BodyBuffer;
 use crate::caller_connections::CallerConnections;
 use crate::crash_check::CrashChecks;
@@ -23,6 +24,7 @@
 use crate::request_body::RequestBodies;
 use crate::stream_exchange::StreamExchange;
 use crate::target_pool::TargetPool;
+use crate::version_store::VersionStore;
 
 /// Interval of the housekeeping tick. Late ticks reveal how far the process lags behind.
 pub const TICK_PERIOD: Duration = Duration::from_millis(200);
@@ -66,6 +68,10 @@
     pub crash_checks: CrashChecks,
     /// Findings on crashes in the store.
     pub(crate) findings: FindingStore,
+    /// Record of software versions in the store.
+    pub(crate) versions: VersionStore,
+    /// Versions of streams in the store.
+    pub(crate) bindings: BindingStore,
     /// Exchange of versions of streams; set once the report port is bound.
     streams: OnceCell<StreamExchange>,
     /// Open connections of callers.
@@ -94,6 +100,8 @@
             deliveries: DeliveryCount::default(),
             crash_checks: CrashChecks::default(),
             findings: FindingStore::default(),
+            versions: VersionStore::default(),
+            bindings: BindingStore::default(),
             streams: OnceCell::new(),
             callers: CallerConnections::new(settings.descriptors),
             router: RefCell::new(router),
@@ -414,6 +422,7 @@
             allowance: settings.cold_allowance,
         },
         has_evacuations: settings.evacuation_time.is_some(),
+        is_first_start: settings.is_first_start,
         share_window: settings.share_window,
         retry_window: settings.repeat_window,
         retry_ratio: settings.repeat_ratio,
--- a/crates/jackdaw-edge/src/lib.rs
+++ b/crates/jackdaw-edge/src/lib.rs
@@ -12,6 +12,7 @@
 //! exchanges load and customer usage with the other routers, and [`peer_snapshot`] copies
 //! configuration and targets to routers that do not watch the store or cannot reach it.
 
+mod binding_store;
 pub mod body_buffer;
 pub mod caller_connections;
 pub mod caller_server;
@@ -45,3 +46,4 @@
 mod target_identity;
 pub mod target_pool;
 pub mod target_send;
+mod version_store;
--- a/crates/jackdaw-edge/src/peer_table.rs
+++ b/crates/jackdaw-edge/src/peer_table.rs
@@ -4,9 +4,10 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
+use jackdaw_base::ProcessIncarnation;
 use jackdaw_policy::direct::{
     FetchUrgency, HolderMember, HolderPeer, PeerReport, PeerStatus, PlanPeer, ReportPlan,
-    WatchPeer, introduce_peers, needs_introduction, plan_reports,
+    StoreStatus, WatchPeer, introduce_peers, needs_introduction, plan_reports,
 };
 use rand::seq::IteratorRandom;
 
@@ -132,7 +133,22 @@
         peers.collect()
     }
 
-    /// Returns the same routers with their incarnations.
+    /// Returns the routers of the same failure domain that reach the store, in the order in which they are
+    /// elected to watch it.
+    pub(crate) fn domain_watchers(&self) -> Vec<(ProcessIncarnation, Ipv4Addr)> {
+        let timeout = self.silence_timeout();
+        let watchers = self.peers.iter().filter_map(|(ip, record)| {
+            let last = record.last.as_ref()?;
+            let reaches_store = last.report.store_status != StoreStatus::Unreachable;
+            let is_watcher = last.is_same_domain && last.is_recent(timeout) && reaches_store;
+            is_watcher.then_some((last.report.incarnation, *ip))
+        });
+        let mut watchers: Vec<_> = watchers.collect();
+        watchers.sort_unstable();
+        watchers
+    }
+
+    /// Returns the routers that may keep streams, with their incarnations.
     pub(crate) fn holder_members(&self) -> BTreeMap<Ipv4Addr, HolderMember> {
         let timeout = self.silence_timeout();
         let members = self.peers.iter().filter_map(|(ip, record)| {
--- a/crates/jackdaw-edge/src/settings_file.rs
+++ b/crates/jackdaw-edge/src/settings_file.rs
@@ -15,6 +15,8 @@
     path: PathBuf,
     /// Memory that the command line states, in megabytes; empty if it states none.
     memory: String,
+    /// Whether the command line states that no router has run before; empty if it does not say.
+    first_start: String,
     stamp: Option<FileStamp>,
 }
 
@@ -24,7 +26,8 @@
 impl SettingsFile {
     /// Creates a handle that treats the current content of the file as already loaded.
     pub fn open(path: &Path) -> SettingsFile {
-        SettingsFile { path: path.to_owned(), memory: String::new(), stamp: read_stamp(path) }
+        let (memory, first_start) = (String::new(), String::new());
+        SettingsFile { path: path.to_owned(), memory, first_start, stamp: read_stamp(path) }
     }
 
     /// Makes the memory on the command line, in megabytes, go before that in the file.
@@ -32,14 +35,20 @@
         SettingsFile { memory: memory.to_owned(), ..self }
     }
 
+    /// Adds what the command line states about earlier runs of the deployment's routers.
+    pub fn with_first_start(self, first_start: &str) -> SettingsFile {
+        SettingsFile { first_start: first_start.to_owned(), ..self }
+    }
+
     /// Reads the settings.
     ///
     /// # Errors
     ///
-    /// Those of [`EdgeSettings::open`], and `SettingsInvalid` if the command line states no valid memory.
+    /// Those of [`EdgeSettings::open`], and `SettingsInvalid` if the command line states no valid values.
     pub fn read(&self) -> Result<EdgeSettings, Report<ErrorKind>> {
         let mut settings = EdgeSettings::open(&self.path)?;
         settings.override_memory(&self.memory)?;
+        settings.override_first_start(&self.first_start)?;
         Ok(settings)
     }
 
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -1,8 +1,10 @@
-//! Watches configuration, targets and crash findings in the platform's store while this router is
-//! assigned to.
+//! Watches configuration, targets, crash findings and software versions in the platform's store while this
+//! router is assigned to.
 
+mod binding_sync;
 mod evacuation_watch;
 mod finding_sync;
+mod version_sync;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,8 +17,10 @@
 
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
+use crate::store_watch::binding_sync::{read_bindings, save_bindings_loop};
 use crate::store_watch::evacuation_watch::watch_evacuations_loop;
-use crate::store_watch::finding_sync::{watch_findings_loop, write_findings_loop};
+use crate::store_watch::finding_sync::{watch_records_loop, write_findings_loop};
+use crate::store_watch::version_sync::{keep_versions_loop, record_versions};
 
 /// How long the store may hold a watch of the configuration or the targets. A connection that went silent
 /// is found after this time and that of a response, 2.4 s together. The rest of the three seconds after which
@@ -44,7 +48,7 @@
 /// Minimum backoff after a failed call; the maximum depends on the election of the watching routers.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
-/// Background tasks that watch configuration, targets and crash findings in the store.
+/// Background tasks that watch configuration, targets, crash findings and software versions in the store.
 pub struct StoreWatch {
     tasks: Vec<JoinHandle<()>>,
 }
@@ -74,8 +78,11 @@
         let mut tasks = vec![
             tokio::task::spawn_local(watch_config_loop(Rc::clone(state))),
             tokio::task::spawn_local(watch_targets_loop(Rc::clone(state))),
-            tokio::task::spawn_local(watch_findings_loop(Rc::clone(state))),
+            tokio::task::spawn_local(watch_records_loop(Rc::clone(state))),
             tokio::task::spawn_local(write_findings_loop(Rc::clone(state))),
+            tokio::task::spawn_local(keep_versions_loop(Rc::clone(state))),
+            tokio::task::spawn_local(read_bindings(Rc::clone(state))),
+            tokio::task::spawn_local(save_bindings_loop(Rc::clone(state))),
         ];
         if state.settings().evacuation_time.is_some() {
             tasks.push(tokio::task::spawn_local(watch_evacuations_loop(Rc::clone(state))));
@@ -274,29 +281,33 @@
         state.findings.wait_tried().await;
         record_store_success(state);
         let count = entries.len();
-        let effect = state.router().targets.replace(state.now(), entries, read);
+        let effect = state.router().replace_targets(state.now(), entries, read);
         state.metrics.record_target_update(&effect);
         let missing = state.router().targets.missing_count();
         log::info!(
             targets = count, missing, revision:% = read,
             withdrawn = format_names(&effect.withdrawn),
-            registered = format_names(&effect.registered);
+            registered = format_names(&effect.registered),
+            withheld = format_names(&state.router().withheld_targets());
             "targets listed"
         );
         session.start_watch(read).await;
         return Ok(());
     };
+    // Not before the first watch, since few routers of a fleet that starts as a whole have to do it.
+    record_versions(state, &mut session.client).await?;
     match session.client.watch_targets(after, POLL_WAIT).await? {
         TargetUpdate::Changes { changes, revision: next } => {
             record_store_success(state);
             let has_changes = !changes.is_empty();
             for change in changes {
                 let description = format!("{change:?}");
-                let effect = state.router().targets.apply(state.now(), change);
+                let effect = state.router().apply_target_change(state.now(), change);
                 state.metrics.record_target_change(effect);
                 log::info!(change = description, effect:? = effect; "target changed");
             }
             session.revision = Some(next);
+            record_versions(state, &mut session.client).await?;
             if has_changes {
                 tokio::time::sleep(TARGET_BATCH_PAUSE).await;
             }
--- a/crates/jackdaw-edge/src/store_watch/finding_sync.rs
+++ b/crates/jackdaw-edge/src/store_watch/finding_sync.rs
@@ -1,5 +1,6 @@
 //! Keeps the findings behind refusals in the store, so that routers that start know them even if no
-//! other router runs.
+//! other router runs. The watch of the findings also delivers the record of software versions
+//! ([`version_sync`](crate::store_watch::version_sync)).
 //!
 //! The routers that watch the store read the findings of the others there and write what is missing.
 //! Findings can be merged in any order, so a write that another one preceded is simply planned again.
@@ -9,10 +10,13 @@
 
 use error_stack::Report;
 use jackdaw_base::ErrorKind;
-use jackdaw_platform::{FindingUpdate, FindingWrite, StoreClient, StoredFindings};
-use jackdaw_policy::direct::{CrashFinding, FindingSource};
+use jackdaw_platform::{
+    FindingWrite, ListingAge, RecordUpdate, StoreClient, StoredFindings, StoredVersions,
+};
+use jackdaw_policy::direct::{CrashFinding, FindingSource, RecordAge};
 
 use crate::edge_state::EdgeState;
+use crate::store_watch::version_sync::{confirm_versions, take_over_records, take_over_versions};
 use crate::store_watch::{LONG_POLL_WAIT, RetryBackoff, WatchSession, log_failure};
 
 /// Time between two checks whether the store lacks findings.
@@ -22,12 +26,12 @@
 /// needless.
 const WRITE_SPREAD: Duration = Duration::from_millis(100);
 
-/// Follows the findings in the store while this router is assigned to watch it.
-pub(super) async fn watch_findings_loop(state: Rc<EdgeState>) {
+/// Follows what the store keeps for routers while this router is assigned to watch it.
+pub(super) async fn watch_records_loop(state: Rc<EdgeState>) {
     let mut session = WatchSession::open(&state);
     loop {
         session.prepare(&state).await;
-        let outcome = poll_findings(&state, &mut session).await;
+        let outcome = poll_records(&state, &mut session).await;
         state.findings.mark_tried();
         session.count_calls(&state);
         match outcome {
@@ -37,28 +41,39 @@
     }
 }
 
-/// Reads the findings, or waits for their next change if a revision is known.
-async fn poll_findings(
+/// Reads what the store keeps for routers, or waits for its next change if a revision is known.
+async fn poll_records(
     state: &EdgeState,
     session: &mut WatchSession,
 ) -> Result<(), Report<ErrorKind>> {
     let Some(after) = session.revision else {
-        let stored = session.client.read_findings(session.listing_age).await?;
-        let (count, read) = (stored.findings.len(), stored.revision);
+        let age = match session.listing_age {
+            ListingAge::MayBeStale => RecordAge::MayBeStale,
+            ListingAge::Latest => RecordAge::Latest,
+        };
+        let stored = session.client.read_records(session.listing_age).await?;
+        let (count, read) = (stored.findings.findings.len(), stored.revision);
         log::info!(findings = count, revision:% = read; "crash findings read from the store");
-        take_over(state, stored);
+        take_over_records(state, stored, age);
         state.findings.mark_tried();
         session.start_watch(read).await;
         return Ok(());
     };
-    match session.client.watch_findings(after, LONG_POLL_WAIT).await? {
-        FindingUpdate::Current { stored, revision } => {
-            if let Some(stored) = stored {
-                take_over(state, stored);
+    match session.client.watch_records(after, LONG_POLL_WAIT).await? {
+        RecordUpdate::Current { findings, versions, revision } => {
+            if let Some(stored) = findings {
+                take_over_findings(state, stored);
+            }
+            match (versions, state.versions.held()) {
+                (Some(stored), _) => take_over_versions(state, stored, RecordAge::Latest),
+                (None, Some(held)) if held.revision < revision => {
+                    confirm_versions(state, StoredVersions { revision, ..held });
+                }
+                (None, _) => {}
             }
             session.revision = Some(revision);
         }
-        FindingUpdate::HistoryLost => {
+        RecordUpdate::HistoryLost => {
             log::info!(revision:% = after; "revision expired; reading the crash findings again");
             session.restart_watch();
         }
@@ -67,7 +82,7 @@
 }
 
 /// Merges the findings of the store and remembers what it holds.
-fn take_over(state: &EdgeState, stored: StoredFindings) {
+pub(super) fn take_over_findings(state: &EdgeState, stored: StoredFindings) {
     let now = state.now();
     state.router().apply_crash_findings(now, &stored.findings, FindingSource::Store);
     state.log_crash_notices();
@@ -122,11 +137,11 @@
         FindingWrite::Written(stored) => {
             let before = replaced.findings.len();
             log::info!(findings = count, before; "crash findings written to the store");
-            take_over(state, stored);
+            take_over_findings(state, stored);
         }
         FindingWrite::Conflict(stored) => {
             log::info!(findings = stored.findings.len(); "crash findings were written by another router");
-            take_over(state, stored);
+            take_over_findings(state, stored);
         }
         FindingWrite::Missing => {
             log::warn!("the store has lost its crash findings; writing them again");
--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -5,7 +5,7 @@
 //! that fewer routers know; questions are repeated. When routers come or go, the others pass on what
 //! they know to those that take over, and a router that stops passes on everything.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 
 use jackdaw_policy::direct::{
     HolderRoster, LookupResult, StreamBinding, StreamFinding, StreamKey, StreamLookup, TellingPlan,
-    plan_handover, stream_receivers, stream_sources,
+    WATCHERS_PER_DOMAIN, plan_handover, stream_receivers, stream_sources,
 };
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
@@ -37,6 +37,13 @@
 /// Maximum number of lookups at the same time.
 const MAX_OPEN_LOOKUPS: usize = 1024;
 
+/// Interval at which the keeper of the failure domain is told of new streams, in a small domain.
+const KEEPER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lower bound of that interval per router of the domain, which limits what a keeper receives to 200
+/// datagrams a second.
+const KEEPER_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
+
 /// Streams told in one datagram: some 1,000 bytes, which fit a packet.
 const MAX_TOLD_STREAMS: usize = 48;
 
@@ -48,6 +55,10 @@
     roster: RefCell<HolderRoster>,
     /// Lookups that wait for answers, by random numbers that answers repeat.
     lookups: RefCell<HashMap<u64, OpenLookup>>,
+    /// Streams that this router began since it last told the keeper of its failure domain.
+    fresh: RefCell<Vec<StreamBinding>>,
+    /// The keeper that was told last, and when; `None` if it was this router itself.
+    keeper: Cell<Option<(Ipv4Addr, Instant)>>,
 }
 
 /// Result of a lookup, with what it is based on.
@@ -93,6 +104,8 @@
             peers: Rc::clone(peers),
             roster: RefCell::default(),
             lookups: RefCell::default(),
+            fresh: RefCell::default(),
+            keeper: Cell::new(None),
         }
     }
 
@@ -103,6 +116,39 @@
         state.metrics.bindings_sent.inc_by(receivers.len() as u64);
         let extension = StreamExtension { bindings: vec![binding], ..StreamExtension::default() };
         self.send(state, &receivers, extension);
+        self.fresh.borrow_mut().push(binding);
+    }
+
+    /// Tells the router that keeps the streams of this failure domain in the store of those that this one
+    /// began since the last time. A new keeper is told of all that are known.
+    pub(crate) fn tell_keeper(&self, state: &EdgeState) {
+        let (keeper, routers) = {
+            let watchers = self.peers.borrow().domain_watchers();
+            let own = state.router().incarnation();
+            let reaches_store = !state.router().watch.is_store_unreachable(state.now());
+            let first = watchers.first().filter(|(first, _)| *first < own || !reaches_store);
+            (first.map(|(_, ip)| *ip), watchers.len())
+        };
+        let Some(keeper) = keeper else {
+            // This router keeps the streams itself.
+            self.keeper.set(None);
+            self.fresh.borrow_mut().clear();
+            return;
+        };
+        let interval = KEEPER_INTERVAL.max(KEEPER_INTERVAL_PER_PEER * routers as u32);
+        let last = self.keeper.get().filter(|(last, _)| *last == keeper);
+        if last.is_some_and(|(_, time)| time.elapsed() < interval) {
+            return;
+        }
+        self.keeper.set(Some((keeper, Instant::now())));
+        let mut bindings = self.fresh.take();
+        if last.is_none() {
+            bindings = state.router().stream_bindings(state.now()).collect();
+            log::info!(peer:% = keeper, told = bindings.len(); "telling the new keeper of streams");
+        }
+        let plan = TellingPlan::from([(keeper, bindings)]);
+        let told = self.send_plan(state, &plan);
+        state.metrics.bindings_sent.inc_by(told);
     }
 
     /// Tells routers that are new, have started again or take the place of others of the streams that
@@ -166,12 +212,28 @@
             // Any routers can tell whether the service has had a single version.
             let placing_key = key.unwrap_or(StreamKey(number));
             let knows_others = peers.len() > 0 || state.router().has_members();
-            knows_others.then(|| stream_sources(placing_key, &peers.holder_peers()))
+            knows_others.then(|| {
+                let mut sources = stream_sources(placing_key, &peers.holder_peers());
+                // These have read what the store keeps.
+                let watchers = peers.domain_watchers().into_iter().map(|(_, ip)| ip);
+                for watcher in watchers.take(WATCHERS_PER_DOMAIN) {
+                    if !sources.contains(&watcher) {
+                        sources.push(watcher);
+                    }
+                }
+                sources
+            })
         };
         let question = StreamQuestion { number, key, service: service.to_owned() };
         let asked = sources.as_ref().map_or(0, SmallVec::len);
         let lookup = self.collect(state, StreamLookup::new(own, sources), question).await;
-        let result = lookup.conclude(&state.router().present_versions(service));
+        let result = match lookup.conclude(&state.router().present_versions(service)) {
+            // The caller may find its stream known a moment later.
+            LookupResult::Unknown { .. } if state.bindings.is_reading() => {
+                LookupResult::Unknown { is_isolated: true }
+            }
+            result => result,
+        };
         LookupReport { result, asked, answered: asked - lookup.waiting().len() }
     }
 
--- a/crates/jackdaw-edge/tests/edge/command_line.rs
+++ b/crates/jackdaw-edge/tests/edge/command_line.rs
@@ -38,6 +38,16 @@
     }
 }
 
+#[test]
+fn first_start_is_checked_with_the_settings() {
+    let settings = example_path("edge.ini");
+    for (first_start, status) in [("true", 0), ("false", 0), ("", 0), ("maybe", 3)] {
+        let option = format!("--first-start={first_start}");
+        let output = run_edge(&["--settings", &settings, "--check", &option]);
+        assert_eq!(output.status.code(), Some(status), "{first_start:?}");
+    }
+}
+
 #[test]
 fn unknown_options_are_rejected() {
     assert_eq!(run_edge(&["--sideways"]).status.code(), Some(2));
--- a/crates/jackdaw-model/src/fleet_model.rs
+++ b/crates/jackdaw-model/src/fleet_model.rs
@@ -336,6 +336,7 @@
         regions: DomainRegions::new(),
         cold_tolerance: ColdTolerance::default(),
         has_evacuations: false,
+        is_first_start: false,
         share_window: Duration::from_secs(4),
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
--- a/crates/jackdaw-policy/src/direct.rs
+++ b/crates/jackdaw-policy/src/direct.rs
@@ -37,7 +37,7 @@
 pub use customers::refusal_tracker::RefusalTracker;
 pub use direct_router::{
     ColdNotice, ColdTolerance, CrashNotice, DirectPolicy, DirectRequest, DirectRouter,
-    FindingSource, RunId, RunOutcome,
+    FindingSource, KnownRecord, RecordAge, RunId, RunOutcome,
 };
 pub use fleet::contact_list::{MAX_CONTACTS, plan_contacts, unheard_contacts};
 pub use fleet::fleet_retry_budget::FleetRetryBudget;
@@ -65,12 +65,14 @@
 pub use route_table::{KeyError, RouteTable};
 pub use store_revision::StoreRevision;
 pub use streams::binding_repair::{HolderMember, HolderRoster, TellingPlan, plan_handover};
+pub use streams::binding_ring::{BindingRing, RingWrite};
 pub use streams::stream_holders::{
     HolderList, HolderMap, HolderPeer, stream_receivers, stream_sources,
 };
 pub use streams::stream_lookup::{LookupResult, StreamFinding, StreamLookup};
 pub use streams::stream_monitor::StreamMonitor;
 pub use streams::stream_table::{StreamBinding, StreamKey, StreamTable};
+pub use streams::version_record::{REMOVAL_MARGIN, RecordBasis, ServiceVersions, VersionRecord};
 pub use target_id::TargetId;
 pub use targets::cold_shares::{ColdDivision, ColdShares};
 pub use targets::cold_targets::{ColdSource, ColdTargets};
@@ -91,4 +93,5 @@
     ChangeEffect, ReadyTarget, StoreContact, StoreReachability, TargetChange, TargetEntry,
     TargetSnapshot, TargetState, TargetTable, UpdateEffect,
 };
+pub use targets::version_gate::VersionGate;
 pub use targets::version_history::VersionHistory;
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -7,11 +7,13 @@
 mod report_exchange;
 mod stream_tracking;
 mod target_ranking;
+mod version_tracking;
 
 pub use cold_tracking::{ColdNotice, ColdTolerance};
 use crash_tracking::BrokenRun;
 pub use crash_tracking::{CrashNotice, FindingSource};
 pub use direct_policy::DirectPolicy;
+pub use version_tracking::{KnownRecord, RecordAge};
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -47,6 +49,7 @@
 use crate::direct::targets::target_limits::{LimitStatement, TargetLimits};
 use crate::direct::targets::target_speed::TargetSpeed;
 use crate::direct::targets::target_table::TargetTable;
+use crate::direct::targets::version_gate::VersionGate;
 use crate::direct::targets::version_history::VersionHistory;
 
 /// The properties of a request that routing decisions depend on.
@@ -152,6 +155,9 @@
     stream_monitors: HashMap<String, StreamMonitor>,
     streams: StreamTable,
     versions: VersionHistory,
+    /// What the store names as versions that may have streams.
+    recorded: KnownRecord,
+    gate: VersionGate,
     crashes: CrashLedger,
     broken: Vec<BrokenRun>,
     notices: Vec<CrashNotice>,
@@ -186,6 +192,8 @@
             stream_monitors: HashMap::new(),
             streams: StreamTable::default(),
             versions: VersionHistory::default(),
+            recorded: KnownRecord::default(),
+            gate: VersionGate::default(),
             crashes: CrashLedger::default(),
             broken: Vec::new(),
             notices: Vec::new(),
--- a/crates/jackdaw-policy/src/direct/direct_router/direct_policy.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/direct_policy.rs
@@ -23,6 +23,8 @@
     /// Whether the operator may take failure domains out of use; requests are then refused until it is
     /// known which ones are.
     pub has_evacuations: bool,
+    /// Whether no router of the deployment has run before, so that there are no streams to come back to.
+    pub is_first_start: bool,
     /// Sliding window over which customers' shares are computed.
     pub share_window: Duration,
     /// Sliding window of the fleet-wide retry budget.
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -111,6 +111,8 @@
             StoreReachability::Reachable { settled_at } if now < settled_at => {
                 StoreStatus::Recovering
             }
+            // Targets that are withheld are missing from the table.
+            StoreReachability::Reachable { .. } if !self.gate.is_empty() => StoreStatus::Recovering,
             StoreReachability::Reachable { .. } => StoreStatus::Stable,
         }
     }
--- a/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -1,5 +1,7 @@
 //! Which software versions began the streams that callers may go on with.
 
+use std::time::Duration;
+
 use jackdaw_base::MonotonicTime;
 
 use crate::direct::direct_router::DirectRouter;
@@ -42,6 +44,7 @@
             StoreStatus::Unreachable => None,
             _ => self.versions.sole_version(now, service, self.streams.return_span()),
         };
+        let sole = sole.filter(|sole| !self.is_contradicted(service, *sole));
         StreamFinding::Unknown { sole }
     }
 
@@ -68,7 +71,28 @@
         self.versions.expire(now, self.streams.return_span());
     }
 
-    fn record_versions(&mut self, now: MonotonicTime) {
+    /// Returns streams that the store is to keep and does not: some while the record names several versions
+    /// of a service, or is about to.
+    pub fn unsaved_streams(&self, now: MonotonicTime, limit: usize) -> Vec<StreamBinding> {
+        self.streams.unsaved(now, limit)
+    }
+
+    /// Records that the store keeps streams.
+    pub fn mark_streams_saved(&mut self, bindings: &[StreamBinding]) {
+        self.streams.mark_saved(bindings);
+    }
+
+    /// Records that the store was restored from an older copy and may have lost streams.
+    pub fn mark_streams_unsaved(&mut self) {
+        self.streams.mark_unsaved();
+    }
+
+    /// Returns the time after which no caller comes back to a stream that began earlier.
+    pub fn return_span(&self) -> Duration {
+        self.streams.return_span()
+    }
+
+    pub(super) fn record_versions(&mut self, now: MonotonicTime) {
         for (service, version) in self.targets.versions() {
             self.versions.record(now, service, *version);
         }
--- a/crates/jackdaw-policy/src/direct/fleet/watch_election.rs
+++ b/crates/jackdaw-policy/src/direct/fleet/watch_election.rs
@@ -91,6 +91,8 @@
     is_watching: bool,
     /// Whether the router watches even if all others reach the store.
     is_primary: bool,
+    /// Whether the router precedes all others of its failure domain that reach the store.
+    is_first: bool,
     store_failed_at: Option<MonotonicTime>,
     fetch_failed_at: Option<MonotonicTime>,
     /// Time until which a router that begins to watch has to expect an outage that just ended.
@@ -103,6 +105,7 @@
         WatchElection {
             is_watching: true,
             is_primary: true,
+            is_first: true,
             store_failed_at: None,
             fetch_failed_at: None,
             outage_known_until: None,
@@ -116,6 +119,11 @@
         self.is_watching
     }
 
+    /// Returns whether this router writes for its failure domain what the store is to keep of streams.
+    pub fn is_keeper(&self) -> bool {
+        self.is_watching && self.is_first
+    }
+
     /// Returns the longest pause between two calls to the store that fail.
     pub fn longest_retry_pause(&self) -> Duration {
         if self.is_primary { RETRY_PAUSES.0 } else { RETRY_PAUSES.1 }
@@ -202,6 +210,7 @@
             (false, false) => {}
         }
         self.is_primary = lower < WATCHERS_PER_DOMAIN;
+        self.is_first = preceding == 0;
         self.is_watching = has_fetch_failed || preceding < WATCHERS_PER_DOMAIN;
         self.is_watching != was_watching
     }
--- a/crates/jackdaw-policy/src/direct/streams.rs
+++ b/crates/jackdaw-policy/src/direct/streams.rs
@@ -5,7 +5,9 @@
 //! shares.
 
 pub mod binding_repair;
+pub mod binding_ring;
 pub mod stream_holders;
 pub mod stream_lookup;
 pub mod stream_monitor;
 pub mod stream_table;
+pub mod version_record;
--- a/crates/jackdaw-policy/src/direct/streams/stream_table.rs
+++ b/crates/jackdaw-policy/src/direct/streams/stream_table.rs
@@ -73,6 +73,15 @@
 struct KnownStream {
     version: VersionId,
     expires: MonotonicTime,
+    /// Whether the platform's store has it.
+    is_saved: bool,
+}
+
+impl KnownStream {
+    fn binding(&self, now: MonotonicTime, key: StreamKey) -> StreamBinding {
+        let lifetime_ms = self.expires.since(now).as_millis() as u32;
+        StreamBinding { key, version: self.version, lifetime_ms }
+    }
 }
 
 /// Streams of this router, and those that others told it of.
@@ -92,11 +101,37 @@
             return false;
         }
         let expires = now.after(lifetime);
-        let stream = KnownStream { version: binding.version, expires };
+        let known = self.streams.get(&binding.key);
+        let is_saved =
+            known.is_some_and(|known| known.is_saved && known.version == binding.version);
+        let stream = KnownStream { version: binding.version, expires, is_saved };
         self.streams.insert(binding.key, stream);
         true
     }
 
+    /// Returns up to `limit` streams that the store does not have.
+    pub fn unsaved(&self, now: MonotonicTime, limit: usize) -> Vec<StreamBinding> {
+        let unsaved = self.streams.iter().filter(|(_, stream)| !stream.is_saved);
+        let unsaved = unsaved.filter(|(_, stream)| now < stream.expires).take(limit);
+        unsaved.map(|(key, stream)| stream.binding(now, *key)).collect()
+    }
+
+    /// Records that the store has streams.
+    pub fn mark_saved(&mut self, bindings: &[StreamBinding]) {
+        for binding in bindings {
+            if let Some(stream) = self.streams.get_mut(&binding.key) {
+                stream.is_saved |= stream.version == binding.version;
+            }
+        }
+    }
+
+    /// Records that the store may have lost all streams.
+    pub fn mark_unsaved(&mut self) {
+        for stream in self.streams.values_mut() {
+            stream.is_saved = false;
+        }
+    }
+
     /// Returns the version that began a stream; `None` if it is not known.
     pub fn find(&self, now: MonotonicTime, key: StreamKey) -> Option<VersionId> {
         let stream = self.streams.get(&key).filter(|stream| now < stream.expires)?;
@@ -112,11 +147,7 @@
     /// Returns the streams whose callers may still come back, with the time left for that.
     pub fn bindings(&self, now: MonotonicTime) -> impl Iterator<Item = StreamBinding> {
         let current = self.streams.iter().filter(move |(_, stream)| now < stream.expires);
-        current.map(move |(key, stream)| StreamBinding {
-            key: *key,
-            version: stream.version,
-            lifetime_ms: stream.expires.since(now).as_millis() as u32,
-        })
+        current.map(move |(key, stream)| stream.binding(now, *key))
     }
 
     /// Returns the time after which no caller comes back to a stream that began earlier.
--- a/crates/jackdaw-policy/src/direct/targets.rs
+++ b/crates/jackdaw-policy/src/direct/targets.rs
@@ -16,4 +16,5 @@
 pub mod target_limits;
 pub mod target_speed;
 pub mod target_table;
+pub mod version_gate;
 pub mod version_history;
--- a/crates/jackdaw-policy/src/direct/targets/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table.rs
@@ -63,6 +63,8 @@
     Deferred,
     /// The table already reflects this change or a later one.
     Ignored,
+    /// The target is not used until the store names its software version.
+    Withheld,
 }
 
 /// Effect of a listing or of another router's snapshot on a target table.
@@ -188,6 +190,13 @@
         &self.index().versions
     }
 
+    /// Returns whether a registered target of the same service has the version of `entry`.
+    pub fn serves_version(&self, entry: &TargetEntry) -> bool {
+        let version = entry.version_id();
+        let mut served = self.versions().iter();
+        served.any(|(service, known)| *service == entry.service && *known == version)
+    }
+
     /// Returns the name of a version that a registered target has; `None` if no target has it.
     pub fn version_name(&self, version: VersionId) -> Option<String> {
         let mut names = self.entries().filter_map(|entry| entry.version.as_ref());
@@ -254,6 +263,13 @@
         }
     }
 
+    /// Takes a target out of use whose entry was replaced by one that must not be used yet.
+    pub fn withdraw(&mut self, now: MonotonicTime, name: &str) {
+        if self.targets.contains_key(name) {
+            self.remove_unrevised(now, name);
+        }
+    }
+
     /// Applies a complete list of the store's entries at a revision; entries missing from it were
     /// removed or have expired.
     pub fn replace(
--- a/crates/jackdaw-policy/tests/direct/common.rs
+++ b/crates/jackdaw-policy/tests/direct/common.rs
@@ -88,6 +88,7 @@
         regions: DomainRegions::new(),
         cold_tolerance: ColdTolerance::default(),
         has_evacuations: false,
+        is_first_start: false,
         share_window: Duration::from_secs(4),
         retry_window: Duration::from_secs(10),
         retry_ratio: 0.2,
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -22,6 +22,7 @@
 mod staged_placement;
 mod store_restores;
 mod stored_findings;
+mod stored_versions;
 mod stream_lookups;
 mod stream_versions;
 mod target_faults;
--- a/crates/jackdaw-settings/src/edge.rs
+++ b/crates/jackdaw-settings/src/edge.rs
@@ -84,6 +84,8 @@
     pub descriptors: usize,
     /// The memory that the process may use, in bytes, with what its sockets have received.
     pub memory_bytes: usize,
+    /// Whether no router of the deployment has run before, as stated on the command line.
+    pub is_first_start: bool,
     /// The number of cores that the process may use.
     pub processor_share: f64,
     /// The time from SIGTERM until the process is killed with SIGKILL.
@@ -153,6 +155,25 @@
         Ok(())
     }
 
+    /// Sets whether no router of the deployment has run before, as stated on the command line. An empty
+    /// text changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// `SettingsInvalid` if the text is neither `true` nor `false`.
+    pub fn override_first_start(&mut self, text: &str) -> Result<(), Report<ErrorKind>> {
+        self.is_first_start = match text {
+            "" => self.is_first_start,
+            "true" => true,
+            "false" => false,
+            _ => {
+                let problem = format!("first-start is {text:?}, allowed: true or false");
+                return Err(Report::new(ErrorKind::SettingsInvalid).attach(problem));
+            }
+        };
+        Ok(())
+    }
+
     /// Returns the IP address by which other routers reach this router.
     pub fn ip(&self) -> Ipv4Addr {
         *self.peer_address.ip()
@@ -218,6 +239,7 @@
             store_address: store_address?,
             descriptors: descriptors?.unwrap_or(4096.0) as usize,
             memory_bytes: memory_bytes(memory?.unwrap_or(DEFAULT_MEMORY_MB)),
+            is_first_start: false,
             processor_share: processor_share?.unwrap_or(1.0).max(MIN_CORES),
             shutdown_grace: grace?.unwrap_or(Duration::from_secs(8)),
             share_window: share_window?.unwrap_or(Duration::from_secs(4)).max(MIN_WINDOW),
