--- a/crates/jackdaw-soak/src/router_process.rs
+++ b/crates/jackdaw-soak/src/router_process.rs
@@ -22,6 +22,8 @@
     /// Addresses on which the router listens.
     pub endpoints: RouterEndpoints,
     settings: PathBuf,
+    /// Further arguments of the program.
+    args: Vec<String>,
     log: PathBuf,
     child: RefCell<Option<Child>>,
     /// Number of starts so far.
@@ -40,12 +42,27 @@
         endpoints: RouterEndpoints,
         settings: &str,
         directory: &Path,
+    ) -> Rc<RouterProcess> {
+        RouterProcess::spawn_with(endpoints, settings, &[], directory)
+    }
+
+    /// As [`RouterProcess::spawn`], with further arguments of the program.
+    ///
+    /// # Panics
+    ///
+    /// As [`RouterProcess::spawn`].
+    pub fn spawn_with(
+        endpoints: RouterEndpoints,
+        settings: &str,
+        args: &[&str],
+        directory: &Path,
     ) -> Rc<RouterProcess> {
         let path = directory.join(format!("{}.ini", endpoints.ip));
         std::fs::write(&path, settings).expect("settings can be written");
         let router = Rc::new(RouterProcess {
             endpoints,
             settings: path,
+            args: args.iter().map(|arg| (*arg).to_owned()).collect(),
             log: directory.join(format!("{}.log", endpoints.ip)),
             child: RefCell::new(None),
             starts: Cell::new(0),
@@ -72,6 +89,7 @@
         let child = Command::new(program_path("jackdaw-edge"))
             .arg("--settings")
             .arg(&self.settings)
+            .args(&self.args)
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
