--- a/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/stream_tracking.rs
@@ -10,6 +10,7 @@
 use crate::direct::streams::stream_lookup::StreamFinding;
 use crate::direct::streams::stream_table::{StreamBinding, StreamKey};
 use crate::direct::targets::software_version::VersionId;
+use crate::direct::targets::target_table::TargetEntry;
 
 impl DirectRouter {
     /// Records for how long callers of streams may wait: the streams that other processes began may be as
@@ -53,11 +54,13 @@
         self.streams.bindings(now)
     }
 
-    /// Returns the versions of a service's registered targets.
+    /// Returns the versions of a service's registered targets, also of those that are withheld: other routers
+    /// may use them.
     pub fn present_versions(&self, service: &str) -> Vec<Option<VersionId>> {
         let versions = self.targets.versions().iter();
         let present = versions.filter(|(name, _)| name == service).map(|(_, version)| *version);
-        present.collect()
+        let withheld = self.gate.entries().filter(|entry| entry.service == service);
+        present.chain(withheld.map(TargetEntry::version_id)).collect()
     }
 
     /// Returns the number of streams whose version is known.
@@ -96,5 +99,13 @@
         for (service, version) in self.targets.versions() {
             self.versions.record(now, service, *version);
         }
+        for entry in self.gate.entries() {
+            self.versions.record(now, &entry.service, entry.version_id());
+        }
+        match self.store_status(now) {
+            StoreStatus::Unreachable => self.versions.interrupt(),
+            _ if self.targets.has_listing() => self.versions.observe(now),
+            _ => {}
+        }
     }
 }
--- a/crates/jackdaw-policy/src/direct/direct_router/version_tracking.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/version_tracking.rs
@@ -140,10 +140,7 @@
         self.record_versions(now);
         let span = self.streams.return_span();
         let kept = span + REMOVAL_MARGIN;
-        let mut seen = self.versions.recent(now, kept);
-        for (service, versions) in self.gate.versions() {
-            seen.entry(service).or_default().extend(versions);
-        }
+        let seen = self.versions.recent(now, kept);
         if seen.is_empty() {
             return None;
         }
--- a/crates/jackdaw-policy/src/direct/targets/target_table.rs
+++ b/crates/jackdaw-policy/src/direct/targets/target_table.rs
@@ -356,6 +356,11 @@
         self.targets.values().filter(|target| target.missed_at.is_some()).count()
     }
 
+    /// Returns whether a complete list of the targets was known at some time.
+    pub fn has_listing(&self) -> bool {
+        self.has_listing
+    }
+
     /// Returns whether no target is known.
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
--- a/crates/jackdaw-policy/src/direct/targets/version_gate.rs
+++ b/crates/jackdaw-policy/src/direct/targets/version_gate.rs
@@ -1,9 +1,8 @@
 //! Targets that are not used yet, since the store does not name their software versions as ones that may have
 //! streams.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use crate::direct::targets::software_version::VersionId;
 use crate::direct::targets::target_table::{TargetChange, TargetEntry};
 
 /// Targets that are withheld, by name.
@@ -57,14 +56,4 @@
     pub fn entries(&self) -> impl Iterator<Item = &TargetEntry> {
         self.withheld.values()
     }
-
-    /// Returns the versions of the withheld targets, by service.
-    pub fn versions(&self) -> BTreeMap<String, BTreeSet<VersionId>> {
-        let mut versions: BTreeMap<String, BTreeSet<VersionId>> = BTreeMap::new();
-        for entry in self.withheld.values() {
-            let service = versions.entry(entry.service.clone()).or_default();
-            service.extend(entry.version_id());
-        }
-        versions
-    }
 }
--- a/crates/jackdaw-policy/src/direct/targets/version_history.rs
+++ b/crates/jackdaw-policy/src/direct/targets/version_history.rs
@@ -43,17 +43,22 @@
         }
     }
 
-    /// Notes that the registered targets are known now.
-    fn observe(&mut self, now: MonotonicTime) {
+    /// Notes that the registered targets are known now, if there are any.
+    pub fn observe(&mut self, now: MonotonicTime) {
         let has_gap = now.since(self.recorded_at) > LONGEST_GAP;
         self.recorded_at = now;
         if has_gap {
-            self.observed_since = None;
-            self.informed_from = None;
+            self.interrupt();
         }
         self.observed_since.get_or_insert(now);
     }
 
+    /// Notes that targets may come and go unseen.
+    pub fn interrupt(&mut self) {
+        self.observed_since = None;
+        self.informed_from = None;
+    }
+
     /// Records the versions that may have streams from before this router observed its targets. They count as
     /// all there are from `trusted_from` on, unless the router knows of others.
     pub fn inform(
--- a/crates/jackdaw-policy/tests/direct/main.rs
+++ b/crates/jackdaw-policy/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod prefill_bursts;
 mod prefix_affinity;
 mod random_updates;
+mod random_versions;
 mod report_relays;
 mod route_lookup;
 mod staged_placement;
--- a/crates/jackdaw-policy/tests/direct/stored_versions.rs
+++ b/crates/jackdaw-policy/tests/direct/stored_versions.rs
@@ -176,6 +176,20 @@
     }
 }
 
+/// A target that this router withholds may be used by others, also after a restore from a copy whose record lacks
+/// its version.
+#[test]
+fn withheld_targets_count_as_seen() {
+    let mut router = watching_router();
+    router.apply_version_record(at(10), known(record(Some(0), &["v1"]), 4), RecordAge::Latest);
+    router.apply_target_change(at(10), present("t", "v1", 3));
+    assert_eq!(sole(&mut router, 20), Some(version("v1")));
+    router.apply_target_change(at(30), present("u", "v2", 5));
+    assert_eq!(router.withheld_targets(), ["u"]);
+    assert_eq!(sole(&mut router, 40), None);
+    assert!(router.present_versions(SERVICE).contains(&Some(version("v2"))));
+}
+
 /// Another router uses a version of which this one has seen no target.
 #[test]
 fn recorded_version_that_was_not_seen_contradicts() {
@@ -211,6 +225,41 @@
     assert_eq!(run_release(&mut router, kept + 5000, kept + 6000), None);
 }
 
+/// A router that had not reached the store took a version that came and went meanwhile for one without streams.
+#[test]
+fn router_without_the_store_removes_nothing() {
+    let mut router = watching_router();
+    router.apply_version_record(at(0), known(record(Some(0), &["v1"]), 4), RecordAge::Latest);
+    router.apply_target_change(at(0), present("t", "v1", 3));
+    assert_eq!(run_release(&mut router, 0, 30_000), None);
+    router.record_store_contact(at(30_000), StoreContact::Failed);
+    run_release(&mut router, 30_000, 31_000);
+    router.record_store_contact(at(31_000), StoreContact::Answered);
+    // Targets of `v2` have come and gone.
+    router.apply_version_record(
+        at(31_000),
+        known(record(Some(0), &["v1", "v2"]), 9),
+        RecordAge::Latest,
+    );
+    assert_eq!(run_release(&mut router, 31_000, 40_000), None);
+    assert_eq!(sole(&mut router, 40_000), None);
+}
+
+/// A router that stood still while there were no targets did not notice that.
+#[test]
+fn standstill_without_targets_is_noticed() {
+    let mut router = watching_router();
+    router.apply_version_record(at(0), known(record(Some(0), &["v1"]), 4), RecordAge::Latest);
+    router.replace_targets(at(0), Vec::new(), 4.into());
+    assert_eq!(run_release(&mut router, 0, 15_000), None);
+    router.apply_version_record(
+        at(30_000),
+        known(record(Some(0), &["v1", "v2"]), 9),
+        RecordAge::Latest,
+    );
+    assert_eq!(run_release(&mut router, 30_000, 31_000), None);
+}
+
 /// Streams of a version that returns within the time are the same as before.
 #[test]
 fn served_versions_stay_in_the_record() {
