--- a/crates/jackdaw-policy/tests/direct/stored_versions.rs
+++ b/crates/jackdaw-policy/tests/direct/stored_versions.rs
@@ -245,19 +245,21 @@
     assert_eq!(sole(&mut router, 40_000), None);
 }
 
-/// A router that stood still while there were no targets did not notice that.
+/// A router that stood still while there were no targets did not notice that, and removed a version that came
+/// and went meanwhile.
 #[test]
 fn standstill_without_targets_is_noticed() {
     let mut router = watching_router();
-    router.apply_version_record(at(0), known(record(Some(0), &["v1"]), 4), RecordAge::Latest);
-    router.replace_targets(at(0), Vec::new(), 4.into());
-    assert_eq!(run_release(&mut router, 0, 15_000), None);
-    router.apply_version_record(
-        at(30_000),
-        known(record(Some(0), &["v1", "v2"]), 9),
-        RecordAge::Latest,
-    );
-    assert_eq!(run_release(&mut router, 30_000, 31_000), None);
+    let before = known(record(Some(0), &["v1"]), 4);
+    router.apply_version_record(at(0), before, RecordAge::Latest);
+    router.replace_targets(at(0), vec![target("t", "v1", 3)], 4.into());
+    assert_eq!(run_release(&mut router, 0, 30_000), None);
+    let removal = TargetChange::Removed { name: "t".to_owned(), revision: 5.into() };
+    router.apply_target_change(at(30_000), removal);
+    assert!(router.targets.is_empty());
+    let after = known(record(Some(0), &["v1", "v2"]), 9);
+    router.apply_version_record(at(38_000), after, RecordAge::Latest);
+    assert_eq!(run_release(&mut router, 38_000, 39_000), None);
 }
 
 /// Streams of a version that returns within the time are the same as before.
