Read streams from the store whenever other routers end

Cause: routers read what the store has of streams at their start only, so the ten that ran on knew what they had been told, and asked routers that were gone.

Change: routers that watch the store read it when they no longer hear another router, at most every 2 s.

--- a/crates/jackdaw-edge/src/binding_store.rs
+++ b/crates/jackdaw-edge/src/binding_store.rs
@@ -12,9 +12,10 @@
     ring: RefCell<Option<BindingRing>>,
     /// Whether a write is in progress.
     is_writing: Cell<bool>,
-    /// Whether streams that others began before this process are still being read.
+    /// Whether streams are to be read that routers began which have ended.
     is_reading: Cell<bool>,
-    wanted: Notify,
+    write_wanted: Notify,
+    read_wanted: Notify,
 }
 
 /// The only write in progress.
@@ -45,23 +46,34 @@
         self.ring.replace(ring);
     }
 
-    /// Sets whether streams are still being read.
-    pub(crate) fn set_reading(&self, is_reading: bool) {
-        self.is_reading.set(is_reading);
+    /// Asks for what the store has of streams to be read.
+    pub(crate) fn request_read(&self) {
+        self.is_reading.set(true);
+        self.read_wanted.notify_one();
     }
 
-    /// Returns whether streams are still being read, so that one that is not known now may be soon.
+    /// Waits for a request to read.
+    pub(crate) async fn wait_read_request(&self) {
+        self.read_wanted.notified().await;
+    }
+
+    /// Records that streams were read, or need not be.
+    pub(crate) fn end_reading(&self) {
+        self.is_reading.set(false);
+    }
+
+    /// Returns whether streams are to be read, so that one that is not known now may be soon.
     pub(crate) fn is_reading(&self) -> bool {
         self.is_reading.get()
     }
 
     /// Asks for a write at once.
     pub(crate) fn request_write(&self) {
-        self.wanted.notify_one();
+        self.write_wanted.notify_one();
     }
 
-    /// Waits for a request for a write.
-    pub(crate) async fn wait_request(&self) {
-        self.wanted.notified().await;
+    /// Waits for a request to write.
+    pub(crate) async fn wait_write_request(&self) {
+        self.write_wanted.notified().await;
     }
 }
--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -17,7 +17,7 @@
 
 use crate::edge_state::EdgeState;
 use crate::log_text::format_names;
-use crate::store_watch::binding_sync::{read_bindings, save_bindings_loop};
+use crate::store_watch::binding_sync::{read_bindings_loop, save_bindings_loop};
 use crate::store_watch::evacuation_watch::watch_evacuations_loop;
 use crate::store_watch::finding_sync::{watch_records_loop, write_findings_loop};
 use crate::store_watch::version_sync::{keep_versions_loop, record_versions};
@@ -81,7 +81,7 @@
             tokio::task::spawn_local(watch_records_loop(Rc::clone(state))),
             tokio::task::spawn_local(write_findings_loop(Rc::clone(state))),
             tokio::task::spawn_local(keep_versions_loop(Rc::clone(state))),
-            tokio::task::spawn_local(read_bindings(Rc::clone(state))),
+            tokio::task::spawn_local(read_bindings_loop(Rc::clone(state))),
             tokio::task::spawn_local(save_bindings_loop(Rc::clone(state))),
         ];
         if state.settings().evacuation_time.is_some() {
--- a/crates/jackdaw-edge/src/store_watch/binding_sync.rs
+++ b/crates/jackdaw-edge/src/store_watch/binding_sync.rs
@@ -1,8 +1,10 @@
 //! Keeps in the store which software versions began streams, while a service has several.
 //!
-//! The keeper of each failure domain writes; routers that start while a service has several versions read.
+//! The keeper of each failure domain writes. Routers that watch the store read when they start, and when others
+//! have ended.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use error_stack::Report;
 use jackdaw_base::ErrorKind;
@@ -16,35 +18,47 @@
 /// Maximum number of streams in one write: 640 KB, of the megabyte that the store takes.
 const MAX_SAVED_STREAMS: usize = 40_000;
 
+/// Least time between two times that the streams are read, which bounds the calls while routers end one after
+/// another.
+const READ_PAUSE: Duration = Duration::from_secs(2);
+
 /// Writes that are made at once, if more streams are to be written or others write as well.
 const MAX_WRITES: u32 = 4;
 
-/// Reads the streams of routers that ended before this one started, if the record of versions does not tell
-/// their versions. Only routers that watch the store read them; the others ask these.
-pub(super) async fn read_bindings(state: Rc<EdgeState>) {
-    state.bindings.set_reading(true);
+/// Reads the streams of routers that have ended, when this one starts and whenever others end, while the record
+/// of versions does not tell their versions. Only routers that watch the store read them; the others ask these.
+pub(super) async fn read_bindings_loop(state: Rc<EdgeState>) {
+    state.bindings.request_read();
     state.findings.wait_tried().await;
-    // The election of the routers that watch is given time.
-    tokio::time::sleep(ELECTION_TIME).await;
     let mut client = StoreClient::new(state.settings().store_address);
     let mut backoff = RetryBackoff::new();
-    while state.watches_store() && state.router().version_record().record.has_several() {
-        let calls = client.call_count();
-        let outcome = list_bindings(&state, &mut client).await;
-        state.metrics.store_calls.inc_by(client.call_count() - calls);
-        match outcome {
-            Ok(streams) => {
-                log::info!(streams; "streams read from the store");
-                break;
+    loop {
+        state.bindings.wait_read_request().await;
+        // The election of the routers that watch is given time.
+        tokio::time::sleep(ELECTION_TIME).await;
+        while state.watches_store() && state.router().version_record().record.has_several() {
+            if client.address() != state.settings().store_address {
+                client = StoreClient::new(state.settings().store_address);
             }
-            Err(report) => {
-                log_failure("list of streams", &report, backoff.failures);
-                let longest = state.router().watch.longest_retry_pause();
-                backoff.wait(longest).await;
+            let calls = client.call_count();
+            let outcome = list_bindings(&state, &mut client).await;
+            state.metrics.store_calls.inc_by(client.call_count() - calls);
+            match outcome {
+                Ok(streams) => {
+                    log::info!(streams; "streams read from the store");
+                    backoff.reset();
+                    break;
+                }
+                Err(report) => {
+                    log_failure("list of streams", &report, backoff.failures);
+                    let longest = state.router().watch.longest_retry_pause();
+                    backoff.wait(longest).await;
+                }
             }
         }
+        state.bindings.end_reading();
+        tokio::time::sleep(READ_PAUSE).await;
     }
-    state.bindings.set_reading(false);
 }
 
 /// Lists the streams in the store, and takes them over; returns their number.
@@ -77,7 +91,7 @@
         let period = BindingRing::write_period(state.router().return_span());
         tokio::select! {
             () = tokio::time::sleep(period) => {}
-            () = state.bindings.wait_request() => {}
+            () = state.bindings.wait_write_request() => {}
         }
         state.wait_store_watch().await;
         if !saves_bindings(&state) {
--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -156,6 +156,10 @@
     pub(crate) fn repair(&self, state: &EdgeState) {
         let members = self.peers.borrow().holder_members();
         let count = members.len();
+        if self.roster.borrow().count_lost(&members) > 0 {
+            // What only they knew of streams may be in the store.
+            state.bindings.request_read();
+        }
         let plan = {
             let router = state.router();
             self.roster.borrow_mut().update(members, router.stream_bindings(state.now()))
@@ -227,13 +231,13 @@
         let question = StreamQuestion { number, key, service: service.to_owned() };
         let asked = sources.as_ref().map_or(0, SmallVec::len);
         let lookup = self.collect(state, StreamLookup::new(own, sources), question).await;
-        let result = match lookup.conclude(&state.router().present_versions(service)) {
-            // The caller may find its stream known a moment later.
-            LookupResult::Unknown { .. } if state.bindings.is_reading() => {
-                LookupResult::Unknown { is_isolated: true }
-            }
-            result => result,
-        };
+        let mut result = lookup.conclude(&state.router().present_versions(service));
+        if let LookupResult::Unknown { is_isolated } = &mut result {
+            // What a router knew that does not answer may be read from the store shortly.
+            let is_kept = state.router().version_record().record.has_several();
+            *is_isolated |=
+                is_kept && (state.bindings.is_reading() || !lookup.waiting().is_empty());
+        }
         LookupReport { result, asked, answered: asked - lookup.waiting().len() }
     }
 
--- a/crates/jackdaw-policy/src/direct/streams/binding_repair.rs
+++ b/crates/jackdaw-policy/src/direct/streams/binding_repair.rs
@@ -31,6 +31,12 @@
 }
 
 impl HolderRoster {
+    /// Returns how many of the routers are not among `present` any more, or have started again without what
+    /// they knew.
+    pub fn count_lost(&self, present: &BTreeMap<Ipv4Addr, HolderMember>) -> usize {
+        self.members.iter().filter(|(ip, member)| present.get(ip) != Some(member)).count()
+    }
+
     /// Replaces the routers that can keep streams, and returns which of them have to be told of which
     /// of `known`: routers that are new or started again, and those that take the place of others.
     pub fn update(
