Take streams up at the last router in a test

Twelve routers in four failure domains, of which all but one are killed and stay down; the last one has kept streams for its domain from the start.

--- a/crates/jackdaw-soak/tests/lost_routers.rs
+++ b/crates/jackdaw-soak/tests/lost_routers.rs
@@ -17,8 +17,9 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
 
-/// Failure domains of the routers.
+/// Failure domains of the routers, and those of a larger fleet.
 const DOMAINS: [&str; 4] = ["a", "b", "a", "b"];
+const MORE_DOMAINS: [&str; 12] = ["a", "b", "c", "d", "a", "b", "c", "d", "a", "b", "c", "d"];
 
 /// Streams that callers hold when the routers are killed.
 const STREAMS: usize = 40;
@@ -33,6 +34,9 @@
 /// Time within which routers that start have to serve.
 const START_TIME: Duration = Duration::from_secs(12);
 
+/// Text that a router logs when it has found another one that keeps streams for its failure domain.
+const KEEPER_TEXT: &str = "telling the new keeper of streams";
+
 /// What becomes of the fleet before its routers are killed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Trouble {
@@ -50,6 +54,8 @@
     AnswersLost,
     /// As `Release`, and the store comes back older after the streams have begun.
     StoreOlder,
+    /// As `Release`, but all routers of a larger fleet except for one are killed and stay down.
+    OneLeft,
     /// The store comes back older while the routers are down; one version serves all the time.
     StoreOlderMeanwhile,
 }
@@ -58,6 +64,8 @@
     store: StoreStandin,
     targets: Vec<(TargetStandin, &'static str)>,
     routers: Vec<Rc<RouterProcess>>,
+    /// Number of routers that are not killed, the first ones; no stream begins at them.
+    kept: usize,
 }
 
 /// The beginning of a stream that lasts until its connection ends.
@@ -69,7 +77,7 @@
 }
 
 impl LostFleet {
-    async fn spawn(directory: &Path) -> LostFleet {
+    async fn spawn(directory: &Path, domains: &[&'static str], kept: usize) -> LostFleet {
         let store = StoreStandin::bind().await;
         let mut config = sample_config(1, &["k1"]);
         for route in config["routes"].as_array_mut().expect("list of routes") {
@@ -77,10 +85,10 @@
         }
         config["services"][0]["max_conns"] = 500.into();
         store.put_config(&config);
-        let mut fleet = LostFleet { store, targets: Vec::new(), routers: Vec::new() };
+        let mut fleet = LostFleet { store, targets: Vec::new(), routers: Vec::new(), kept };
         fleet.add_targets("v1", 2).await;
         let endpoints: Vec<_> =
-            DOMAINS.iter().map(|name| RouterEndpoints::allocate(name)).collect();
+            domains.iter().map(|name| RouterEndpoints::allocate(name)).collect();
         for own in &endpoints {
             let settings = own.settings(&endpoints, fleet.store.address);
             let args = ["--first-start=true"];
@@ -124,7 +132,8 @@
     /// the version that began each.
     async fn hold_streams(&self, kill: impl Future<Output = ()>) -> Vec<Option<String>> {
         let callers = (0..STREAMS).map(|number| {
-            let router = &self.routers[number % self.routers.len()];
+            let killed = &self.routers[self.kept..];
+            let router = &killed[number % killed.len()];
             let mut request = build_request("/resumed/x", &format!("first-{number}"), "");
             request.headers_mut().insert("deadline-ms", 12_000.into());
             let address = router.endpoints.caller_address();
@@ -145,8 +154,8 @@
         versions.collect()
     }
 
-    fn kill_all(&self) {
-        for router in &self.routers {
+    fn kill_routers(&self) {
+        for router in &self.routers[self.kept..] {
             router.kill();
         }
     }
@@ -158,7 +167,8 @@
             target.set_default_behavior(TargetBehavior::Echo(Duration::ZERO));
         }
         let returns = versions.iter().enumerate().map(|(number, version)| {
-            let router = &self.routers[(number + 1) % self.routers.len()];
+            let running = if self.kept > 0 { &self.routers[..self.kept] } else { &self.routers };
+            let router = &running[(number + 1) % running.len()];
             let mut request = build_request("/resumed/x", &format!("second-{number}"), "");
             set_resumption(&mut request, &format!("first-{number}"), 3);
             let sent = send_request(router.endpoints.caller_address(), request);
@@ -188,9 +198,19 @@
     let directory = tempfile::tempdir().expect("temporary directory can be created");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let test = async {
-        let mut fleet = LostFleet::spawn(directory.path()).await;
+        let (domains, kept) = match trouble {
+            Trouble::OneLeft => (&MORE_DOMAINS[..], 1),
+            _ => (&DOMAINS[..], 0),
+        };
+        let mut fleet = LostFleet::spawn(directory.path(), domains, kept).await;
         // The routers have heard of each other and elected those that watch.
         sleep(Duration::from_millis(1500)).await;
+        if kept > 0 {
+            // The last router is one that has kept streams from the start.
+            let is_keeper = |router: &Rc<RouterProcess>| router.lines_with(KEEPER_TEXT).is_empty();
+            let last = fleet.routers.iter().position(is_keeper).expect("a keeper");
+            fleet.routers.swap(0, last);
+        }
         let copy = fleet.store.copy();
         match trouble {
             Trouble::AnswersLost => fleet.store.lose_write_answers(4),
@@ -231,7 +251,7 @@
                 if matches!(trouble, Trouble::StoreAway | Trouble::StoreOlder) {
                     sleep(Duration::from_millis(2500)).await;
                 }
-                fleet.kill_all();
+                fleet.kill_routers();
             })
             .await;
         let begun = versions.iter().flatten().count();
@@ -244,10 +264,12 @@
             assert!(second >= STREAMS / 5, "both versions begin streams: {second}");
         }
         sleep(DOWN_TIME).await;
-        for router in &fleet.routers {
-            router.start();
+        if kept == 0 {
+            for router in &fleet.routers {
+                router.start();
+            }
+            fleet.wait_served().await;
         }
-        fleet.wait_served().await;
         sleep(RETURN_TIME).await;
         let (gone_on, mixed) = fleet.take_up(&versions).await;
         println!("{trouble:?}: {gone_on} of {STREAMS} streams go on, {mixed} at another version");
@@ -302,6 +324,12 @@
     play(Trouble::StoreOlder);
 }
 
+/// The last router knew a few streams of the others, and asked them for the rest.
+#[test]
+fn streams_go_on_at_the_last_router() {
+    play(Trouble::OneLeft);
+}
+
 #[test]
 fn streams_go_on_after_a_restore_without_routers() {
     play(Trouble::StoreOlderMeanwhile);
