Check the end of an answer at the address that it came from

Cause: the check that tells such an end from a crash looked the address up among the registered targets, and took a missing entry for a proof that the target runs.

Change: the request keeps the address to which it was sent. A target that has left may end without being taken for crashed by a request.

--- a/crates/jackdaw-edge/src/crash_check.rs
+++ b/crates/jackdaw-edge/src/crash_check.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -38,6 +39,14 @@
     done: CheckFuture,
 }
 
+/// The process that an answer came from, as its entry described it when the request was placed. The entry may
+/// be gone when the answer ends.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TargetProcess {
+    pub(crate) target: TargetId,
+    pub(crate) address: SocketAddr,
+}
+
 /// A check, which returns whether the target refused the connection.
 pub(crate) type CheckFuture = Shared<LocalBoxFuture<'static, bool>>;
 
@@ -50,8 +59,8 @@
 
 /// Checks a target after a connection to it broke, and records a crash if it refuses connections.
 /// The check goes on if the returned future is dropped.
-pub(crate) fn check_crash(state: &Rc<EdgeState>, target: TargetId) -> CheckFuture {
-    find_check(state, target, Duration::ZERO, |check| {
+pub(crate) fn check_crash(state: &Rc<EdgeState>, process: TargetProcess) -> CheckFuture {
+    find_check(state, process, Duration::ZERO, |check| {
         let is_running = check.done.peek().is_none();
         is_running || check.started.elapsed() < CHECK_VALIDITY
     })
@@ -59,34 +68,35 @@
 
 /// As [`check_crash`], for a target whose connection ended at `ended`. The result of an earlier check does
 /// not count.
-pub(crate) fn check_end(state: &Rc<EdgeState>, target: TargetId, ended: Instant) -> CheckFuture {
-    find_check(state, target, SETTLE_TIME, |check| check.started >= ended)
+pub(crate) fn check_end(
+    state: &Rc<EdgeState>,
+    process: TargetProcess,
+    ended: Instant,
+) -> CheckFuture {
+    find_check(state, process, SETTLE_TIME, |check| check.started >= ended)
 }
 
 /// Returns the last check of a target if it is usable, otherwise a new one.
 fn find_check(
     state: &Rc<EdgeState>,
-    target: TargetId,
+    process: TargetProcess,
     settle_time: Duration,
     is_usable: impl Fn(&CrashCheck) -> bool,
 ) -> CheckFuture {
     let mut checks = state.crash_checks.checks.borrow_mut();
-    if let Some(check) = checks.get(&target).filter(|check| is_usable(check)) {
+    if let Some(check) = checks.get(&process.target).filter(|check| is_usable(check)) {
         return check.done.clone();
     }
-    let done = run_check(Rc::clone(state), target, settle_time).boxed_local().shared();
+    let done = run_check(Rc::clone(state), process, settle_time).boxed_local().shared();
     tokio::task::spawn_local(done.clone());
-    checks.insert(target, CrashCheck { started: Instant::now(), done: done.clone() });
+    checks.insert(process.target, CrashCheck { started: Instant::now(), done: done.clone() });
     done
 }
 
 /// Connects to a target; returns whether it refuses connections. `settle_time` is that for which a new
 /// connection has to last.
-async fn run_check(state: Rc<EdgeState>, target: TargetId, settle_time: Duration) -> bool {
-    let entry = state.router().targets.find(target).map(|entry| entry.address);
-    let Some(address) = entry else {
-        return false;
-    };
+async fn run_check(state: Rc<EdgeState>, process: TargetProcess, settle_time: Duration) -> bool {
+    let TargetProcess { target, address } = process;
     for _ in 0..CHECK_ATTEMPTS {
         state.metrics.connections.inc();
         match timeout(CHECK_TIMEOUT, state.pool.connect(target, address)).await {
@@ -102,8 +112,12 @@
             }
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 let now = state.now();
-                state.router().record_unreachable(now, target);
-                state.log_crash_notices();
+                let is_registered = state.router().targets.contains(target);
+                // A target that has left may end.
+                if is_registered {
+                    state.router().record_unreachable(now, target);
+                    state.log_crash_notices();
+                }
                 return true;
             }
             Ok(Err(error)) => {
--- a/crates/jackdaw-edge/src/request_context.rs
+++ b/crates/jackdaw-edge/src/request_context.rs
@@ -13,6 +13,7 @@
     TargetEntry, TargetId, VersionId, VersionRule,
 };
 
+use crate::crash_check::TargetProcess;
 use crate::edge_state::{EdgeState, OpenRequest};
 use crate::local_response::LocalResponse;
 use crate::log_text::format_digests;
@@ -85,6 +86,8 @@
     pub(crate) tried: RefCell<Vec<TargetId>>,
     /// Identifier of the last selected target; zero if there is none.
     pub(crate) last_target: Cell<u64>,
+    /// The last selected target, as its entry described it; `None` if there is none.
+    pub(crate) last_process: Cell<Option<TargetProcess>>,
     last_target_name: RefCell<String>,
     /// Software version of the last selected target; empty if it is not known.
     last_version: RefCell<String>,
@@ -125,6 +128,7 @@
             unrun_sends: Cell::new(0),
             tried: RefCell::default(),
             last_target: Cell::new(0),
+            last_process: Cell::new(None),
             last_target_name: RefCell::default(),
             last_version: RefCell::default(),
             last_version_id: Cell::new(None),
@@ -173,12 +177,16 @@
     pub(crate) fn record_unmarked_crash(&self) {
         let state = &self.inner.state;
         let target = TargetId(self.inner.last_target.get());
-        state.router().record_unreachable(state.now(), target);
-        state.log_crash_notices();
+        let is_registered = state.router().targets.contains(target);
+        if is_registered {
+            state.router().record_unreachable(state.now(), target);
+            state.log_crash_notices();
+        }
         log::info!(
             request:% = self.inner.request.head.id,
             target_name = self.inner.target_name(),
-            target_id = self.inner.last_target.get();
+            target_id = self.inner.last_target.get(),
+            is_registered;
             "target crashed at the end of an answer without a length"
         );
     }
@@ -217,6 +225,8 @@
         let entry = router.targets.find(target);
         let name = entry.map(|entry| entry.name.clone());
         let version = entry.and_then(|entry| entry.version.clone());
+        let process = entry.map(|entry| TargetProcess { target, address: entry.address });
+        self.inner.last_process.set(process);
         self.inner.last_version_id.set(entry.and_then(TargetEntry::version_id));
         self.inner.last_target_name.replace(name.unwrap_or_default());
         self.inner.last_version.replace(version.unwrap_or_default());
--- a/crates/jackdaw-edge/src/target_send.rs
+++ b/crates/jackdaw-edge/src/target_send.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::{Request, Response, StatusCode, response};
 use http_body::Body;
 use http_body_util::Full;
@@ -117,15 +118,18 @@
     /// Waits until it is known whether the last target crashed with this request, so that a retry is
     /// decided with that knowledge.
     async fn check_crash(&self) {
-        let target = TargetId(self.inner.last_target.get());
-        check_crash(&self.inner.state, target).await;
+        if let Some(process) = self.inner.last_process.get() {
+            check_crash(&self.inner.state, process).await;
+        }
     }
 
     /// Returns a check of the last target after its answer ended with its connection, as it also does
     /// if the target crashed midway.
     pub(crate) fn check_end(&self) -> CheckFuture {
-        let target = TargetId(self.inner.last_target.get());
-        check_end(&self.inner.state, target, Instant::now())
+        match self.inner.last_process.get() {
+            Some(process) => check_end(&self.inner.state, process, Instant::now()),
+            None => std::future::ready(false).boxed_local().shared(),
+        }
     }
 
     /// Sends the request to one target and classifies the result.
