--- a/crates/jackdaw-edge/src/binding_store.rs
+++ b/crates/jackdaw-edge/src/binding_store.rs
@@ -14,8 +14,11 @@
     is_writing: Cell<bool>,
     /// Whether streams are to be read that routers began which have ended.
     is_reading: Cell<bool>,
+    /// Whether a caller waits for that.
+    is_awaited: Cell<bool>,
     write_wanted: Notify,
     read_wanted: Notify,
+    read_ended: Notify,
 }
 
 /// The only write in progress.
@@ -52,6 +55,19 @@
         self.read_wanted.notify_one();
     }
 
+    /// As [`BindingStore::request_read`], and waits until that has ended.
+    pub(crate) async fn await_read(&self) {
+        let ended = self.read_ended.notified();
+        self.is_awaited.set(true);
+        self.request_read();
+        ended.await;
+    }
+
+    /// Returns whether a caller waits for streams to be read.
+    pub(crate) fn is_awaited(&self) -> bool {
+        self.is_awaited.get()
+    }
+
     /// Waits for a request to read.
     pub(crate) async fn wait_read_request(&self) {
         self.read_wanted.notified().await;
@@ -60,6 +76,8 @@
     /// Records that streams were read, or need not be.
     pub(crate) fn end_reading(&self) {
         self.is_reading.set(false);
+        self.is_awaited.set(false);
+        self.read_ended.notify_waiters();
     }
 
     /// Returns whether streams are to be read, so that one that is not known now may be soon.
--- a/crates/jackdaw-edge/src/store_watch/binding_sync.rs
+++ b/crates/jackdaw-edge/src/store_watch/binding_sync.rs
@@ -10,6 +10,7 @@
 use jackdaw_base::ErrorKind;
 use jackdaw_platform::{BindingSlot, BindingWrite, StoreClient, StoredBindings};
 use jackdaw_policy::direct::{BindingRing, StreamBinding};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::edge_state::EdgeState;
@@ -22,21 +23,26 @@
 /// another.
 const READ_PAUSE: Duration = Duration::from_secs(2);
 
+/// As [`READ_PAUSE`], while a caller waits.
+const AWAITED_READ_PAUSE: Duration = Duration::from_millis(500);
+
 /// Writes that are made at once, if more streams are to be written or others write as well.
 const MAX_WRITES: u32 = 4;
 
 /// Reads the streams of routers that have ended, when this one starts and whenever others end, while the record
-/// of versions does not tell their versions. Only routers that watch the store read them; the others ask these.
+/// of versions does not tell their versions. Only routers that watch the store read them; the others ask these, and
+/// read themselves if a caller comes back to a stream that nobody who answers knows.
 pub(super) async fn read_bindings_loop(state: Rc<EdgeState>) {
     state.bindings.request_read();
     state.findings.wait_tried().await;
     let mut client = StoreClient::new(state.settings().store_address);
     let mut backoff = RetryBackoff::new();
+    let mut last_read = None;
     loop {
         state.bindings.wait_read_request().await;
-        // The election of the routers that watch is given time.
-        tokio::time::sleep(ELECTION_TIME).await;
-        while state.watches_store() && state.router().version_record().record.has_several() {
+        wait_turn(&state, last_read).await;
+        let is_reader = || state.watches_store() || state.bindings.is_awaited();
+        while is_reader() && state.router().version_record().record.has_several() {
             if client.address() != state.settings().store_address {
                 client = StoreClient::new(state.settings().store_address);
             }
@@ -56,8 +62,28 @@
                 }
             }
         }
+        last_read = Some(Instant::now());
         state.bindings.end_reading();
-        tokio::time::sleep(READ_PAUSE).await;
+    }
+}
+
+/// Waits until streams may be read again. The election of the routers that watch is given time, unless a caller
+/// waits.
+async fn wait_turn(state: &EdgeState, last_read: Option<Instant>) {
+    let begun = Instant::now();
+    loop {
+        let is_awaited = state.bindings.is_awaited();
+        let (delay, pause) = match is_awaited {
+            true => (Duration::ZERO, AWAITED_READ_PAUSE),
+            false => (ELECTION_TIME, READ_PAUSE),
+        };
+        let after_pause = last_read.map_or(begun, |last_read| last_read + pause);
+        let ends = after_pause.max(begun + delay);
+        if Instant::now() >= ends {
+            return;
+        }
+        // A caller that begins to wait ends the wait early.
+        let _ = tokio::time::timeout_at(ends, state.bindings.wait_read_request()).await;
     }
 }
 
--- a/crates/jackdaw-edge/src/stream_exchange.rs
+++ b/crates/jackdaw-edge/src/stream_exchange.rs
@@ -31,16 +31,20 @@
 /// processor time answer up to 0.1 s late.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time that a caller waits, in addition, for streams to be read from the store.
+const READ_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Time after which a question without an answer is repeated.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum number of lookups at the same time.
 const MAX_OPEN_LOOKUPS: usize = 1024;
 
-/// Interval at which the keeper of the failure domain is told of new streams, in a small domain.
+/// Interval at which the keeper of the failure domain is told of new streams, unless it is writing them to the
+/// store.
 const KEEPER_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Lower bound of that interval per router of the domain, which limits what a keeper receives to 200
+/// Lower bound of that interval, also then, per router of the domain, which limits what a keeper receives to 200
 /// datagrams a second.
 const KEEPER_INTERVAL_PER_PEER: Duration = Duration::from_millis(5);
 
@@ -117,6 +121,9 @@
         let extension = StreamExtension { bindings: vec![binding], ..StreamExtension::default() };
         self.send(state, &receivers, extension);
         self.fresh.borrow_mut().push(binding);
+        if state.router().version_record().record.has_several() {
+            self.tell_keeper(state);
+        }
     }
 
     /// Tells the router that keeps the streams of this failure domain in the store of those that this one
@@ -135,7 +142,11 @@
             self.fresh.borrow_mut().clear();
             return;
         };
-        let interval = KEEPER_INTERVAL.max(KEEPER_INTERVAL_PER_PEER * routers as u32);
+        let shortest = match state.router().version_record().record.has_several() {
+            true => Duration::ZERO,
+            false => KEEPER_INTERVAL,
+        };
+        let interval = shortest.max(KEEPER_INTERVAL_PER_PEER * routers as u32);
         let last = self.keeper.get().filter(|(last, _)| *last == keeper);
         if last.is_some_and(|(_, time)| time.elapsed() < interval) {
             return;
@@ -232,11 +243,18 @@
         let asked = sources.as_ref().map_or(0, SmallVec::len);
         let lookup = self.collect(state, StreamLookup::new(own, sources), question).await;
         let mut result = lookup.conclude(&state.router().present_versions(service));
-        if let LookupResult::Unknown { is_isolated } = &mut result {
-            // What a router knew that does not answer may be read from the store shortly.
-            let is_kept = state.router().version_record().record.has_several();
-            *is_isolated |=
-                is_kept && (state.bindings.is_reading() || !lookup.waiting().is_empty());
+        if let LookupResult::Unknown { is_isolated } = &mut result
+            && state.router().version_record().record.has_several()
+        {
+            if !lookup.waiting().is_empty() {
+                // What routers knew that do not answer may be in the store.
+                let _ = tokio::time::timeout(READ_TIMEOUT, state.bindings.await_read()).await;
+            }
+            *is_isolated |= state.bindings.is_reading();
+            let own = state.router().find_stream(state.now(), key, service);
+            if let StreamFinding::Version(version) = own {
+                result = LookupResult::Known(version);
+            }
         }
         LookupReport { result, asked, answered: asked - lookup.waiting().len() }
     }
--- a/crates/jackdaw-policy/src/direct/streams/binding_ring.rs
+++ b/crates/jackdaw-policy/src/direct/streams/binding_ring.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 /// Objects of a failure domain.
-const RING_OBJECTS: u32 = 64;
+const RING_OBJECTS: u32 = 96;
 
 /// Objects that may be written too soon: those skipped after conflicts, and the one being written.
 const SPARE_OBJECTS: u32 = 8;
 
 /// Shortest time between two writes. What began since the last write is lost if all routers end; a fleet with
-/// four failure domains makes ten calls a second, of the 400 that the smallest known store takes.
-const MIN_WRITE_PERIOD: Duration = Duration::from_millis(400);
+/// four failure domains makes 16 calls a second, of the 400 that the smallest known store takes.
+const MIN_WRITE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Which object is written next.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
