--- a/crates/jackdaw-soak/tests/lost_routers.rs
+++ b/crates/jackdaw-soak/tests/lost_routers.rs
@@ -6,6 +6,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -143,7 +144,11 @@
             })
         });
         let callers: Vec<_> = callers.collect();
-        sleep(Duration::from_millis(10 * STREAMS as u64) + HELD_TIME).await;
+        let ends = Instant::now() + START_TIME;
+        while self.received_streams() < STREAMS && Instant::now() < ends {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(HELD_TIME).await;
         kill.await;
         let answers = join_all(callers).await.into_iter().map(|answer| answer.expect("caller"));
         let versions = answers.map(|answer| {
@@ -154,6 +159,11 @@
         versions.collect()
     }
 
+    /// Returns the number of requests that targets received, each of which begins a stream.
+    fn received_streams(&self) -> usize {
+        self.targets.iter().map(|(target, _)| target.received_requests().len()).sum()
+    }
+
     fn kill_routers(&self) {
         for router in &self.routers[self.kept..] {
             router.kill();
@@ -194,7 +204,11 @@
     request
 }
 
+/// Held while a play runs: each has many processes, and its routers must not be short of processor time.
+static TURN: Mutex<()> = Mutex::new(());
+
 fn play(trouble: Trouble) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let directory = tempfile::tempdir().expect("temporary directory can be created");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let test = async {
