Record versions without delay where there is no election to wait for

A router that starts withholds its targets for 0.4 s, until the routers that watch are elected, and writes the record then; with 54 MB of odd entries to list that went past the test's 5 s. Nothing changes for fleets.

--- a/crates/jackdaw-edge/src/store_watch.rs
+++ b/crates/jackdaw-edge/src/store_watch.rs
@@ -291,6 +291,10 @@
             withheld = format_names(&state.router().withheld_targets());
             "targets listed"
         );
+        if !state.router().expects_others() {
+            // No election has to be waited for.
+            record_versions(state, &mut session.client).await?;
+        }
         session.start_watch(read).await;
         return Ok(());
     };
--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -254,6 +254,11 @@
         self.loads.peer_count()
     }
 
+    /// Returns whether there are other routers, or may be.
+    pub fn expects_others(&self) -> bool {
+        self.policy.expects_others || self.has_members()
+    }
+
     /// Returns whether there are other routers, even if none of them is heard now.
     pub fn has_members(&self) -> bool {
         !self.roster.is_empty()
