--- a/crates/jackdaw-policy/src/direct/direct_router.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router.rs
@@ -249,21 +249,6 @@
         !self.policy.has_evacuations || self.targets.evacuations().is_known()
     }
 
-    /// Returns the number of other routers that currently report.
-    pub fn peer_count(&self) -> usize {
-        self.loads.peer_count()
-    }
-
-    /// Returns whether there are other routers, or may be.
-    pub fn expects_others(&self) -> bool {
-        self.policy.expects_others || self.has_members()
-    }
-
-    /// Returns whether there are other routers, even if none of them is heard now.
-    pub fn has_members(&self) -> bool {
-        !self.roster.is_empty()
-    }
-
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.runs.len()
--- a/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
+++ b/crates/jackdaw-policy/src/direct/direct_router/report_exchange.rs
@@ -10,6 +10,21 @@
 use crate::direct::targets::target_table::{StoreContact, StoreReachability};
 
 impl DirectRouter {
+    /// Returns the number of other routers that currently report.
+    pub fn peer_count(&self) -> usize {
+        self.loads.peer_count()
+    }
+
+    /// Returns whether there are other routers, or may be.
+    pub fn expects_others(&self) -> bool {
+        self.policy.expects_others || self.has_members()
+    }
+
+    /// Returns whether there are other routers, even if none of them is heard now.
+    pub fn has_members(&self) -> bool {
+        !self.roster.is_empty()
+    }
+
     /// Returns the next report for the other routers.
     pub fn report(&mut self, now: MonotonicTime) -> PeerReport {
         self.next_report += 1;
